--- /dev/null
+++ b/agent/main.go
@@ -0,0 +1,4 @@
+// Command agent is not written yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/bamboostep/main.go
@@ -0,0 +1,4 @@
+// Command bamboostep is not written yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,4 @@
+// Command entry takes callers' requests and operators' publishes.
+package main
+
+func main() {}
--- /dev/null
+++ b/object.go
@@ -0,0 +1,131 @@
+package bamboostep
+
+// The declared objects. Operators write them in TOML, and they refer to each
+// other by name: an Adapter to its Model, a Model to its Version and Place, a
+// Service to its Place. Package catalog reads, checks and compares whole sets.
+
+// PlaceKind says what runs on the backend servers of a Place.
+type PlaceKind string
+
+// The kinds of Place.
+const (
+	EnginePlace      PlaceKind = "engine"
+	ApplicationPlace PlaceKind = "application"
+)
+
+// Class is the priority class of a request. A lower Rank is served first.
+type Class string
+
+// The classes, most important first.
+const (
+	ClassWrite    Class = "write"    // orders, bookings, material draws
+	ClassQuote    Class = "quote"    // quotations
+	ClassQuestion Class = "question" // quick questions, checks
+)
+
+// Rank returns the position of c in the order of importance, 0 being the most
+// important. A class that is not declared ranks last.
+func (c Class) Rank() int {
+	switch c {
+	case ClassWrite:
+		return 0
+	case ClassQuote:
+		return 1
+	}
+	return 2
+}
+
+// Place is a pool of backend servers of one kind and size.
+type Place struct {
+	Name           string    `toml:"name" msgpack:"name" json:"name"`
+	Kind           PlaceKind `toml:"kind" msgpack:"kind" json:"kind"`
+	Workers        int       `toml:"workers" msgpack:"workers" json:"workers"`          // VMs expected in the pool
+	MemoryMiB      int64     `toml:"memory_mib" msgpack:"memory_mib" json:"memory_mib"` // accelerator memory of one VM, MiB
+	FailureDomains []string  `toml:"failure_domains" msgpack:"failure_domains" json:"failure_domains"`
+	FencesOrders   bool      `toml:"fences_orders" msgpack:"fences_orders" json:"fences_orders"` // engines refuse an old fencing number
+	LoadsAtOnce    int       `toml:"loads_at_once" msgpack:"loads_at_once" json:"loads_at_once"` // loads in flight from the store before it slows
+	MoveWeight     float64   `toml:"move_weight" msgpack:"move_weight" json:"move_weight"`       // cost of one move, in requests within target
+}
+
+// WithWorkers returns p with the number of expected VMs set to n.
+func (p Place) WithWorkers(n int) Place {
+	p.Workers = n
+	return p
+}
+
+// WithMemoryMiB returns p with the memory of one VM set to n MiB.
+func (p Place) WithMemoryMiB(n int64) Place {
+	p.MemoryMiB = n
+	return p
+}
+
+// Version names one set of weights in the weight store.
+type Version struct {
+	Name       string `toml:"name" msgpack:"name" json:"name"`
+	WeightsMiB int64  `toml:"weights_mib" msgpack:"weights_mib" json:"weights_mib"`
+}
+
+// WithWeightsMiB returns v with its size set to n MiB.
+func (v Version) WithWeightsMiB(n int64) Version {
+	v.WeightsMiB = n
+	return v
+}
+
+// Model is a model that callers name in their requests.
+type Model struct {
+	Name            string `toml:"name" msgpack:"name" json:"name"`
+	Version         string `toml:"version" msgpack:"version" json:"version"`
+	Place           string `toml:"place" msgpack:"place" json:"place"`
+	CacheMiB        int64  `toml:"cache_mib" msgpack:"cache_mib" json:"cache_mib"`    // KV cache reserved beside the weights, MiB
+	MinCopies       int    `toml:"min_copies" msgpack:"min_copies" json:"min_copies"` // resident copies kept at all times, at least 1
+	Class           Class  `toml:"class" msgpack:"class" json:"class"`
+	FirstTokenMS    int64  `toml:"first_token_ms" msgpack:"first_token_ms" json:"first_token_ms"`          // target for the first token, milliseconds
+	BetweenTokensMS int64  `toml:"between_tokens_ms" msgpack:"between_tokens_ms" json:"between_tokens_ms"` // target between two tokens, milliseconds
+}
+
+// WithVersion returns m with its weights set to the named version.
+func (m Model) WithVersion(version string) Model {
+	m.Version = version
+	return m
+}
+
+// WithMinCopies returns m with the number of resident copies set to n.
+func (m Model) WithMinCopies(n int) Model {
+	m.MinCopies = n
+	return m
+}
+
+// Adapter is a small set of weights applied on top of a Model. Callers name it
+// where they would name a model.
+type Adapter struct {
+	Name       string `toml:"name" msgpack:"name" json:"name"`
+	Model      string `toml:"model" msgpack:"model" json:"model"`
+	Version    string `toml:"version" msgpack:"version" json:"version"`
+	WeightsMiB int64  `toml:"weights_mib" msgpack:"weights_mib" json:"weights_mib"`
+}
+
+// WithModel returns a with its base model set to the named one.
+func (a Adapter) WithModel(model string) Adapter {
+	a.Model = model
+	return a
+}
+
+// Service is a plain application service. Requests whose path starts with
+// PathPrefix are passed on to it unchanged.
+type Service struct {
+	Name        string `toml:"name" msgpack:"name" json:"name"`
+	Place       string `toml:"place" msgpack:"place" json:"place"`
+	PathPrefix  string `toml:"path_prefix" msgpack:"path_prefix" json:"path_prefix"`
+	Class       Class  `toml:"class" msgpack:"class" json:"class"`
+	Idempotent  bool   `toml:"idempotent" msgpack:"idempotent" json:"idempotent"`          // calls may be repeated
+	NameHeader  string `toml:"name_header" msgpack:"name_header" json:"name_header"`       // header that names a request
+	NameField   string `toml:"name_field" msgpack:"name_field" json:"name_field"`          // top-level JSON field that names a request
+	NameWindowS int64  `toml:"name_window_s" msgpack:"name_window_s" json:"name_window_s"` // how long a repeated body counts as the same request, seconds
+	AnswerMS    int64  `toml:"answer_ms" msgpack:"answer_ms" json:"answer_ms"`             // target for the whole answer, milliseconds
+}
+
+// WithIdempotent returns s with its calls declared repeatable or not.
+func (s Service) WithIdempotent(idempotent bool) Service {
+	s.Idempotent = idempotent
+	return s
+}
--- /dev/null
+++ b/scenario/main.go
@@ -0,0 +1,4 @@
+// Command scenario runs the demonstration.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is not written yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/timeline/timeline.go
@@ -0,0 +1,143 @@
+// Package timeline holds the time line of events over all processes; the field
+// would call it a distributed trace log.
+//
+// Every process keeps its last events in a ring of fixed size and writes each as
+// one key=value log line. An operator's query is sent to all processes and the
+// answers are merged by a hybrid logical clock, which rides on every frame
+// between processes. That clock is the hard point: hosts' wall clocks may be off
+// by seconds, yet an event must never sort before the event that caused it.
+package timeline
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// Event is one thing that happened in one process. Empty fields do not apply.
+type Event struct {
+	Stamp    Stamp                `msgpack:"stamp" json:"stamp"`
+	Process  string               `msgpack:"process" json:"process"`
+	Kind     string               `msgpack:"kind" json:"kind"` // snake case, e.g. "offer_sent"
+	Request  bamboostep.RequestID `msgpack:"request" json:"request,omitempty"`
+	Attempt  bamboostep.AttemptID `msgpack:"attempt" json:"attempt,omitempty"`
+	Model    string               `msgpack:"model" json:"model,omitempty"` // model, adapter or service
+	VM       string               `msgpack:"vm" json:"vm,omitempty"`
+	Revision uint64               `msgpack:"revision" json:"revision,omitempty"`
+	Term     uint64               `msgpack:"term" json:"term,omitempty"`
+	Detail   string               `msgpack:"detail" json:"detail,omitempty"`
+}
+
+// Query selects events. Empty fields select all.
+type Query struct {
+	Request bamboostep.RequestID `msgpack:"request"`
+	Model   string               `msgpack:"model"`
+	Since   time.Time            `msgpack:"since"`
+	Until   time.Time            `msgpack:"until"`
+}
+
+// Matches reports whether q selects e.
+func (q Query) Matches(e Event) bool {
+	if q.Request != "" && q.Request != e.Request {
+		return false
+	}
+	if q.Model != "" && q.Model != e.Model {
+		return false
+	}
+	at := e.Stamp.Time()
+	if !q.Since.IsZero() && at.Before(q.Since) {
+		return false
+	}
+	return q.Until.IsZero() || !at.After(q.Until)
+}
+
+// defaultEvents is the number of events that a Recorder keeps.
+const defaultEvents = 4096
+
+// Recorder keeps the last events of one process. Set the exported fields before
+// the first call; all methods may then be used by many goroutines.
+type Recorder struct {
+	Process string
+	Clock   *Clock
+	Log     *log.Logger // may be nil
+	Size    int         // events kept; 4096 if 0
+
+	mu     sync.Mutex
+	events []Event
+	next   int
+}
+
+// Record stamps e, keeps it and logs it.
+func (r *Recorder) Record(e Event) {
+	e.Stamp = r.Clock.Now()
+	e.Process = r.Process
+	r.keep(e)
+	if r.Log != nil {
+		r.Log.Info(e.Kind, keyValues(e)...)
+	}
+}
+
+// Find returns the kept events that q selects, oldest first.
+func (r *Recorder) Find(q Query) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Event
+	for i := range r.events {
+		e := r.events[(r.next+i)%len(r.events)]
+		if q.Matches(e) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func (r *Recorder) keep(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	size := r.Size
+	if size == 0 {
+		size = defaultEvents
+	}
+	if len(r.events) < size {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % size
+}
+
+// Merge orders the events of several processes into one time line.
+func Merge(lists ...[]Event) []Event {
+	all := slices.Concat(lists...)
+	slices.SortStableFunc(all, func(a, b Event) int {
+		if a.Stamp < b.Stamp {
+			return -1
+		}
+		if a.Stamp > b.Stamp {
+			return 1
+		}
+		return 0
+	})
+	return all
+}
+
+func keyValues(e Event) []any {
+	kv := make([]any, 0, 16)
+	add := func(key string, value any, set bool) {
+		if set {
+			kv = append(kv, key, value)
+		}
+	}
+	add("request", e.Request, e.Request != "")
+	add("attempt", e.Attempt, e.Attempt != "")
+	add("model", e.Model, e.Model != "")
+	add("vm", e.VM, e.VM != "")
+	add("revision", e.Revision, e.Revision != 0)
+	add("term", e.Term, e.Term != 0)
+	add("detail", e.Detail, e.Detail != "")
+	return kv
+}
--- /dev/null
+++ b/wire/node.go
@@ -0,0 +1,220 @@
+// Package wire carries messages between the system's own processes: TCP frames
+// of msgpack, each at most MaxFrameBytes long.
+//
+// A connection begins with a hello from each side that names the protocol
+// version. Both sides ping; a connection that brings nothing for two seconds is
+// abandoned although the kernel may still hold it open, because something
+// between the two ends can lose track of a connection without telling either.
+// A malformed or oversized frame closes its connection, is counted, and harms
+// nothing else.
+package wire
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+const (
+	dialTimeout    = 2 * time.Second
+	minRedialDelay = 50 * time.Millisecond
+	maxRedialDelay = 2 * time.Second
+)
+
+// Node is this process's end of all its connections. Set the exported fields
+// before the first use.
+type Node struct {
+	Hello   Hello // Version may be left 0
+	Clock   *timeline.Clock
+	Metrics *Metrics
+	TLS     *tls.Config // mutual TLS on every connection; nil for plain TCP
+
+	once    sync.Once
+	started time.Time
+}
+
+// Uptime returns the time since the node was first used, by the monotonic clock.
+// It is the clock that a peer's PeerUptime bounds from below.
+func (n *Node) Uptime() time.Duration { return n.uptime() }
+
+func (n *Node) uptime() time.Duration {
+	n.once.Do(func() { n.started = time.Now() })
+	return time.Since(n.started)
+}
+
+func (n *Node) hello() Hello {
+	h := n.Hello
+	h.Version = protocolVersion
+	return h
+}
+
+func (n *Node) open(nc net.Conn, handler Handler) (*Conn, *bufio.Reader, error) {
+	n.uptime()
+	r := bufio.NewReaderSize(nc, readBufferSize)
+	peer, err := exchangeHello(nc, r, n.hello(), n.Clock)
+	if err != nil {
+		nc.Close()
+		var bad *FrameError
+		if errors.As(err, &bad) {
+			n.Metrics.countBad()
+		}
+		return nil, nil, err
+	}
+	c := &Conn{
+		nc:      nc,
+		node:    n,
+		peer:    peer,
+		handler: handler,
+		wake:    make(chan struct{}, 1),
+		calls:   make(map[uint64]chan envelope),
+		done:    make(chan struct{}),
+	}
+	return c, r, nil
+}
+
+// Listener accepts connections. Set the exported fields before Run.
+type Listener struct {
+	Node    *Node
+	Net     net.Listener
+	Handler Handler
+	Up      func(c *Conn) // called before the first message of a connection; may be nil
+	Down    func(c *Conn) // called after its last message; may be nil
+}
+
+// Run accepts until ctx ends, then closes the listener and all its connections.
+func (l *Listener) Run(ctx context.Context) error {
+	var all sync.WaitGroup
+	defer all.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { l.Net.Close() })
+	defer stop()
+	for {
+		nc, err := l.Net.Accept()
+		if err != nil {
+			return ctx.Err()
+		}
+		all.Go(func() { l.serve(ctx, nc) })
+	}
+}
+
+func (l *Listener) serve(ctx context.Context, nc net.Conn) {
+	if l.Node.TLS != nil {
+		nc = tls.Server(nc, l.Node.TLS)
+	}
+	c, r, err := l.Node.open(nc, l.Handler)
+	if err != nil {
+		return
+	}
+	run(ctx, c, r, l.Up, l.Down)
+}
+
+func run(ctx context.Context, c *Conn, r *bufio.Reader, up, down func(c *Conn)) {
+	stop := context.AfterFunc(ctx, c.Close)
+	defer stop()
+	if up != nil {
+		up(c)
+	}
+	c.start(r)
+	if down != nil {
+		down(c)
+	}
+}
+
+// Link keeps one connection to a peer open, dialling again whenever it ends. Set
+// the exported fields before Run.
+type Link struct {
+	Node    *Node
+	Address string
+	Handler Handler
+	Up      func(c *Conn) // may be nil
+	Down    func(c *Conn) // may be nil
+
+	mu   sync.Mutex
+	conn *Conn
+}
+
+// Conn returns the connection, or nil while there is none.
+func (l *Link) Conn() *Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn
+}
+
+// Run keeps the connection open until ctx ends. The delay between two dials
+// doubles and is jittered, so that peers do not dial a restarted process all at
+// once.
+func (l *Link) Run(ctx context.Context) error {
+	delay := minRedialDelay
+	for ctx.Err() == nil {
+		began := time.Now()
+		l.connect(ctx)
+		if time.Since(began) > maxRedialDelay {
+			delay = minRedialDelay
+		}
+		pause(ctx, delay/2+rand.N(delay/2))
+		delay = min(2*delay, maxRedialDelay)
+	}
+	return ctx.Err()
+}
+
+func (l *Link) connect(ctx context.Context) {
+	d := net.Dialer{Timeout: dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", l.Address)
+	if err != nil {
+		return
+	}
+	if l.Node.TLS != nil {
+		nc = tls.Client(nc, l.clientTLS())
+	}
+	c, r, err := l.Node.open(nc, l.Handler)
+	if err != nil {
+		return
+	}
+	run(ctx, c, r, l.setUp, l.setDown)
+}
+
+func (l *Link) clientTLS() *tls.Config {
+	cfg := l.Node.TLS.Clone()
+	if cfg.ServerName == "" {
+		host, _, err := net.SplitHostPort(l.Address)
+		if err == nil {
+			cfg.ServerName = host
+		}
+	}
+	return cfg
+}
+
+func (l *Link) setUp(c *Conn) {
+	l.mu.Lock()
+	l.conn = c
+	l.mu.Unlock()
+	if l.Up != nil {
+		l.Up(c)
+	}
+}
+
+func (l *Link) setDown(c *Conn) {
+	l.mu.Lock()
+	l.conn = nil
+	l.mu.Unlock()
+	if l.Down != nil {
+		l.Down(c)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
