--- a/error.go
+++ b/error.go
@@ -20,6 +20,14 @@
 	return fmt.Sprintf("%s (%s): %s", e.Code, e.Outcome, e.Message)
 }
 
+// FailedError says that an attempt ended without a whole answer.
+type FailedError struct{ Failure Failure }
+
+// Error implements error.
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("attempt %q failed (%s, %s): %s", e.Failure.Attempt, e.Failure.Code, e.Failure.Outcome, e.Failure.Message)
+}
+
 // FencedError says that an order was older than one already seen.
 type FencedError struct {
 	Order   Fence
--- a/message.go
+++ b/message.go
@@ -35,6 +35,7 @@
 	StartBy int64     `msgpack:"start_by"` // agent clock, microseconds since the agent's start; the agent starts nothing later
 	Prior   []byte    `msgpack:"prior"`    // answer text that the caller already has; the engine goes on after it
 	Alone   bool      `msgpack:"alone"`    // a crash suspect: run it only where no unsuspected request runs
+	Load    Order     `msgpack:"load"`     // how to load the adapter where it is not resident; its Fence is unset
 }
 
 // Answer is one piece of an attempt's answer. Pieces of one attempt are ordered
