Agent: protocol with entries, attempt table, memory reservations, program

Cause: entries need one process per backend server that alone gives its engine or application orders and requests.

Change: package backend with both ends of the protocol and the pure table of attempts; package stock with the pure account of accelerator memory; the agent program with its HTTP clients of engine and application.

Shown by: go test -race -count=3 in module agent (three end-to-end tests against a small fake engine), green three times.

--- /dev/null
+++ b/agent/agent_test.go
@@ -0,0 +1,303 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/backend"
+	"github.com/bamboostep/bamboostep/daemon"
+	"github.com/bamboostep/bamboostep/settings"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+const testDeadline = 15 * time.Second
+
+// fakeEngine holds what it is told to and answers each request with words that
+// depend on it.
+type fakeEngine struct {
+	mu       sync.Mutex
+	replicas []bamboostep.Replica
+	gate     chan struct{} // if set, an answer waits here after its first token
+	fails    bool          // close the connection after the first token
+}
+
+func (e *fakeEngine) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /state", e.serveState)
+	mux.HandleFunc("POST /orders", e.serveOrder)
+	mux.HandleFunc("POST /generate", e.serveGenerate)
+	return mux
+}
+
+func (e *fakeEngine) serveState(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := bamboostep.EngineState{Incarnation: "one", MemoryMiB: 1000, Replicas: e.replicas}
+	for _, r := range e.replicas {
+		s.HeldMiB += r.MiB
+	}
+	json.NewEncoder(w).Encode(s)
+}
+
+func (e *fakeEngine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o bamboostep.Order
+	json.NewDecoder(r.Body).Decode(&o)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch o.Kind {
+	case bamboostep.LoadModel, bamboostep.LoadAdapter:
+		e.replicas = append(e.replicas, bamboostep.Replica{Name: o.Name, Model: o.Model, Version: o.Version, MiB: o.MiB, State: bamboostep.ReplicaResident})
+	default:
+		var kept []bamboostep.Replica
+		for _, r := range e.replicas {
+			if r.Name != o.Name {
+				kept = append(kept, r)
+			}
+		}
+		e.replicas = kept
+	}
+	io.WriteString(w, "{}")
+}
+
+func (e *fakeEngine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var body generateBody
+	json.NewDecoder(r.Body).Decode(&body)
+	fmt.Fprintf(w, "{\"text\":%q,\"tokens\":1}\n", body.Model+body.Adapter)
+	w.(http.Flusher).Flush()
+	if e.fails {
+		panic(http.ErrAbortHandler)
+	}
+	if e.gate != nil {
+		<-e.gate
+	}
+	for i := range 3 {
+		fmt.Fprintf(w, "{\"text\":\" %d\",\"tokens\":1}\n", i)
+	}
+	io.WriteString(w, `{"done":true,"finish":"stop"}`+"\n")
+}
+
+// testAgent is a running agent with one client connected.
+type testAgent struct {
+	client   *backend.Client
+	address  string
+	stop     context.CancelFunc
+	done     chan error
+	reports  chan bamboostep.Report
+	suspects chan []bamboostep.Suspect
+}
+
+func startAgent(t *testing.T, kind bamboostep.PlaceKind, backendURL string) *testAgent {
+	t.Helper()
+	cfg := defaultConfig()
+	cfg.Name, cfg.Place, cfg.FailureDomain = "vm-1", "p", "d"
+	cfg.Kind, cfg.BackendURL, cfg.MemoryMiB = kind, backendURL, 1000
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	a := &testAgent{
+		address:  nl.Addr().String(),
+		stop:     stop,
+		done:     make(chan error, 1),
+		reports:  make(chan bamboostep.Report, 1000),
+		suspects: make(chan []bamboostep.Suspect, 10),
+	}
+	go func() { a.done <- serve(ctx, cfg, nl, daemon.NewLogger(io.Discard, cfg.Name)) }()
+	a.client = &backend.Client{
+		Node: &wire.Node{Hello: wire.Hello{Name: "entry", Role: "entry"}, Clock: &timeline.Clock{Wall: daemon.SystemClock{}}},
+		VM:   bamboostep.VM{Name: "vm-1", Address: a.address},
+		OnReport: func(r bamboostep.Report) {
+			select {
+			case a.reports <- r:
+			default:
+			}
+		},
+		OnSuspect: func(s []bamboostep.Suspect) { a.suspects <- s },
+	}
+	link, closeLink := context.WithCancel(context.Background())
+	t.Cleanup(func() { closeLink(); stop() })
+	go a.client.Run(link)
+	a.await(t, func(r bamboostep.Report) bool { return r.Ready })
+	return a
+}
+
+// await waits for a report that ok accepts.
+func (a *testAgent) await(t *testing.T, ok func(bamboostep.Report) bool) bamboostep.Report {
+	t.Helper()
+	deadline := time.After(testDeadline)
+	for {
+		select {
+		case r := <-a.reports:
+			if ok(r) {
+				return r
+			}
+		case <-deadline:
+			t.Fatal("no such report came")
+		}
+	}
+}
+
+// order repeats an order until the agent is ready for it.
+func (a *testAgent) order(t *testing.T, order bamboostep.Order) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	defer cancel()
+	for {
+		result, err := a.client.Order(ctx, order)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if result.Code != "not_ready" {
+			return result.Code
+		}
+	}
+}
+
+func (a *testAgent) ask(ctx context.Context, offer bamboostep.Offer) (string, error) {
+	var got strings.Builder
+	err := a.client.Offer(ctx, offer, 5*time.Second, func(p bamboostep.Answer) error {
+		got.Write(p.Data)
+		return nil
+	})
+	return got.String(), err
+}
+
+func startEngine(t *testing.T, e *fakeEngine) *httptest.Server {
+	s := httptest.NewServer(e.handler())
+	t.Cleanup(s.Close)
+	return s
+}
+
+func offerOf(id string, r bamboostep.Request) bamboostep.Offer {
+	r.ID = bamboostep.RequestID("r" + id)
+	if r.Body == nil {
+		r.Body = []byte("{}")
+	}
+	return bamboostep.Offer{Attempt: bamboostep.AttemptID(id), Request: r}
+}
+
+func failureOf(t *testing.T, err error) bamboostep.Failure {
+	t.Helper()
+	var failed *bamboostep.FailedError
+	if !errors.As(err, &failed) {
+		t.Fatalf("got error %v, want *FailedError", err)
+	}
+	return failed.Failure
+}
+
+func TestEngineEndToEnd(t *testing.T) {
+	a := startAgent(t, bamboostep.EnginePlace, startEngine(t, &fakeEngine{}).URL)
+	ctx := context.Background()
+
+	_, err := a.ask(ctx, offerOf("1", bamboostep.Request{Model: "m"}))
+	if f := failureOf(t, err); f.Outcome != bamboostep.NotRun || f.Code != "not_resident" {
+		t.Errorf("before the load: got %s %s, want not_run not_resident", f.Outcome, f.Code)
+	}
+	load := bamboostep.Order{Fence: bamboostep.Fence{Term: 1, Sequence: 1}, Kind: bamboostep.LoadModel, Name: "m", Version: "v1", MiB: 800}
+	if code := a.order(t, load); code != "" {
+		t.Fatalf("load failed: %s", code)
+	}
+	big := bamboostep.Order{Fence: bamboostep.Fence{Term: 1, Sequence: 2}, Kind: bamboostep.LoadModel, Name: "n", Version: "v1", MiB: 300}
+	if code := a.order(t, big); code != "no_memory" {
+		t.Errorf("load beyond the memory: got code %q, want no_memory", code)
+	}
+	if got, err := a.ask(ctx, offerOf("2", bamboostep.Request{Model: "m"})); err != nil || got != "m 0 1 2" {
+		t.Errorf("got answer %q (%v), want %q", got, err, "m 0 1 2")
+	}
+	// An adapter is loaded by the way, the idle one giving room to the next.
+	for i, name := range []string{"a", "b"} {
+		offer := offerOf(fmt.Sprint("3", i), bamboostep.Request{Model: "m", Adapter: name})
+		offer.Load = bamboostep.Order{Kind: bamboostep.LoadAdapter, Name: name, Model: "m", Version: "v1", MiB: 150}
+		want := "m" + name + " 0 1 2"
+		if got, err := a.ask(ctx, offer); err != nil || got != want {
+			t.Errorf("got answer %q (%v), want %q", got, err, want)
+		}
+	}
+	r := a.await(t, func(r bamboostep.Report) bool {
+		return len(r.Replicas) == 2 && r.Replicas[0].Name == "b" && r.Replicas[0].State == bamboostep.ReplicaResident
+	})
+	if r.ReservedMiB != 950 || r.MemoryMiB != 1000 {
+		t.Errorf("got %d of %d MiB reserved, want 950 of 1000", r.ReservedMiB, r.MemoryMiB)
+	}
+	if err := a.client.Drain(ctx, true); err != nil {
+		t.Fatal(err)
+	}
+	_, err = a.ask(ctx, offerOf("4", bamboostep.Request{Model: "m"}))
+	if f := failureOf(t, err); f.Outcome != bamboostep.NotRun || f.Code != "leaving" {
+		t.Errorf("while leaving: got %s %s, want not_run leaving", f.Outcome, f.Code)
+	}
+	events, err := a.client.Timeline(ctx, timeline.Query{Request: "r2"})
+	if err != nil || len(events) != 2 {
+		t.Errorf("got %d events of one request (%v), want 2", len(events), err)
+	}
+}
+
+// A stop lets the running answer finish and takes nothing new.
+func TestStopCutsOffNothing(t *testing.T) {
+	gate := make(chan struct{})
+	e := &fakeEngine{gate: gate, replicas: []bamboostep.Replica{{Name: "m", MiB: 10, State: bamboostep.ReplicaResident}}}
+	a := startAgent(t, bamboostep.EnginePlace, startEngine(t, e).URL)
+	begun := make(chan struct{})
+	answered := make(chan error, 1)
+	var got bytes.Buffer
+	go func() {
+		var once sync.Once
+		answered <- a.client.Offer(context.Background(), offerOf("1", bamboostep.Request{Model: "m"}), time.Second, func(p bamboostep.Answer) error {
+			got.Write(p.Data)
+			once.Do(func() { close(begun) })
+			return nil
+		})
+	}()
+	<-begun
+	a.stop()
+	a.await(t, func(r bamboostep.Report) bool { return r.Leaving })
+	_, err := a.ask(context.Background(), offerOf("2", bamboostep.Request{Model: "m"}))
+	if f := failureOf(t, err); f.Outcome != bamboostep.NotRun {
+		t.Errorf("new request during the stop: got outcome %s, want not_run", f.Outcome)
+	}
+	close(gate)
+	if err := <-answered; err != nil || got.String() != "m 0 1 2" {
+		t.Errorf("got answer %q (%v), want it whole", &got, err)
+	}
+	select {
+	case <-a.done:
+	case <-time.After(testDeadline):
+		t.Error("the agent did not end")
+	}
+}
+
+func TestExampleSettings(t *testing.T) {
+	cfg := defaultConfig()
+	if err := settings.Load("example.toml", &cfg); err != nil {
+		t.Error(err)
+	}
+	var out bytes.Buffer
+	cmd := newCommand()
+	cmd.Writer = &out
+	err := cmd.Run(context.Background(), []string{"agent", "--settings", "example.toml", "--check-settings"})
+	if got, want := out.String(), "ok\n"; err != nil || got != want {
+		t.Errorf("got output %q (%v), want %q", got, err, want)
+	}
+	file := t.TempDir() + "/bad.toml"
+	os.WriteFile(file, []byte("name='x'\nplace='p'\nfailure_domain='d'\nlisten='7101'\nkind='engine'\nbackend_url='127.0.0.1'\n"), 0o600)
+	bad := defaultConfig()
+	var invalid *settings.InvalidError
+	if err := settings.Load(file, &bad); !errors.As(err, &invalid) || len(invalid.Problems) != 3 {
+		t.Errorf("got error %v, want three problems", err)
+	}
+}
--- /dev/null
+++ b/backend/protocol.go
@@ -0,0 +1,88 @@
+package backend
+
+import (
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// The kinds of message. All but the last three go from an entry to an agent.
+const (
+	kindHello    = "backend.hello"
+	kindOffer    = "backend.offer"
+	kindResume   = "backend.resume"
+	kindAck      = "backend.ack"
+	kindCancel   = "backend.cancel"
+	kindOrder    = "backend.order"
+	kindDrain    = "backend.drain"
+	kindTimeline = "backend.timeline"
+
+	kindAnswer   = "backend.answer"
+	kindFailure  = "backend.failure"
+	kindReport   = "backend.report"
+	kindSuspects = "backend.suspects"
+)
+
+const (
+	maxStartWithin = time.Minute
+	reconnectLimit = 3 * time.Second // how long a stream waits for another connection
+	cancelLimit    = 5 * time.Second // how long a cancelled offer waits to learn whether it ran
+	ackEvery       = 64 << 10        // bytes
+	windowBytes    = 1 << 20         // output that an agent keeps unacknowledged for one attempt
+)
+
+// The codes of failures that both ends use.
+const (
+	codeTooLate      = "too_late"
+	codeQueueFull    = "queue_full"
+	codeLeaving      = "leaving"
+	codeNotResident  = "not_resident"
+	codeNotReady     = "not_ready"
+	codeNeverArrived = "never_arrived"
+	codeForgotten    = "forgotten"
+	codeCancelled    = "cancelled"
+	codeNoConnection = "no_connection"
+	codeAgentLost    = "agent_lost"
+	codeAgentNew     = "agent_restarted"
+	codeBackendDown  = "backend_down"
+	codeBackendBroke = "backend_broke_off"
+)
+
+// helloBody tells an agent what its entry knows: the highest revision, and the
+// highest fence that the agent, perhaps before a restart, reported to it.
+type helloBody struct {
+	Revision uint64           `msgpack:"revision"`
+	Fence    bamboostep.Fence `msgpack:"fence"`
+}
+
+// resumeBody asks for an attempt's answer from Offset on. StartBy is that of the
+// offer, so that the agent can tell an offer it never saw from one it forgot.
+type resumeBody struct {
+	Attempt bamboostep.AttemptID `msgpack:"attempt"`
+	StartBy int64                `msgpack:"start_by"`
+	Offset  int64                `msgpack:"offset"`
+}
+
+type ackBody struct {
+	Attempt bamboostep.AttemptID `msgpack:"attempt"`
+	Offset  int64                `msgpack:"offset"`
+	Whole   bool                 `msgpack:"whole"` // the entry needs nothing more
+}
+
+type cancelBody struct {
+	Attempt bamboostep.AttemptID `msgpack:"attempt"`
+	StartBy int64                `msgpack:"start_by"`
+}
+
+type drainBody struct {
+	Leaving bool `msgpack:"leaving"`
+}
+
+// reportBody is a report whose replicas are left out when the connection carried
+// the same ones before.
+type reportBody struct {
+	Report       bamboostep.Report `msgpack:"report"`
+	SameReplicas bool              `msgpack:"same_replicas"`
+}
+
+func failed(f bamboostep.Failure) error { return &bamboostep.FailedError{Failure: f} }
--- /dev/null
+++ b/backend/report.go
@@ -0,0 +1,146 @@
+package backend
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+const (
+	reportInterval = 200 * time.Millisecond
+	minReportGap   = 20 * time.Millisecond // between two reports upon changes
+	maxDropped     = 256                   // dropped cache blocks that one report names
+)
+
+// look asks the engine or application how it is.
+func (s *Server) look(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	if s.Engine != nil {
+		s.lookAtEngine(ctx)
+		return
+	}
+	p, ok := s.Application.(Prober)
+	s.setUp(!ok || p.Probe(ctx) == nil)
+}
+
+func (s *Server) lookAtEngine(ctx context.Context) {
+	asked := s.Node.Uptime()
+	state, err := s.Engine.State(ctx)
+	if err != nil {
+		s.setUp(false)
+		return
+	}
+	s.mu.Lock()
+	if s.backend.incarnation != "" && s.backend.incarnation != state.Incarnation {
+		s.suspect(s.backend.seenAt)
+	}
+	s.backend.seenAt = asked
+	s.memory.Observe(asked, state)
+	s.backend.incarnation = state.Incarnation
+	s.backend.load = state.QueuedTokens
+	s.backend.loadAt = asked - time.Duration(state.AgeMS)*time.Millisecond
+	s.dropped = append(s.dropped, state.CacheDropped...)
+	s.dropped = s.dropped[max(0, len(s.dropped)-maxDropped):]
+	s.perform(nil)
+	s.mu.Unlock()
+	s.setUp(true)
+}
+
+func (s *Server) setUp(up bool) {
+	s.mu.Lock()
+	was := s.backend.up
+	s.backend.up = up
+	if was && !up {
+		s.perform(s.table.refuseWaiting(codeBackendDown))
+	}
+	s.mu.Unlock()
+	if was == up {
+		return
+	}
+	s.note("backend_"+map[bool]string{true: "up", false: "down"}[up], "")
+	s.report()
+}
+
+// report asks for a report soon.
+func (s *Server) report() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Server) reportLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.sendReports()
+		s.pauseReports(ctx)
+	}
+}
+
+// pauseReports waits for the next report: until the interval is over, or until a
+// change, but always for the least gap.
+func (s *Server) pauseReports(ctx context.Context) {
+	gap := time.NewTimer(minReportGap)
+	defer gap.Stop()
+	rest := time.NewTimer(reportInterval)
+	defer rest.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-gap.C:
+	}
+	select {
+	case <-ctx.Done():
+	case <-s.kick:
+	case <-rest.C:
+	}
+}
+
+func (s *Server) sendReports() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	r := s.currentReport()
+	s.dropped = nil
+	for _, p := range s.conns {
+		p.sendReport(r)
+	}
+}
+
+// sendReport leaves the replicas out when the entry has them.
+func (p *peer) sendReport(r bamboostep.Report) {
+	body := reportBody{Report: r}
+	if !p.fresh && slices.Equal(p.replicas, r.Replicas) {
+		body.SameReplicas = true
+		body.Report.Replicas = nil
+	}
+	p.replicas = r.Replicas
+	p.fresh = false
+	_ = p.conn.Send(kindReport, body)
+}
+
+func (s *Server) currentReport() bamboostep.Report {
+	running := len(s.table.active)
+	return bamboostep.Report{
+		VM:            s.VM.Name,
+		Place:         s.VM.Place,
+		FailureDomain: s.VM.FailureDomain,
+		Incarnation:   s.Node.Hello.Incarnation,
+		Sequence:      s.sequence,
+		Ready:         s.refusalCode() == "",
+		Leaving:       s.leaving(),
+		Running:       running,
+		Waiting:       len(s.table.queued),
+		EngineLoad:    s.backend.load,
+		LoadAge:       s.Node.Uptime() - s.backend.loadAt,
+		MemoryMiB:     s.memory.LimitMiB(),
+		ReservedMiB:   s.memory.ReservedMiB(),
+		HeldMiB:       s.memory.HeldMiB(),
+		Replicas:      s.memory.Replicas(),
+		Fence:         s.memory.Highest(),
+		Revision:      s.revision,
+		CacheDropped:  s.dropped,
+	}
+}
--- /dev/null
+++ b/backend/schedule.go
@@ -0,0 +1,128 @@
+package backend
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// Which waiting attempt starts next.
+//
+// Attempts start by the rank of their class, then in order of arrival, as long as
+// fewer than the concurrency limit run. A crash suspect runs with nothing beside
+// it, not even another suspect, so that a second crash has exactly one possible
+// cause. While a suspect waits, nothing else starts, or a busy engine would never
+// be empty; its StartBy bounds that.
+
+// schedule starts what may start now.
+func (t *table) schedule(now int64) []action {
+	var acts []action
+	alone := t.aloneRuns()
+	for _, r := range slices.Clone(t.queued) {
+		if r.offer.StartBy <= now {
+			acts = append(acts, t.refuse(r, codeTooLate)...)
+			continue
+		}
+		if r.held || r.conn == 0 {
+			continue
+		}
+		if t.resident != nil && !t.resident(r.offer.Request) {
+			acts = append(acts, t.refuse(r, codeNotResident)...)
+			continue
+		}
+		if alone || len(t.active) >= t.concurrency {
+			continue
+		}
+		if r.offer.Alone && len(t.active) > 0 {
+			alone = true
+			continue
+		}
+		t.apply(r, eventStart)
+		alone = r.offer.Alone
+		acts = append(acts, action{kind: actionStart, conn: r.conn, attempt: r.offer.Attempt, offer: r.offer})
+	}
+	return acts
+}
+
+// compareRecords orders waiting records, the next to start first: suspects before
+// all others.
+func compareRecords(a, b *record) int {
+	if a.offer.Alone != b.offer.Alone {
+		if a.offer.Alone {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(
+		cmp.Compare(a.offer.Request.Class.Rank(), b.offer.Request.Class.Rank()),
+		cmp.Compare(a.arrival, b.arrival),
+	)
+}
+
+// aloneRuns reports whether a crash suspect runs.
+func (t *table) aloneRuns() bool {
+	for _, r := range t.active {
+		if r.offer.Alone {
+			return true
+		}
+	}
+	return false
+}
+
+// shed refuses the least important waiting attempts beyond the queue's bound.
+func (t *table) shed() []action {
+	bound := t.queue + max(0, t.concurrency-len(t.active))
+	var acts []action
+	for len(t.queued) > bound {
+		last := t.queued[len(t.queued)-1]
+		acts = append(acts, t.refuse(last, codeQueueFull)...)
+	}
+	return acts
+}
+
+// tick refuses what waited too long, stops what nobody reads, and forgets what
+// may be forgotten.
+func (t *table) tick(now int64) []action {
+	var acts []action
+	for id, r := range t.records {
+		switch {
+		case t.forgettable(now, r):
+			t.forget(id, r)
+		case t.isOrphan(now, r):
+			r.orphan = true
+			r.out.drop()
+			if t.stopOrphans && t.apply(r, eventCancel) {
+				acts = append(acts, action{kind: actionStop, attempt: id})
+			}
+		}
+	}
+	return append(acts, t.schedule(now)...)
+}
+
+func (t *table) isOrphan(now int64, r *record) bool {
+	return r.state == stateStarted && !r.orphan && r.conn == 0 && now-r.lostAt > orphanAfter
+}
+
+func (t *table) forgettable(now int64, r *record) bool {
+	if r.offer.StartBy > now || !attemptChart.Final(r.state) {
+		return false
+	}
+	return r.state != stateEnded || now-r.endedAt > keepEnded
+}
+
+func (t *table) forget(id bamboostep.AttemptID, r *record) {
+	if r.state == stateEnded {
+		t.forgotten = max(t.forgotten, r.offer.StartBy)
+	}
+	delete(t.records, id)
+}
+
+// started returns the offers that run now.
+func (t *table) started() []bamboostep.Offer {
+	var offers []bamboostep.Offer
+	for _, r := range t.active {
+		offers = append(offers, r.offer)
+	}
+	return offers
+}
