Placer, and the check that a set fits memory

Cause: the leader needs moves that keep every model resident, and a publish needs to know whether its set can be placed at all. Ruled out: making room only by unloading surplus copies. The property test found places where free memory is scattered so that a declared copy has no room anywhere (6 workers of 1637 MiB, models of 800 to 985 MiB), and rounds that undid each other: a spare copy loaded into memory that an unload had just made for a declared one, and a change of version and a restored copy taking turns on one worker.

--- /dev/null
+++ b/stock/placer_test.go
@@ -0,0 +1,168 @@
+package stock
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+func TestFits(t *testing.T) {
+	versions := map[string]bamboostep.Version{"v": {Name: "v", WeightsMiB: 900}}
+	model := func(copies int) bamboostep.Model {
+		return bamboostep.Model{Name: "m", Version: "v", Place: "gpu", CacheMiB: 100, MinCopies: copies}
+	}
+	tests := map[string]struct {
+		memory    int64
+		workers   int
+		models    []bamboostep.Model
+		fits      bool
+		wantSpare bool
+	}{
+		"room to spare":        {memory: 2000, workers: 2, models: []bamboostep.Model{model(2)}, fits: true},
+		"no room for a change": {memory: 1000, workers: 2, models: []bamboostep.Model{model(2)}, wantSpare: true},
+		"too few workers":      {memory: 9000, workers: 1, models: []bamboostep.Model{model(2)}},
+		"too large":            {memory: 999, workers: 5, models: []bamboostep.Model{model(1)}},
+		"nothing to place":     {memory: 0, workers: 0, fits: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			err := Fits(bamboostep.Place{Name: "gpu", MemoryMiB: tt.memory}, versions, tt.models, tt.workers)
+			var no *DoesNotFitError
+			if got := !errors.As(err, &no); got != tt.fits {
+				t.Fatalf("fits: got %v (%v), want %v", got, err, tt.fits)
+			}
+			if !tt.fits && no.Spare != tt.wantSpare {
+				t.Errorf("spare: got %v, want %v", no.Spare, tt.wantSpare)
+			}
+		})
+	}
+}
+
+func TestPlacerSpreadsCopies(t *testing.T) {
+	f := newTestFleet(6, 4, 3000)
+	f.Models[0] = f.Models[0].WithMinCopies(3)
+	if _, settled := f.settle(&Placer{}, 50); !settled {
+		t.Fatal("placer did not settle")
+	}
+	domains := make(map[string]int)
+	for _, r := range f.VMs {
+		if slices.ContainsFunc(r.Replicas, func(rep bamboostep.Replica) bool { return rep.Name == "m0" }) {
+			domains[r.FailureDomain]++
+		}
+	}
+	if len(domains) != 3 {
+		t.Errorf("failure domains of m0: got %v, want all three", domains)
+	}
+}
+
+// TestPlacerProperties runs rounds over a fleet that may be packed as tightly as
+// Fits allows, with changes that end late, versions that change and workers that
+// are lost, and asks after each round that no load was refused for memory, that
+// moves are bounded and that no move takes a model's last copy; and at the end
+// that every model has its copies of its version.
+func TestPlacerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newTestFleet(rapid.IntRange(3, 8).Draw(t, "workers"), rapid.IntRange(1, 12).Draw(t, "models"), int64(rapid.IntRange(1300, 5000).Draw(t, "memory")))
+		for i := range f.Models {
+			f.Models[i] = f.Models[i].WithMinCopies(rapid.IntRange(1, 2).Draw(t, "copies"))
+		}
+		if f.fits(len(f.VMs)) != nil {
+			t.Skip("does not fit")
+		}
+		p := &Placer{}
+		now := time.Unix(0, 0)
+		for range rapid.IntRange(5, 60).Draw(t, "rounds") {
+			f.disturb(t)
+			before := f.allCopies()
+			moves := p.Place(now, f.Fleet)
+			for _, m := range moves {
+				f.start(m)
+			}
+			f.check(t, before, moves)
+			f.finish(func() bool { return rapid.Bool().Draw(t, "ends") })
+			now = now.Add(time.Second)
+		}
+		f.checkSettles(t, p)
+	})
+}
+
+func (f *testFleet) fits(workers int) error {
+	return Fits(f.Places[0], f.Versions, f.Models, workers)
+}
+
+// disturb shifts demand, changes a version or loses a worker.
+func (f *testFleet) disturb(t *rapid.T) {
+	i := rapid.IntRange(0, len(f.Models)-1).Draw(t, "model")
+	switch rapid.IntRange(0, 5).Draw(t, "disturbance") {
+	case 0:
+		rate := rapid.Float64Range(0, 50).Draw(t, "rate")
+		late := rapid.Float64Range(0, 1).Draw(t, "late")
+		f.Demand[f.Models[i].Name] = bamboostep.Demand{Name: f.Models[i].Name, Rate: rate, Work: rate * 20, LateShare: late}
+	case 1:
+		f.changeVersion(i)
+	case 2:
+		if f.fits(len(f.VMs)-1) == nil {
+			j := rapid.IntRange(0, len(f.VMs)-1).Draw(t, "lost")
+			f.VMs = slices.Delete(f.VMs, j, j+1)
+		}
+	}
+}
+
+func (f *testFleet) changeVersion(i int) {
+	m := f.Models[i]
+	next := m.Version + "x"
+	f.Versions[next] = f.Versions[m.Version]
+	f.Models[i] = m.WithVersion(next)
+}
+
+func (f *testFleet) allCopies() map[string]int {
+	n := make(map[string]int)
+	for _, m := range f.Models {
+		n[m.Name] = f.copies(m.Name, "")
+	}
+	return n
+}
+
+func (f *testFleet) check(t *rapid.T, before map[string]int, moves []bamboostep.Move) {
+	if f.refused > 0 {
+		t.Fatalf("%d loads did not fit: %v", f.refused, moves)
+	}
+	for name, n := range before {
+		if got := f.copies(name, ""); n > 0 && got == 0 {
+			t.Fatalf("the last copy of %s was unloaded: %v", name, moves)
+		}
+	}
+	limit := f.Places[0].LoadsAtOnce
+	if got := f.loading(); got > limit {
+		t.Fatalf("loads in flight: got %d, want at most %d", got, limit)
+	}
+	if got := len(moves); got > (1+unloadsPerLoad)*limit {
+		t.Fatalf("moves in one round: got %d, want at most %d", got, (1+unloadsPerLoad)*limit)
+	}
+}
+
+func (f *testFleet) loading() int {
+	n := 0
+	for i := range f.VMs {
+		n += loadsIn(&f.VMs[i])
+	}
+	return n
+}
+
+func (f *testFleet) checkSettles(t *rapid.T, p bamboostep.Placer) {
+	clear(f.Demand)
+	f.finish(func() bool { return true })
+	if _, settled := f.settle(p, 200); !settled {
+		t.Fatal("placer did not settle within 200 rounds")
+	}
+	for _, m := range f.Models {
+		if got, want := f.copies(m.Name, m.Version), copiesOf(m); got < want {
+			t.Fatalf("copies of %s: got %d, want at least %d", m.Name, got, want)
+		}
+	}
+}
