--- a/internal/seed/seed.go
+++ b/internal/seed/seed.go
@@ -31,7 +31,12 @@
 // Rapid fixes the seed of package rapid. Call it from an init function of a test
 // package that imports rapid; the flag -rapid.seed still wins.
 func Rapid() {
-	if err := flag.Set("rapid.seed", strconv.FormatUint(Value(), 10)); err != nil {
+	set("rapid.seed", strconv.FormatUint(Value(), 10))
+	set("rapid.nofailfile", "true")
+}
+
+func set(name, value string) {
+	if err := flag.Set(name, value); err != nil {
 		panic(err)
 	}
 }
