--- a/catalog/set.go
+++ b/catalog/set.go
@@ -16,7 +16,7 @@
 	"github.com/bamboostep/bamboostep"
 )
 
-// Objects are the objects of a set, in declaration order.
+// Objects are the objects of a set. Within a Set they are in order of name.
 type Objects struct {
 	Places   []bamboostep.Place   `toml:"place" msgpack:"places" json:"places"`
 	Versions []bamboostep.Version `toml:"version" msgpack:"versions" json:"versions"`
@@ -38,6 +38,7 @@
 
 // New returns a set of the objects. It does not check them.
 func New(objects Objects) *Set {
+	objects = objects.sorted()
 	s := &Set{
 		objects:  objects,
 		places:   make(map[string]bamboostep.Place),
@@ -64,6 +65,24 @@
 	return s
 }
 
+// sorted returns a copy of o in order of name, so that equal sets have equal
+// encodings however their files were arranged.
+func (o Objects) sorted() Objects {
+	return Objects{
+		Places:   sortedByName(o.Places, func(p bamboostep.Place) string { return p.Name }),
+		Versions: sortedByName(o.Versions, func(v bamboostep.Version) string { return v.Name }),
+		Models:   sortedByName(o.Models, func(m bamboostep.Model) string { return m.Name }),
+		Adapters: sortedByName(o.Adapters, func(a bamboostep.Adapter) string { return a.Name }),
+		Services: sortedByName(o.Services, func(s bamboostep.Service) string { return s.Name }),
+	}
+}
+
+func sortedByName[T any](list []T, name func(T) string) []T {
+	return slices.SortedStableFunc(slices.Values(list), func(a, b T) int {
+		return strings.Compare(name(a), name(b))
+	})
+}
+
 // Revision returns the revision that s was published as, or 0.
 func (s *Set) Revision() uint64 { return s.revision }
 
