Feed that spreads revisions between processes

Cause: an accepted revision must be in force everywhere within seconds, also on a process that is cut off from the ledger but not from its peers, and no process may ever apply a lower one. Ruled out: a progress mark pushed by the sender with its age, because a frozen receiver would take an old mark for a fresh one. Here the subscriber asks, and counts the age back from the moment it asked.

--- /dev/null
+++ b/catalog/feed_conn.go
@@ -0,0 +1,267 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+const (
+	kindPoll   = "feed.poll"
+	kindUpdate = "feed.update"
+
+	pollInterval = time.Second
+	pollTimeout  = 2 * time.Second
+)
+
+type pollBody struct {
+	Revision uint64 `msgpack:"revision"` // what the subscriber has; 0 asks for a snapshot
+}
+
+// Feed keeps this process's set current from the ledger and from peers, and
+// passes it on. Set the exported fields before Register.
+//
+// A subscriber polls each peer every second; the poll doubles as a subscription,
+// after which newer revisions are pushed at once. The answer to a poll is the
+// progress mark: it carries the age of the peer's proof of being current.
+type Feed struct {
+	Node     *wire.Node
+	Recorder *timeline.Recorder
+	Registry prometheus.Registerer
+	Changed  func(*Set) // gets each newer set, in order; must not call Offer; may be nil
+
+	metrics *feedMetrics
+	deliver sync.Mutex // held while sets are applied and handed to Changed
+
+	mu          sync.Mutex
+	state       feedState
+	subscribers map[*wire.Conn]bool
+	known       map[string]uint64 // revision that each peer is known to have
+	kicks       map[*wire.Conn]chan struct{}
+}
+
+// Register registers the message kinds of the feed. Peers subscribe on the
+// listener that mux serves, and pushes arrive on the links that it serves.
+func (f *Feed) Register(mux *wire.Mux) {
+	f.metrics = newFeedMetrics(f.Registry, f)
+	f.subscribers = make(map[*wire.Conn]bool)
+	f.known = make(map[string]uint64)
+	f.kicks = make(map[*wire.Conn]chan struct{})
+	mux.On(kindPoll, f.handlePoll)
+	mux.On(kindUpdate, f.handleUpdate)
+}
+
+// Set returns the current set, or nil before the first.
+func (f *Feed) Set() *Set {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.set
+}
+
+// ProvenAt returns the last moment at which the current set is known to have
+// been the newest, or the zero time.
+func (f *Feed) ProvenAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.proven
+}
+
+// Prove notes that revision was the newest of the ledger at a moment.
+func (f *Feed) Prove(revision uint64, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.prove(revision, at)
+}
+
+// Offer takes a set learned from the ledger, if it is newer.
+func (f *Feed) Offer(s *Set) {
+	err := f.apply(func() ([]*Set, error) {
+		newer, err := f.state.offer(s)
+		if !newer || err != nil {
+			return nil, err
+		}
+		return []*Set{s}, nil
+	})
+	f.report("ledger", err)
+}
+
+// Subscribe follows the peer of c until c ends. Call it when a link to another
+// entry is up.
+func (f *Feed) Subscribe(c *wire.Conn) {
+	kick := make(chan struct{}, 1)
+	f.mu.Lock()
+	f.kicks[c] = kick
+	f.mu.Unlock()
+	go f.follow(c, kick)
+}
+
+func (f *Feed) follow(c *wire.Conn, kick chan struct{}) {
+	defer f.unfollow(c)
+	for {
+		var remote *wire.RemoteError
+		if err := f.poll(c); errors.As(err, &remote) {
+			return
+		}
+		t := time.NewTimer(pollInterval/2 + rand.N(pollInterval))
+		select {
+		case <-c.Done():
+			t.Stop()
+			return
+		case <-kick:
+			t.Stop()
+		case <-t.C:
+		}
+	}
+}
+
+func (f *Feed) unfollow(c *wire.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.kicks, c)
+}
+
+// poll asks the peer for what is newer, and once more for a snapshot if the
+// answer does not fit.
+func (f *Feed) poll(c *wire.Conn) error {
+	f.mu.Lock()
+	revision := f.state.revision()
+	f.mu.Unlock()
+	err := f.pollFrom(c, revision)
+	if needsSnapshot(err) {
+		err = f.pollFrom(c, 0)
+	}
+	return err
+}
+
+func (f *Feed) pollFrom(c *wire.Conn, revision uint64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
+	defer cancel()
+	asked := time.Now()
+	var u update
+	if err := c.Call(ctx, kindPoll, pollBody{revision}, &u); err != nil {
+		return err
+	}
+	err := f.takeUpdate(c, u)
+	f.report(c.Peer().Name, err)
+	if err == nil {
+		f.mu.Lock()
+		f.state.proveFrom(u, asked)
+		f.mu.Unlock()
+	}
+	return err
+}
+
+func (f *Feed) takeUpdate(c *wire.Conn, u update) error {
+	f.metrics.countTaken(u)
+	return f.apply(func() ([]*Set, error) {
+		f.known[c.Peer().Name] = max(f.known[c.Peer().Name], u.Revision)
+		return f.state.take(u)
+	})
+}
+
+// apply runs change under the lock and passes on the sets that it returns.
+func (f *Feed) apply(change func() ([]*Set, error)) error {
+	f.deliver.Lock()
+	defer f.deliver.Unlock()
+	f.mu.Lock()
+	sets, err := change()
+	f.mu.Unlock()
+	if len(sets) == 0 {
+		return err
+	}
+	f.push()
+	for _, s := range sets {
+		f.Recorder.Record(timeline.Event{Kind: "revision_applied", Revision: s.Revision()})
+		if f.Changed != nil {
+			f.Changed(s)
+		}
+	}
+	return err
+}
+
+// push sends the subscribers what they are not known to have.
+func (f *Feed) push() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.subscribers {
+		name := c.Peer().Name
+		known := f.known[name]
+		if known >= f.state.revision() {
+			continue
+		}
+		u := f.state.since(known, time.Now())
+		f.metrics.countSent(u)
+		if c.Send(kindUpdate, u) == nil {
+			f.known[name] = f.state.revision()
+		}
+	}
+}
+
+func (f *Feed) handlePoll(m *wire.Message) {
+	var body pollBody
+	if m.Decode(&body) != nil {
+		return
+	}
+	f.mu.Lock()
+	f.addSubscriber(m.Conn())
+	u := f.state.since(body.Revision, time.Now())
+	f.known[m.Conn().Peer().Name] = max(body.Revision, u.Revision)
+	f.mu.Unlock()
+	f.metrics.countSent(u)
+	m.Reply(u)
+}
+
+func (f *Feed) addSubscriber(c *wire.Conn) {
+	if f.subscribers[c] {
+		return
+	}
+	f.subscribers[c] = true
+	go func() {
+		<-c.Done()
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.subscribers, c)
+	}()
+}
+
+// handleUpdate takes a pushed update. One that does not fit is fetched again by
+// a poll.
+func (f *Feed) handleUpdate(m *wire.Message) {
+	var u update
+	if m.Decode(&u) != nil {
+		return
+	}
+	go func() {
+		err := f.takeUpdate(m.Conn(), u)
+		if needsSnapshot(err) {
+			f.kick(m.Conn())
+			return
+		}
+		f.report(m.Conn().Peer().Name, err)
+	}()
+}
+
+func (f *Feed) kick(c *wire.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case f.kicks[c] <- struct{}{}:
+	default:
+	}
+}
+
+// report notes an update that was refused.
+func (f *Feed) report(source string, err error) {
+	if err == nil {
+		return
+	}
+	f.metrics.countRefused()
+	f.Recorder.Record(timeline.Event{Kind: "update_refused", Detail: source + ": " + err.Error()})
+}
--- /dev/null
+++ b/catalog/feed_conn_test.go
@@ -0,0 +1,107 @@
+package catalog_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/daemon"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+const testDeadline = 10 * time.Second
+
+// feedProcess is a feed with its listener.
+type feedProcess struct {
+	*catalog.Feed
+	mux     *wire.Mux
+	address string
+}
+
+func startFeed(t *testing.T, ctx context.Context, name string) *feedProcess {
+	t.Helper()
+	clock := &timeline.Clock{Wall: daemon.SystemClock{}}
+	p := &feedProcess{mux: new(wire.Mux), Feed: &catalog.Feed{
+		Node:     &wire.Node{Hello: wire.Hello{Name: name, Role: "entry"}, Clock: clock},
+		Recorder: &timeline.Recorder{Process: name, Clock: clock},
+		Registry: prometheus.NewRegistry(),
+	}}
+	p.Register(p.mux)
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.address = nl.Addr().String()
+	l := &wire.Listener{Node: p.Node, Net: nl, Handler: p.mux}
+	go l.Run(ctx)
+	return p
+}
+
+// follow links p to a peer and returns a function that cuts the link.
+func (p *feedProcess) follow(ctx context.Context, peer *feedProcess) context.CancelFunc {
+	ctx, cancel := context.WithCancel(ctx)
+	link := &wire.Link{Node: p.Node, Address: peer.address, Handler: p.mux, Up: p.Subscribe}
+	go link.Run(ctx)
+	return cancel
+}
+
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(testDeadline)
+	for !done() {
+		if time.Now().After(deadline) {
+			t.Fatalf("timed out: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (p *feedProcess) at(revision uint64) bool {
+	return p.Set() != nil && p.Set().Revision() == revision
+}
+
+func numberedSet(revision uint64) *catalog.Set {
+	m := bamboostep.Model{Name: "m", MinCopies: int(revision)}
+	return catalog.New(catalog.Objects{Models: []bamboostep.Model{m}}).WithRevision(revision)
+}
+
+// Only a hears of the ledger; c follows b, and b follows a. Revisions and the
+// proof of being current pass through b. While its link is cut, c falls behind;
+// once that is back it catches up, and an old set offered to it is not taken.
+func TestFeedRelays(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a, b, c := startFeed(t, ctx, "a"), startFeed(t, ctx, "b"), startFeed(t, ctx, "c")
+	b.follow(ctx, a)
+	cut := c.follow(ctx, b)
+
+	a.Offer(numberedSet(1))
+	await(t, "c holds revision 1", func() bool { return c.at(1) })
+	for n := uint64(2); n <= 50; n++ {
+		a.Offer(numberedSet(n))
+	}
+	await(t, "c holds revision 50", func() bool { return c.at(50) })
+
+	proven := time.Now()
+	a.Prove(50, proven)
+	await(t, "c is proven current", func() bool { return c.ProvenAt().After(proven.Add(-testDeadline)) })
+	if c.ProvenAt().After(proven) {
+		t.Errorf("got c proven at %v, want no later than the proof at %v", c.ProvenAt(), proven)
+	}
+
+	cut()
+	a.Offer(numberedSet(400))
+	await(t, "b holds revision 400", func() bool { return b.at(400) })
+	c.Offer(numberedSet(3))
+	if !c.at(50) {
+		t.Errorf("got c at revision %d while cut off, want 50", c.Set().Revision())
+	}
+	c.follow(ctx, b)
+	await(t, "c holds revision 400", func() bool { return c.at(400) })
+}
