--- /dev/null
+++ b/operator/handler.go
@@ -0,0 +1,227 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+// Handler serves the operators' HTTP under /operator/v1/. Set the exported fields
+// before the first request.
+type Handler struct {
+	Ledger    bamboostep.Ledger
+	Set       func() *catalog.Set // in force at this entry; nil before the first
+	Revisions func() []bamboostep.Revision
+	Status    func() Status
+	Timeline  func(ctx context.Context, q timeline.Query) []timeline.Event
+	Token     string // bearer token that operators must send; none is asked for if empty
+
+	once sync.Once
+	mux  http.ServeMux
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.once.Do(h.register)
+	if !h.authorized(r) {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+		h.refuse(w, http.StatusUnauthorized, errorDetail{Code: codeUnauthorized, Message: "bearer token is missing or wrong"})
+		return
+	}
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) register() {
+	h.mux.HandleFunc("GET "+pathSet, h.serveSet)
+	h.mux.HandleFunc("POST "+pathPublish, h.servePublish)
+	h.mux.HandleFunc("GET "+pathStatus, h.serveStatus)
+	h.mux.HandleFunc("POST "+pathDrain, h.serveDrain)
+	h.mux.HandleFunc("GET "+pathRevisions, h.serveRevisions)
+	h.mux.HandleFunc("GET "+pathTimeline, h.serveTimeline)
+	h.mux.HandleFunc(pathPrefix, func(w http.ResponseWriter, r *http.Request) {
+		message := fmt.Sprintf("%s %s is unknown", r.Method, r.URL.Path)
+		h.refuse(w, http.StatusNotFound, errorDetail{Code: codeNotFound, Message: message})
+	})
+}
+
+// authorized compares hashes, so that the time taken tells nothing about the
+// token, not even its length.
+func (h *Handler) authorized(r *http.Request) bool {
+	if h.Token == "" {
+		return true
+	}
+	given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	got, want := sha256.Sum256([]byte(given)), sha256.Sum256([]byte(h.Token))
+	return subtle.ConstantTimeCompare(got[:], want[:]) == 1 && ok
+}
+
+func (h *Handler) serveSet(w http.ResponseWriter, r *http.Request) {
+	var body setBody
+	if s := h.Set(); s != nil {
+		body = setBody{s.Revision(), s.Objects()}
+	}
+	h.answer(w, body)
+}
+
+func (h *Handler) serveStatus(w http.ResponseWriter, r *http.Request) {
+	h.answer(w, h.Status())
+}
+
+func (h *Handler) serveRevisions(w http.ResponseWriter, r *http.Request) {
+	h.answer(w, h.Revisions())
+}
+
+func (h *Handler) serveTimeline(w http.ResponseWriter, r *http.Request) {
+	q, err := timeline.ParseQuery(r.URL.Query())
+	if err != nil {
+		h.refuse(w, http.StatusBadRequest, errorDetail{Code: codeBadRequest, Message: err.Error()})
+		return
+	}
+	events := h.Timeline(r.Context(), q)
+	if events == nil {
+		events = []timeline.Event{}
+	}
+	h.answer(w, events)
+}
+
+func (h *Handler) servePublish(w http.ResponseWriter, r *http.Request) {
+	var body publishBody
+	if !h.readBody(w, r, &body) {
+		return
+	}
+	if body.ID == "" {
+		h.refuse(w, http.StatusBadRequest, errorDetail{Code: codeBadRequest, Message: "field \"id\" is missing"})
+		return
+	}
+	revision, err := h.publish(r.Context(), body)
+	if err != nil {
+		h.refuseError(w, err)
+		return
+	}
+	h.answer(w, revision)
+}
+
+func (h *Handler) publish(ctx context.Context, body publishBody) (bamboostep.Revision, error) {
+	if err := catalog.Check(body.Objects); err != nil {
+		return bamboostep.Revision{}, err
+	}
+	set := catalog.New(body.Objects)
+	data, err := set.Encode()
+	if err != nil {
+		return bamboostep.Revision{}, err
+	}
+	revision, err := h.Ledger.Publish(ctx, bamboostep.Publication{
+		ID: body.ID, Based: body.Based, Author: body.Author, Set: data,
+	})
+	var conflict *bamboostep.ConflictError
+	if errors.As(err, &conflict) {
+		return revision, h.conflict(ctx, conflict, set)
+	}
+	return revision, err
+}
+
+// conflict adds to a conflict what differs. The winner's set may not have
+// reached this entry yet.
+func (h *Handler) conflict(ctx context.Context, c *bamboostep.ConflictError, refused *catalog.Set) error {
+	ctx, cancel := context.WithTimeout(ctx, conflictWait)
+	defer cancel()
+	e := &ConflictError{Based: c.Based, Newest: c.Newest}
+	if s := h.awaitSet(ctx, c.Newest.Number); s != nil {
+		e.Differs = catalog.Diff(s, refused)
+	}
+	return e
+}
+
+func (h *Handler) awaitSet(ctx context.Context, revision uint64) *catalog.Set {
+	t := time.NewTicker(conflictPoll)
+	defer t.Stop()
+	for {
+		if s := h.Set(); s != nil && s.Revision() >= revision {
+			return s
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+func (h *Handler) serveDrain(w http.ResponseWriter, r *http.Request) {
+	var body drainBody
+	if !h.readBody(w, r, &body) {
+		return
+	}
+	if body.VM == "" {
+		h.refuse(w, http.StatusBadRequest, errorDetail{Code: codeBadRequest, Message: "field \"vm\" is missing"})
+		return
+	}
+	if err := h.Ledger.Drain(r.Context(), body.VM, body.Leaving); err != nil {
+		h.refuseError(w, err)
+		return
+	}
+	h.answer(w, doneBody{})
+}
+
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		h.refuse(w, http.StatusBadRequest, errorDetail{Code: codeBadRequest, Message: "body: " + err.Error()})
+		return false
+	}
+	return true
+}
+
+func (h *Handler) answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
+func (h *Handler) refuse(w http.ResponseWriter, status int, detail errorDetail) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(errorBody{detail})
+}
+
+func (h *Handler) refuseError(w http.ResponseWriter, err error) {
+	status, detail := describe(err)
+	h.refuse(w, status, detail)
+}
+
+// describe returns the HTTP status and the body of an error.
+func describe(err error) (int, errorDetail) {
+	detail := errorDetail{Message: err.Error()}
+	var problems *catalog.ProblemsError
+	var conflict *ConflictError
+	var unavailable *bamboostep.UnavailableError
+	switch {
+	case errors.As(err, &problems):
+		detail.Code, detail.Problems = codeInvalid, problems.Problems
+		return http.StatusUnprocessableEntity, detail
+	case errors.As(err, &conflict):
+		detail.Code, detail.Conflict = codeConflict, conflict
+		return http.StatusConflict, detail
+	case errors.As(err, &unavailable):
+		detail.Code, detail.Known = codeUnavailable, unavailable.Known
+		return http.StatusServiceUnavailable, detail
+	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		detail.Code = codeUnavailable
+		return http.StatusServiceUnavailable, detail
+	}
+	detail.Code = codeInternal
+	return http.StatusInternalServerError, detail
+}
+
+var _ http.Handler = (*Handler)(nil)
