--- a/bamboostep/main.go
+++ b/bamboostep/main.go
@@ -1,4 +1,68 @@
-// Command bamboostep is not written yet.
+// Command bamboostep is the operators' command line: it checks declared objects,
+// publishes them, and shows the state of the system.
+//
+// Exit status: 0 done, 1 the objects have mistakes or somebody else published
+// first, 2 wrong usage, 3 no entry answered or the outcome is unknown.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	os.Exit(run(os.Args, os.Stdout, os.Stderr))
+}
+
+// run runs one command line and returns the exit status.
+func run(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	cmd := newCommand(stdout, stderr)
+	err := cmd.Run(ctx, args)
+	if err == nil {
+		return exitOK
+	}
+	writeError(stderr, err)
+	return exitStatus(err)
+}
+
+// newCommand returns the whole command line.
+func newCommand(stdout, stderr io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:      "bamboostep",
+		Usage:     "check, publish and watch declared objects",
+		Writer:    stdout,
+		ErrWriter: stderr,
+		Commands: []*cli.Command{
+			checkCommand(),
+			publishCommand(),
+			diffCommand(),
+			getCommand(),
+			statusCommand(),
+			drainCommand(),
+			timelineCommand(),
+		},
+		OnUsageError:    usageError,
+		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
+		CommandNotFound: nil,
+		Action:          missingCommand,
+	}
+}
+
+func usageError(_ context.Context, _ *cli.Command, err error, _ bool) error {
+	return &usageProblem{err.Error()}
+}
+
+func missingCommand(_ context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return &usageProblem{fmt.Sprintf("command %q is unknown", cmd.Args().First())}
+	}
+	return cli.ShowAppHelp(cmd)
+}
