Callers' side of the entry and package dispatch, first version

Cause: callers need one HTTP handler that gives each request one whole answer or one clear error, and the routing, retry and claim decisions behind it.

Change: chat and completion requests (plain and streamed, resumed on another backend server with the text so far), plain services passed on intact, non-idempotent services claimed through the ledger before the offer. Routers: Balanced, RoundRobin, LeastLoad.

Ruled out: refusing a non-idempotent request as not run before its claim was looked at. A resend would then hear "not run" though the first sending may have run. The claim comes first, and without a ledger the outcome is unknown.

Run: go test -race in entry, ok.

--- /dev/null
+++ b/dispatch/router.go
@@ -0,0 +1,217 @@
+package dispatch
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// This file holds the routers.
+//
+// Balanced scores every candidate by the work that a request would wait for
+// there, in tokens, less the work that its prefix cache would save. Reports lag,
+// and many entries read the same ones, so the candidate with the least score of
+// all would get the requests of every entry at once. Balanced therefore treats
+// candidates within a slack of the best as equal, draws two of them at random and
+// takes the better one. Candidates in the entry's own failure domain are drawn
+// first among equals.
+//
+// A report counts the entry's own attempts too. The entry knows those better, so
+// only what a report says beyond them is added, and that part fades with the age
+// of the report. RoundRobin and LeastLoad are the plain ways that Balanced is
+// measured against.
+
+const (
+	defaultBlockTokens  = 16   // work saved by one cached prompt block
+	defaultLoadTokens   = 200  // work that loading an adapter costs
+	defaultSlackTokens  = 64   // two scores this close are equal
+	defaultSlackShare   = 0.15 // share of the best score added to the slack
+	reportFadeTime      = time.Second
+	defaultAttemptFloor = 8 // tokens of a running attempt that has overrun its estimate
+)
+
+// Balanced is the router of the product. Fields that are zero take defaults.
+type Balanced struct {
+	BlockTokens float64 // work saved by one cached prompt block, tokens
+	LoadTokens  float64 // work that loading an adapter costs, tokens
+	SlackTokens float64 // candidates this close to the best are equal, tokens
+	SlackShare  float64 // further slack as a share of the best score
+}
+
+var (
+	_ bamboostep.Router = Balanced{}
+	_ bamboostep.Router = (*RoundRobin)(nil)
+	_ bamboostep.Router = LeastLoad{}
+)
+
+// QueueTokens estimates the work that a request would wait for at c.
+func QueueTokens(c *bamboostep.Candidate) float64 {
+	own := max(c.InFlightWork, float64(c.InFlight*defaultAttemptFloor))
+	others := c.Reported - own
+	if others <= 0 {
+		return own
+	}
+	return own + others*fade(c.ReportAge)
+}
+
+// fade returns the weight of a report by its age: 1 when fresh, a half after
+// reportFadeTime, and falling on.
+func fade(age time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return float64(reportFadeTime) / float64(reportFadeTime+age)
+}
+
+func orDefault(v, def float64) float64 {
+	if v == 0 {
+		return def
+	}
+	return v
+}
+
+func (b Balanced) withDefaults() Balanced {
+	b.BlockTokens = orDefault(b.BlockTokens, defaultBlockTokens)
+	b.LoadTokens = orDefault(b.LoadTokens, defaultLoadTokens)
+	b.SlackTokens = orDefault(b.SlackTokens, defaultSlackTokens)
+	b.SlackShare = orDefault(b.SlackShare, defaultSlackShare)
+	return b
+}
+
+func (b *Balanced) score(c *bamboostep.Candidate) float64 {
+	s := QueueTokens(c) - float64(c.CachedBlocks)*b.BlockTokens
+	if !c.Resident {
+		s += b.LoadTokens
+	}
+	return s
+}
+
+// Pick implements bamboostep.Router.
+func (b Balanced) Pick(_ time.Time, _ bamboostep.Request, candidates []bamboostep.Candidate, seed uint64) (int, bool) {
+	b = b.withDefaults()
+	best := math.Inf(1)
+	for i := range candidates {
+		best = min(best, b.score(&candidates[i]))
+	}
+	limit := best + b.SlackTokens + b.SlackShare*max(best, 0)
+	local := pair{rand: random(seed)}
+	all := pair{rand: random(seed)}
+	for i := range candidates {
+		s := b.score(&candidates[i])
+		if s > limit {
+			continue
+		}
+		all.add(i, s)
+		if candidates[i].Local {
+			local.add(i, s)
+		}
+	}
+	if local.n > 0 {
+		return local.better()
+	}
+	return all.better()
+}
+
+// pair draws two of the items added to it, each pair being as likely as any other.
+type pair struct {
+	rand  random
+	n     int
+	index [2]int
+	score [2]float64
+}
+
+func (p *pair) add(i int, score float64) {
+	at := p.n
+	p.n++
+	if at >= len(p.index) {
+		at = p.rand.below(p.n)
+	}
+	if at < len(p.index) {
+		p.index[at] = i
+		p.score[at] = score
+	}
+}
+
+func (p *pair) better() (int, bool) {
+	switch {
+	case p.n == 0:
+		return 0, false
+	case p.n == 1 || p.score[0] < p.score[1]:
+		return p.index[0], true
+	case p.score[0] > p.score[1]:
+		return p.index[1], true
+	}
+	return p.index[p.rand.below(len(p.index))], true
+}
+
+// random is a small generator of pseudo-random numbers (splitmix64).
+type random uint64
+
+func (r *random) next() uint64 {
+	*r += 0x9e3779b97f4a7c15
+	z := uint64(*r)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+func (r *random) below(n int) int { return int(r.next() % uint64(n)) }
+
+// RoundRobin takes the candidates in turn, those that hold the adapter first.
+type RoundRobin struct{ turn atomic.Uint64 }
+
+// Pick implements bamboostep.Router.
+func (r *RoundRobin) Pick(_ time.Time, _ bamboostep.Request, candidates []bamboostep.Candidate, _ uint64) (int, bool) {
+	resident := 0
+	for i := range candidates {
+		if candidates[i].Resident {
+			resident++
+		}
+	}
+	turn := r.turn.Add(1)
+	if resident == 0 {
+		return nth(candidates, false, turn, len(candidates))
+	}
+	return nth(candidates, true, turn, resident)
+}
+
+func nth(candidates []bamboostep.Candidate, resident bool, turn uint64, n int) (int, bool) {
+	if n == 0 {
+		return 0, false
+	}
+	skip := int(turn % uint64(n))
+	for i := range candidates {
+		if candidates[i].Resident != resident {
+			continue
+		}
+		if skip == 0 {
+			return i, true
+		}
+		skip--
+	}
+	return 0, false
+}
+
+// LeastLoad takes the candidate with the least reported load, those that hold the
+// adapter first, and the first of equals.
+type LeastLoad struct{}
+
+// Pick implements bamboostep.Router.
+func (LeastLoad) Pick(_ time.Time, _ bamboostep.Request, candidates []bamboostep.Candidate, _ uint64) (int, bool) {
+	best := -1
+	for i := range candidates {
+		if best < 0 || lessLoaded(&candidates[i], &candidates[best]) {
+			best = i
+		}
+	}
+	return max(best, 0), best >= 0
+}
+
+func lessLoaded(a, b *bamboostep.Candidate) bool {
+	if a.Resident != b.Resident {
+		return a.Resident
+	}
+	return a.Reported < b.Reported
+}
--- /dev/null
+++ b/entry/callers.go
@@ -0,0 +1,300 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+// This file holds the callers' side of an entry: an HTTP handler that takes
+// requests for models, adapters and plain services, and gives each one whole
+// answer or one clear error.
+//
+// Callers are old devices, so everything is plain HTTP/1.1 and nothing depends on
+// their behaving well. A request that the entry gives up on is answered at once,
+// with Retry-After where coming back helps; no answer is held back. An error
+// tells whether the request ran, and "not_run" is only said where it is certain.
+
+// fleet is what callers' requests need to know of the system.
+type fleet interface {
+	// Set returns the current revision, or nil before the first.
+	Set() *catalog.Set
+	// Servers returns the connected, live, not leaving backend servers of a place.
+	Servers(place string) []server
+}
+
+// server is one backend server as requests see it.
+type server interface {
+	VM() bamboostep.VM
+	// Report returns the last report and when it came.
+	Report() (r bamboostep.Report, at time.Time)
+	// Offer runs one attempt. A nil error means that the whole answer was
+	// yielded, in order and without gaps; otherwise the error is a
+	// *bamboostep.FailedError, whose outcome not_run is a promise.
+	Offer(ctx context.Context, offer bamboostep.Offer, startWithin time.Duration, yield func(bamboostep.Answer) error) error
+}
+
+// callerLimits bounds what one request may take. Zero fields take defaults.
+type callerLimits struct {
+	BodyBytes       int64         // request body
+	BufferBytes     int           // plain answer held back until whole, so that it can be retried
+	RecordBytes     int           // answer of a non-idempotent request kept for resends
+	DeadlineFactor  float64       // deadline of a request, in multiples of its target
+	MinDeadline     time.Duration // deadline of a request at least
+	AnswerTime      time.Duration // whole answer of a model at most
+	NoServerWait    time.Duration // wait for a backend server to come up
+	HeldWait        time.Duration // wait of a resend for the first sending to end
+	ClaimTime       time.Duration // claim or settlement of a non-idempotent request
+	ClaimKeep       time.Duration // recorded answers are kept for so long
+	IdleTime        time.Duration // a caller that takes nothing for so long is given up
+	NoteMaxInFlight int           // requests in flight at most
+}
+
+const (
+	defaultBodyBytes      = 1 << 20
+	defaultBufferBytes    = 256 << 10
+	defaultRecordBytes    = 1 << 20
+	defaultDeadlineFactor = 30
+	defaultMinDeadline    = 10 * time.Second
+	defaultAnswerTime     = 5 * time.Minute
+	defaultNoServerWait   = 3 * time.Second
+	defaultHeldWait       = 2 * time.Second
+	defaultClaimTime      = 2 * time.Second
+	defaultClaimKeep      = 24 * time.Hour
+	defaultIdleTime       = 30 * time.Second
+	defaultMaxInFlight    = 20_000
+)
+
+func defaultTo[T int | int64 | float64 | time.Duration](v *T, def T) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+func (l callerLimits) withDefaults() callerLimits {
+	defaultTo(&l.BodyBytes, defaultBodyBytes)
+	defaultTo(&l.BufferBytes, defaultBufferBytes)
+	defaultTo(&l.RecordBytes, defaultRecordBytes)
+	defaultTo(&l.DeadlineFactor, defaultDeadlineFactor)
+	defaultTo(&l.MinDeadline, defaultMinDeadline)
+	defaultTo(&l.AnswerTime, defaultAnswerTime)
+	defaultTo(&l.NoServerWait, defaultNoServerWait)
+	defaultTo(&l.HeldWait, defaultHeldWait)
+	defaultTo(&l.ClaimTime, defaultClaimTime)
+	defaultTo(&l.ClaimKeep, defaultClaimKeep)
+	defaultTo(&l.IdleTime, defaultIdleTime)
+	defaultTo(&l.NoteMaxInFlight, defaultMaxInFlight)
+	return l
+}
+
+// NoteSuspects takes in requests that were running when a backend server crashed,
+// from agents and from other entries.
+func (c *callers) NoteSuspects(list []bamboostep.Suspect) {
+	c.once.Do(c.init)
+	c.Suspects.Note(c.Clock.Now(), list)
+}
+
+// callers is the callers' http.Handler. Set the exported fields before the first
+// request.
+type callers struct {
+	Name          string // of this entry
+	FailureDomain string
+	Fleet         fleet
+	Ledger        bamboostep.Ledger
+	Suspects      *dispatch.Suspects
+	ShareSuspects func([]bamboostep.Suspect) // tells the other entries; may be nil
+	Recorder      *timeline.Recorder
+	Registry      prometheus.Registerer
+	Clock         bamboostep.Clock
+	Router        bamboostep.Router // dispatch.Balanced if nil
+	Seed          uint64
+	Limits        callerLimits
+
+	once    sync.Once
+	metrics *callerMetrics
+	budget  *dispatch.Budget
+	demand  demandTable
+	lanes   lanes
+	picks   atomic.Uint64
+}
+
+var _ http.Handler = (*callers)(nil)
+
+func (c *callers) init() {
+	c.Limits = c.Limits.withDefaults()
+	c.budget = &dispatch.Budget{}
+	c.metrics = newCallerMetrics(c.Registry)
+	if c.Router == nil {
+		c.Router = dispatch.Balanced{}
+	}
+	if c.Suspects == nil {
+		c.Suspects = &dispatch.Suspects{}
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (c *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.once.Do(c.init)
+	x := c.newExchange(w, r)
+	defer x.finish()
+	if x.set == nil {
+		x.refuse(&bamboostep.RefusedError{Status: http.StatusServiceUnavailable, Code: "no_configuration",
+			Message: "this entry has no configuration yet", Outcome: bamboostep.Unknown, RetryAfter: time.Second})
+		return
+	}
+	if !x.readBody() {
+		return
+	}
+	switch r.URL.Path {
+	case "/v1/models":
+		x.serveModels()
+	case "/v1/chat/completions":
+		x.serveChat(chatStyle{})
+	case "/v1/completions":
+		x.serveChat(completionStyle{})
+	default:
+		x.serveService()
+	}
+}
+
+// exchange is one request of a caller and the answer to it.
+type exchange struct {
+	*callers
+	w       http.ResponseWriter
+	r       *http.Request
+	id      bamboostep.RequestID
+	set     *catalog.Set
+	body    []byte
+	started time.Time
+
+	target string // model, adapter or service
+	class  bamboostep.Class
+	status int // sent to the caller; 0 before
+	code   string
+}
+
+func (c *callers) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+	x := &exchange{callers: c, w: w, r: r, set: c.Fleet.Set(), started: c.Clock.Now()}
+	x.id = newRequestID()
+	w.Header().Set("X-Request-Id", string(x.id))
+	c.metrics.inFlight.Inc()
+	return x
+}
+
+// newRequestID returns a UUID of version 7, which holds the time it was made.
+func newRequestID() bamboostep.RequestID {
+	id, err := uuid.NewV7()
+	if err != nil {
+		id = uuid.New()
+	}
+	return bamboostep.RequestID(id.String())
+}
+
+func (x *exchange) finish() {
+	x.metrics.inFlight.Dec()
+	x.metrics.countRequest(x)
+}
+
+// note records an event of the request's time line.
+func (x *exchange) note(e timeline.Event) {
+	e.Request = x.id
+	e.Model = x.target
+	if e.Revision == 0 {
+		e.Revision = x.set.Revision()
+	}
+	x.Recorder.Record(e)
+}
+
+func (x *exchange) readBody() bool {
+	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, x.Limits.BodyBytes), x.r.ContentLength)
+	if err == nil {
+		x.body = body
+		return true
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		x.refuse(badRequest(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(large.Limit, 10)+" bytes"))
+		return false
+	}
+	x.refuse(badRequest(http.StatusBadRequest, "body_unreadable", "the body could not be read: "+err.Error()))
+	return false
+}
+
+// badRequest is a refusal that every sending of the same request gets, so none ran.
+func badRequest(status int, code, message string) *bamboostep.RefusedError {
+	return &bamboostep.RefusedError{Status: status, Code: code, Message: message, Outcome: bamboostep.NotRun}
+}
+
+type errorAnswer struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code      string             `json:"code"`
+	Message   string             `json:"message"`
+	Outcome   bamboostep.Outcome `json:"outcome"`
+	RequestID string             `json:"request_id"`
+}
+
+func (x *exchange) errorAnswer(e *bamboostep.RefusedError) errorAnswer {
+	return errorAnswer{errorDetail{e.Code, e.Message, e.Outcome, string(x.id)}}
+}
+
+// refuse answers with an error, before anything else was sent.
+func (x *exchange) refuse(e *bamboostep.RefusedError) {
+	x.noteRefusal(e)
+	x.writeError(e)
+}
+
+func (x *exchange) noteRefusal(e *bamboostep.RefusedError) {
+	x.code = e.Code
+	x.metrics.refusals.WithLabelValues(e.Code).Inc()
+	if x.set != nil {
+		x.note(timeline.Event{Kind: "refused", Detail: e.Code + " " + string(e.Outcome)})
+	}
+}
+
+func (x *exchange) writeError(e *bamboostep.RefusedError) {
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		x.w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	x.writeJSON(e.Status, x.errorAnswer(e))
+}
+
+func (x *exchange) writeJSON(status int, v any) {
+	x.status = status
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(x.w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	x.w.Header().Set("Content-Type", "application/json")
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(status)
+	x.w.Write(body)
+}
+
+// caller returns the address of the caller without its port.
+func (x *exchange) caller() string {
+	host, _, err := net.SplitHostPort(x.r.RemoteAddr)
+	if err != nil {
+		return x.r.RemoteAddr
+	}
+	return host
+}
--- /dev/null
+++ b/entry/callers_demand.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// This file holds the demand for each model and adapter, smoothed, which the
+// placer asks for, and the usual length of their answers, which routing asks for.
+//
+// A count is a sum that fades by half in every halfLife, so it needs no timer and
+// follows a shift of demand within a few half-lives.
+
+const (
+	demandHalfLife  = 10 * time.Second
+	answerMeanShare = 0.1 // weight of the newest answer in the mean length
+)
+
+// demandTable holds the demand by the name that callers ask for.
+type demandTable struct {
+	mu   sync.Mutex
+	rows map[string]*demandRow
+}
+
+type demandRow struct {
+	at       time.Time
+	requests float64
+	work     float64
+	late     float64
+	meanLen  float64 // tokens of an answer
+}
+
+func (r *demandRow) fade(now time.Time) {
+	passed := now.Sub(r.at)
+	if passed <= 0 {
+		return
+	}
+	k := math.Exp2(-float64(passed) / float64(demandHalfLife))
+	r.requests *= k
+	r.work *= k
+	r.late *= k
+	r.at = now
+}
+
+func (t *demandTable) row(name string, now time.Time) *demandRow {
+	if t.rows == nil {
+		t.rows = make(map[string]*demandRow)
+	}
+	r := t.rows[name]
+	if r == nil {
+		r = &demandRow{at: now, meanLen: defaultAnswerTokens}
+		t.rows[name] = r
+	}
+	r.fade(now)
+	return r
+}
+
+// asked notes a request and its expected work.
+func (t *demandTable) asked(name string, now time.Time, work float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.row(name, now)
+	r.requests++
+	r.work += work
+}
+
+// missed notes a request that was refused or answered past its target.
+func (t *demandTable) missed(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.row(name, now).late++
+}
+
+// answered notes the length of an answer.
+func (t *demandTable) answered(name string, tokens int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.rows[name]; r != nil {
+		r.meanLen += answerMeanShare * (float64(tokens) - r.meanLen)
+	}
+}
+
+// answerTokens returns the usual length of an answer.
+func (t *demandTable) answerTokens(name string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.rows[name]; r != nil {
+		return r.meanLen
+	}
+	return defaultAnswerTokens
+}
+
+// list returns the demand now, by name.
+func (t *demandTable) list(now time.Time) []bamboostep.Demand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	perSecond := math.Ln2 / demandHalfLife.Seconds()
+	list := make([]bamboostep.Demand, 0, len(t.rows))
+	for name, r := range t.rows {
+		r.fade(now)
+		d := bamboostep.Demand{Name: name, Rate: r.requests * perSecond, Work: r.work * perSecond}
+		if r.requests > 0 {
+			d.LateShare = min(r.late/r.requests, 1)
+		}
+		list = append(list, d)
+	}
+	slices.SortFunc(list, func(a, b bamboostep.Demand) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Demand returns what callers asked of each model and adapter of late.
+func (c *callers) Demand() []bamboostep.Demand {
+	return c.demand.list(c.Clock.Now())
+}
--- /dev/null
+++ b/entry/callers_test.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+const spoken = "Fold the seam twice, señor, then solder it."
+
+// streamText returns the text of a stream and whether it was closed properly.
+func streamText(t *testing.T, body string) (text string, done bool) {
+	t.Helper()
+	for line := range strings.SplitSeq(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var c completion
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			t.Fatalf("event %q: %v", data, err)
+		}
+		for _, ch := range c.Choices {
+			text += ch.Delta.Content
+		}
+	}
+	return text, false
+}
+
+// Both shapes of answer are whole, also where the backend server fails in the
+// middle and another one resumes.
+func TestChat(t *testing.T) {
+	tests := map[string]struct{ failAfter, failures int }{
+		"healthy":                {-1, 0},
+		"first server fails":     {3, 1},
+		"two servers fail":       {2, 2},
+		"fails before first one": {0, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			left := tt.failures
+			engine := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+				if left > 0 {
+					left--
+					return speak(spoken, tt.failAfter)(o, yield)
+				}
+				return speak(spoken, -1)(o, yield)
+			}
+			s := startCallers(t, newTestCallers(newTestFleet(3, engine, nil), nil))
+			got := call(t, s, "POST", "/v1/chat/completions", `{"model":"base","messages":[{"role":"user","content":"how?"}],"stream":true}`)
+			text, done := streamText(t, got.body)
+			if text != spoken || !done {
+				t.Errorf("streamed text = %q, done %v, want %q", text, done, spoken)
+			}
+			left = tt.failures
+			got = call(t, s, "POST", "/v1/chat/completions", `{"model":"base","messages":[{"role":"user","content":"how?"}]}`)
+			var c completion
+			if err := json.Unmarshal([]byte(got.body), &c); err != nil || len(c.Choices) != 1 {
+				t.Fatalf("got answer %q: %v", got.body, err)
+			}
+			if text := c.Choices[0].Message.Content; text != spoken {
+				t.Errorf("plain text = %q, want %q", text, spoken)
+			}
+			if got, want := c.Usage.CompletionTokens, len(strings.Fields(spoken)); got != want {
+				t.Errorf("completion tokens = %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// A piece may end within a character; what the caller reads never does.
+func TestStreamKeepsCharactersWhole(t *testing.T) {
+	engine := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+		for i := range len(spoken) {
+			if err := yield(bamboostep.Answer{Attempt: o.Attempt, Data: []byte{spoken[i]}, Tokens: 1, Last: i == len(spoken)-1}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	s := startCallers(t, newTestCallers(newTestFleet(1, engine, nil), nil))
+	got := call(t, s, "POST", "/v1/chat/completions", `{"model":"base","messages":[{}],"stream":true}`)
+	if text, done := streamText(t, got.body); text != spoken || !done {
+		t.Errorf("streamed text = %q, done %v, want %q", text, done, spoken)
+	}
+}
+
+func TestAdapterIsLoadedWhereMissing(t *testing.T) {
+	f := newTestFleet(1, speak(spoken, -1), nil)
+	s := startCallers(t, newTestCallers(f, nil))
+	got := call(t, s, "POST", "/v1/completions", `{"model":"seams","prompt":"how?"}`)
+	if got.status != http.StatusOK {
+		t.Fatalf("got status %d: %s", got.status, got.body)
+	}
+	want := bamboostep.Order{Kind: bamboostep.LoadAdapter, Name: "seams", Model: "base", Version: "v7", MiB: 12}
+	if got := f.servers["engines"][0].offered()[0].Load; got != want {
+		t.Errorf("load order = %+v, want %+v", got, want)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		method, path, body string
+		status             int
+		code               string
+		outcome            bamboostep.Outcome
+		retry              bool
+	}{
+		"unknown model":  {"POST", "/v1/chat/completions", `{"model":"nope","messages":[{}]}`, 404, "model_not_found", bamboostep.NotRun, false},
+		"bad JSON":       {"POST", "/v1/completions", `{`, 400, "bad_json", bamboostep.NotRun, false},
+		"no prompt":      {"POST", "/v1/completions", `{"model":"base"}`, 400, "no_prompt", bamboostep.NotRun, false},
+		"unknown path":   {"GET", "/nothing", ``, 404, "path_not_found", bamboostep.NotRun, false},
+		"large body":     {"POST", "/checks", strings.Repeat("x", 1<<20+1), 413, "body_too_large", bamboostep.NotRun, false},
+		"no server":      {"GET", "/checks", ``, 503, "no_backend_server", bamboostep.NotRun, true},
+		"no write there": {"POST", "/orders", ``, 503, "no_backend_server", bamboostep.NotRun, true},
+	}
+	s := startCallers(t, newTestCallers(newTestFleet(0, nil, nil), &fakeLedger{}))
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := call(t, s, tt.method, tt.path, tt.body)
+			var e errorAnswer
+			if err := json.Unmarshal([]byte(got.body), &e); err != nil {
+				t.Fatalf("got body %q: %v", got.body, err)
+			}
+			if got.status != tt.status || e.Error.Code != tt.code || e.Error.Outcome != tt.outcome {
+				t.Errorf("got %d %+v, want %d %s %s", got.status, e.Error, tt.status, tt.code, tt.outcome)
+			}
+			if got, want := got.header.Get("Retry-After") != "", tt.retry; got != want {
+				t.Errorf("got Retry-After %v, want %v", got, want)
+			}
+			if got, want := e.Error.RequestID, got.header.Get("X-Request-Id"); got != want || got == "" {
+				t.Errorf("request ID in body = %q, in header %q", got, want)
+			}
+		})
+	}
+}
+
+func TestServiceIsPassedOnIntact(t *testing.T) {
+	app := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+		q := o.Request
+		if q.Method != "PUT" || q.Path != "/checks/7?deep=1" || string(q.Body) != "body" {
+			t.Errorf("got %s %s %q", q.Method, q.Path, q.Body)
+		}
+		if got := http.Header(q.Header).Get("X-Device"); got != "van 4" {
+			t.Errorf("header X-Device = %q, want %q", got, "van 4")
+		}
+		if got := http.Header(q.Header).Get("Connection"); got != "" {
+			t.Errorf("header Connection = %q was passed on", got)
+		}
+		return yield(bamboostep.Answer{Attempt: o.Attempt, Status: 418, Header: map[string][]string{"X-Kind": {"tea"}}, Data: []byte("short"), Last: true})
+	}
+	s := startCallers(t, newTestCallers(newTestFleet(1, nil, app), nil))
+	got := call(t, s, "PUT", "/checks/7?deep=1", "body", "X-Device", "van 4", "Connection", "close")
+	if got.status != 418 || got.body != "short" || got.header.Get("X-Kind") != "tea" {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// A long answer that breaks off must not look whole to the caller.
+func TestLongServiceAnswerIsBrokenOff(t *testing.T) {
+	piece := []byte(strings.Repeat("x", defaultBufferBytes+1))
+	app := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+		if err := yield(bamboostep.Answer{Attempt: o.Attempt, Status: 200, Data: piece}); err != nil {
+			return err
+		}
+		return failure(bamboostep.Unknown, "connection_lost")
+	}
+	s := startCallers(t, newTestCallers(newTestFleet(1, nil, app), nil))
+	got := call(t, s, "GET", "/checks", "")
+	if !errors.Is(got.err, io.ErrUnexpectedEOF) {
+		t.Errorf("got error %v after %d bytes, want %v", got.err, len(got.body), io.ErrUnexpectedEOF)
+	}
+}
+
+func TestRequestLeavesTimeLine(t *testing.T) {
+	failAfter := 0
+	engine := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+		defer func() { failAfter = -1 }()
+		return speak(spoken, failAfter)(o, yield)
+	}
+	c := newTestCallers(newTestFleet(2, engine, nil), nil)
+	s := startCallers(t, c)
+	got := call(t, s, "POST", "/v1/completions", `{"model":"base","prompt":"how?"}`)
+	id := bamboostep.RequestID(got.header.Get("X-Request-Id"))
+	var kinds []string
+	for _, e := range c.Recorder.Find(timeline.Query{Request: id}) {
+		kinds = append(kinds, e.Kind)
+		if e.Revision != 7 || e.Model != "base" {
+			t.Errorf("event %+v has no revision or model", e)
+		}
+	}
+	want := "request_received offer_sent failed retry offer_sent first_token answered"
+	if got := strings.Join(kinds, " "); got != want {
+		t.Errorf("events = %s, want %s", got, want)
+	}
+}
--- /dev/null
+++ b/entry/claims_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// A resend to another entry gets the answer of the first sending, by whatever the
+// request is named.
+func TestResendGetsRecordedAnswer(t *testing.T) {
+	tests := map[string]struct {
+		body   string
+		header []string
+	}{
+		"header": {"any", []string{"X-Order", "17"}},
+		"field":  {`{"order": 17}`, nil},
+		"body":   {"three sheets", nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var runs atomic.Int64
+			app := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+				runs.Add(1)
+				return yield(bamboostep.Answer{Attempt: o.Attempt, Status: 201, Data: []byte("order 17"), Last: true})
+			}
+			f := newTestFleet(2, nil, app)
+			l := &fakeLedger{}
+			first := startCallers(t, newTestCallers(f, l))
+			second := startCallers(t, newTestCallers(f, l))
+			for _, s := range []string{"first", "second"} {
+				at := first
+				if s == "second" {
+					at = second
+				}
+				got := call(t, at, "POST", "/orders", tt.body, tt.header...)
+				if got.status != 201 || got.body != "order 17" {
+					t.Errorf("%s entry answered %d %q", s, got.status, got.body)
+				}
+			}
+			if got := runs.Load(); got != 1 {
+				t.Errorf("application ran the request %d times, want 1", got)
+			}
+		})
+	}
+}
+
+// Only a promise that the attempt did not run lets another follow it.
+func TestClaimedRequestIsOfferedAgainOnlyIfNotRun(t *testing.T) {
+	tests := map[string]struct {
+		outcome bamboostep.Outcome
+		offers  int
+		status  int
+		resend  string
+	}{
+		"not run": {bamboostep.NotRun, 2, 200, "done"},
+		"unknown": {bamboostep.Unknown, 1, 504, "outcome_unknown"},
+		"ran":     {bamboostep.Ran, 1, 504, "outcome_unknown"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var offers atomic.Int64
+			app := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+				if offers.Add(1) == 1 {
+					return failure(tt.outcome, "trouble")
+				}
+				return yield(bamboostep.Answer{Attempt: o.Attempt, Status: 200, Data: []byte("done"), Last: true})
+			}
+			s := startCallers(t, newTestCallers(newTestFleet(2, nil, app), &fakeLedger{}))
+			got := call(t, s, "POST", "/orders", "one")
+			if got.status != tt.status {
+				t.Errorf("got status %d %q, want %d", got.status, got.body, tt.status)
+			}
+			got = call(t, s, "POST", "/orders", "one")
+			if !strings.Contains(got.body, tt.resend) {
+				t.Errorf("resend got %q, want %q", got.body, tt.resend)
+			}
+			if got := int(offers.Load()); got != tt.offers {
+				t.Errorf("offers = %d, want %d", got, tt.offers)
+			}
+		})
+	}
+}
