Replicated ledger: consensus core, disk, voter and client

Cause: published revisions, claims and drains must survive the loss of VMs, and no outside store is there.

Change: package ledger, thin: Raft core with pre-vote, check-quorum, read rounds,

identities; checksummed log files in generations; the state machine; Voter and Client over package wire.

Ruled out: a voter known by its name alone, since one that lost its disk would vote twice. A first membership without a word from every member, since a voter with an empty disk cannot tell a first start from a lost disk.

Conclusion: callable; the properties under faults come next.

--- /dev/null
+++ b/ledger/client.go
@@ -0,0 +1,301 @@
+package ledger
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+const (
+	callTimeout    = 10 * time.Second // of a call whose context has no deadline
+	attemptTimeout = 1 * time.Second  // of one attempt at one voter
+	retryDelay     = 20 * time.Millisecond
+
+	maxSetBytes  = 4 << 20
+	maxNameBytes = 4 << 10
+)
+
+// Client reaches the ledger from any process, voter or not. Set the exported
+// fields before Run.
+//
+// A call goes to the voter that leads, as far as the client knows, and is sent
+// again to another until ctx ends. All commands may be applied twice without
+// harm, so sending again is safe; what the client must know is only whether a
+// command that it gives up may still be applied.
+type Client struct {
+	Node     *wire.Node
+	Members  []Member // voters to begin with
+	Local    *Voter   // the process's own voter; nil if it is none
+	Recorder *timeline.Recorder
+
+	// Applied is called with each changed state of a process that is no voter, in
+	// order. It must not block. May be nil.
+	Applied func(*State)
+
+	once    sync.Once
+	state   atomic.Pointer[State]
+	current atomic.Pointer[time.Time]
+	leader  atomic.Pointer[leadership]
+
+	mu    sync.Mutex
+	ctx   context.Context
+	links map[string]*wire.Link // by address
+	next  int                   // voter to try next
+}
+
+type leadership struct {
+	name string
+	term uint64
+}
+
+var _ bamboostep.Ledger = (*Client)(nil)
+
+func (c *Client) init() {
+	c.once.Do(func() {
+		c.state.Store(encodedState{}.state())
+		c.current.Store(&time.Time{})
+		c.leader.Store(&leadership{})
+		c.links = make(map[string]*wire.Link)
+	})
+}
+
+// Run keeps connections to the voters, and follows the state if the process is no
+// voter, until ctx ends.
+func (c *Client) Run(ctx context.Context) error {
+	c.init()
+	c.mu.Lock()
+	c.ctx = ctx
+	c.mu.Unlock()
+	for _, m := range c.voters() {
+		c.link(m)
+	}
+	if c.Local != nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return c.follow(ctx)
+}
+
+// State returns the newest state that the process knows.
+func (c *Client) State() *State {
+	c.init()
+	if c.Local != nil {
+		return c.Local.State()
+	}
+	return c.state.Load()
+}
+
+// Current returns when State was last proved to be current: it held all that a
+// quorum had committed then.
+func (c *Client) Current() time.Time {
+	c.init()
+	if c.Local != nil {
+		return c.Local.status.Load().current
+	}
+	return *c.current.Load()
+}
+
+// Leader returns the leader and its term, as far as the process knows.
+func (c *Client) Leader() (name string, term uint64) {
+	c.init()
+	if c.Local != nil {
+		name, term, _ := c.Local.Leader()
+		return name, term
+	}
+	l := c.leader.Load()
+	return l.name, l.term
+}
+
+// Publish implements bamboostep.Ledger.
+func (c *Client) Publish(ctx context.Context, p bamboostep.Publication) (bamboostep.Revision, error) {
+	if len(p.Set) > maxSetBytes {
+		return bamboostep.Revision{}, &RefusedError{"publish", "set_too_large", fmt.Sprintf("%d bytes, at most %d", len(p.Set), maxSetBytes)}
+	}
+	r, err := c.propose(ctx, command{Publish: &p})
+	if err != nil {
+		return bamboostep.Revision{}, err
+	}
+	if r.Conflict != nil {
+		return bamboostep.Revision{}, &bamboostep.ConflictError{Based: r.Conflict.Based, Newest: r.Conflict.Newest}
+	}
+	return r.Revision, nil
+}
+
+// Claim implements bamboostep.Ledger. It fails with a *RefusedError while too
+// many names are taken; nothing was claimed then.
+func (c *Client) Claim(ctx context.Context, claim bamboostep.Claim) (bamboostep.ClaimResult, error) {
+	if len(claim.Name) > maxNameBytes {
+		return bamboostep.ClaimResult{}, &RefusedError{"claim", "name_too_long", fmt.Sprintf("%d bytes, at most %d", len(claim.Name), maxNameBytes)}
+	}
+	r, err := c.propose(ctx, command{Claim: &claim})
+	return r.Claim, err
+}
+
+// Settle implements bamboostep.Ledger. An answer that is too long to be kept is
+// left out. The error is a *RefusedError if the attempt does not hold the name.
+func (c *Client) Settle(ctx context.Context, s bamboostep.Settlement) error {
+	if len(s.Body) > maxAnswerBytes {
+		s = bamboostep.Settlement{Name: s.Name, Attempt: s.Attempt, Outcome: s.Outcome}
+	}
+	_, err := c.propose(ctx, command{Settle: &s})
+	return err
+}
+
+// Drain implements bamboostep.Ledger.
+func (c *Client) Drain(ctx context.Context, vm string, leaving bool) error {
+	_, err := c.propose(ctx, command{Drain: &drainCommand{ID: rand.Text(), VM: vm, Leaving: leaving}})
+	return err
+}
+
+// Barrier returns once State holds everything that was committed before the call.
+func (c *Client) Barrier(ctx context.Context) error {
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	r, err := c.do(ctx, "read", kindBarrier, barrierCall{}, request{barrier: true})
+	if err != nil {
+		return err
+	}
+	for c.State().Index() < r.Index {
+		if pause(ctx) != nil {
+			return &bamboostep.UnavailableError{Operation: "read", Known: true, Cause: ctx.Err()}
+		}
+	}
+	return nil
+}
+
+// AddVoter adds a member, or replaces its address, and returns once it has caught
+// up and votes. To replace a voter, add the new one first.
+func (c *Client) AddVoter(ctx context.Context, m Member) error {
+	return c.change(ctx, "add a voter", changeCall{Add: true, Member: m})
+}
+
+// RemoveVoter removes a member and returns once that is committed.
+func (c *Client) RemoveVoter(ctx context.Context, m Member) error {
+	return c.change(ctx, "remove a voter", changeCall{Member: m})
+}
+
+func (c *Client) change(ctx context.Context, operation string, call changeCall) error {
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	for {
+		r, err := c.do(ctx, operation, kindChange, call, request{})
+		switch {
+		case err != nil:
+			return err
+		case r.Code == codeRefused:
+			return &MembershipError{call.Member.Name, r.Detail}
+		case r.Joined || (!call.Add && r.Settled):
+			return nil
+		}
+		if pause(ctx) != nil {
+			return &bamboostep.UnavailableError{Operation: operation, Cause: ctx.Err()}
+		}
+	}
+}
+
+func (c *Client) propose(ctx context.Context, cmd command) (result, error) {
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	operation := cmd.operation()
+	r, err := c.do(ctx, operation, kindPropose, proposeCall{cmd}, request{command: &cmd})
+	if err != nil {
+		return result{}, err
+	}
+	if r.Code == codeRefused {
+		return result{}, &RefusedError{operation, string(r.Code), r.Detail}
+	}
+	if r.Result.Refused != "" {
+		return result{}, &RefusedError{operation, r.Result.Refused, r.Result.Detail}
+	}
+	return r.Result, nil
+}
+
+func withTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, set := ctx.Deadline(); set {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, callTimeout)
+}
+
+func pause(ctx context.Context) error {
+	t := time.NewTimer(retryDelay)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+var errNoConnection = errors.New("no connection to a voter")
+
+// do makes a call until some voter has done or refused it.
+func (c *Client) do(ctx context.Context, operation, kind string, call any, local request) (proposeReply, error) {
+	c.init()
+	known := true
+	var cause error
+	for {
+		r, err := c.attempt(ctx, kind, call, local)
+		switch {
+		case err == nil && (r.Code == codeDone || r.Code == codeRefused):
+			return r, nil
+		case err == nil:
+			known = known && r.Code.certain()
+			cause = fmt.Errorf("voter answered %q", r.Code)
+			c.redirect(r)
+		default:
+			known = known && errors.Is(err, errNoConnection)
+			cause = err
+			c.forgetLeader()
+		}
+		if pause(ctx) != nil {
+			return proposeReply{}, &bamboostep.UnavailableError{Operation: operation, Known: known, Cause: fmt.Errorf("%w: %w", ctx.Err(), cause)}
+		}
+	}
+}
+
+// attempt makes one call, at the own voter if it leads.
+func (c *Client) attempt(ctx context.Context, kind string, call any, local request) (proposeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	if c.Local != nil && c.Local.leads() {
+		return c.attemptLocal(ctx, call, local)
+	}
+	conn := c.target()
+	if conn == nil {
+		return proposeReply{}, errNoConnection
+	}
+	var r proposeReply
+	err := conn.Call(ctx, kind, call, &r)
+	return r, err
+}
+
+func (c *Client) attemptLocal(ctx context.Context, call any, local request) (proposeReply, error) {
+	answer := make(chan proposeReply, 1)
+	done := func(r proposeReply) { answer <- r }
+	if change, ok := call.(changeCall); ok {
+		go c.Local.change(change, done)
+	} else {
+		local.done = done
+		if local.command != nil {
+			own := *local.command
+			local.command = &own
+		}
+		c.Local.request(local)
+	}
+	select {
+	case r := <-answer:
+		return r, nil
+	case <-ctx.Done():
+		return proposeReply{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/ledger/metrics.go
@@ -0,0 +1,53 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics counts what a voter does.
+type metrics struct {
+	leader     prometheus.Gauge
+	term       prometheus.Gauge
+	entries    prometheus.Counter
+	overflow   prometheus.Counter
+	saveSecond prometheus.Histogram
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	opts := func(name, help string) prometheus.Opts {
+		return prometheus.Opts{Namespace: "bamboostep", Subsystem: "ledger", Name: name, Help: help}
+	}
+	m := &metrics{
+		leader:   prometheus.NewGauge(prometheus.GaugeOpts(opts("leader", "1 while this voter leads."))),
+		term:     prometheus.NewGauge(prometheus.GaugeOpts(opts("term", "Newest term that this voter knows."))),
+		entries:  prometheus.NewCounter(prometheus.CounterOpts(opts("applied_entries_total", "Log entries applied."))),
+		overflow: prometheus.NewCounter(prometheus.CounterOpts(opts("dropped_messages_total", "Messages of voters dropped because too many waited."))),
+		saveSecond: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "bamboostep",
+			Subsystem: "ledger",
+			Name:      "save_seconds",
+			Help:      "Time to write and sync one batch of records.",
+			Buckets:   prometheus.ExponentialBuckets(0.0001, 2, 14),
+		}),
+	}
+	if r != nil {
+		r.MustRegister(m.leader, m.term, m.entries, m.overflow, m.saveSecond)
+	}
+	return m
+}
+
+func (m *metrics) saved(d time.Duration) { m.saveSecond.Observe(d.Seconds()) }
+
+func (m *metrics) applied(n int) { m.entries.Add(float64(n)) }
+
+func (m *metrics) dropped() { m.overflow.Inc() }
+
+func (m *metrics) leading(leads bool, term uint64) {
+	m.leader.Set(0)
+	if leads {
+		m.leader.Set(1)
+	}
+	m.term.Set(float64(term))
+}
--- /dev/null
+++ b/ledger/voter.go
@@ -0,0 +1,376 @@
+package ledger
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+const (
+	inboxSize    = 1024 // messages that wait for the loop; more are dropped, as a network would
+	requestsSize = 4096
+	batchSize    = 512  // inputs taken before one save
+	maxPending   = 8192 // commands that wait for their commit
+)
+
+// Voter is one voter of the ledger. Set the exported fields before Register.
+//
+// One goroutine owns the core, the disk and the machine. It takes whatever has
+// arrived, lets the core think, saves all of it with one sync (this is the group
+// commit), and only then sends what promises anything.
+type Voter struct {
+	Name     string   // own name, one of Members
+	Members  []Member // voters of the first start
+	Dir      string   // data folder
+	Node     *wire.Node
+	Recorder *timeline.Recorder
+	Registry prometheus.Registerer
+
+	// Applied is called with each new state, in order. It must not block. May be nil.
+	Applied func(*State)
+	// LeaderChanged is called with each new leader, "" for none. It must not
+	// block. May be nil.
+	LeaderChanged func(leader string, term uint64)
+
+	once     sync.Once
+	inbox    chan received
+	requests chan request
+	state    atomic.Pointer[State]
+	status   atomic.Pointer[status]
+	watchers watchers
+	metrics  *metrics
+
+	core    *core
+	disk    *disk
+	machine *machine
+	peers   *peers
+	started time.Time
+
+	pending   map[uint64]pendingCommand
+	barriers  map[uint64]func(proposeReply)
+	lastRead  uint64
+	clockBase time.Duration // ledger time at clockAt
+	clockAt   time.Duration
+}
+
+// status is what other goroutines may know of the core.
+type status struct {
+	leader   string
+	term     uint64
+	self     bool
+	quorumAt time.Time // self: when the last round began that a quorum answered
+	current  time.Time // when this voter last had all that a leader had committed
+	members  membership
+	disk     diskID
+}
+
+type received struct {
+	m    message
+	conn *wire.Conn
+}
+
+// request is what a client wants from the loop. Exactly one of command, barrier
+// and change is set.
+type request struct {
+	command *command
+	barrier bool
+	change  *memberChange
+	done    func(proposeReply) // called once
+}
+
+type memberChange struct {
+	member Member
+	add    bool
+	disk   diskID // if add
+}
+
+type pendingCommand struct {
+	term uint64
+	done func(proposeReply)
+}
+
+func (v *Voter) init() {
+	v.once.Do(func() {
+		v.inbox = make(chan received, inboxSize)
+		v.requests = make(chan request, requestsSize)
+		v.started = time.Now()
+		v.pending = make(map[uint64]pendingCommand)
+		v.barriers = make(map[uint64]func(proposeReply))
+		v.metrics = newMetrics(v.Registry)
+		v.state.Store(encodedState{}.state())
+		v.status.Store(&status{})
+	})
+}
+
+// Run opens the data folder and votes until ctx ends. It returns early if the
+// disk fails or is damaged, because a voter that cannot keep its word must not
+// give it.
+func (v *Voter) Run(ctx context.Context) error {
+	v.init()
+	fs, err := openFolder(v.Dir)
+	if err != nil {
+		return err
+	}
+	defer fs.close()
+	if err := v.open(fs); err != nil {
+		v.record("ledger_disk_failed", err.Error())
+		return err
+	}
+	defer v.disk.close()
+	v.peers = newPeers(v)
+	defer v.peers.close()
+	return v.loop(ctx)
+}
+
+func (v *Voter) open(fs fileSystem) error {
+	d, st, err := openDisk(fs, newDiskID)
+	if err != nil {
+		return err
+	}
+	v.disk = d
+	if d.cut > 0 {
+		v.record("ledger_tail_cut", fmt.Sprintf("%d bytes of an unfinished write", d.cut))
+	}
+	v.machine = newMachine()
+	if st.Snapshot.Index > 0 {
+		if v.machine, err = decodeMachine(st.Snapshot.Data); err != nil {
+			return err
+		}
+	}
+	v.core = newCore(v.Name, v.Members, st, rand.New(rand.NewPCG(uint64(st.Disk), uint64(time.Now().UnixNano()))))
+	v.publishState(true)
+	return nil
+}
+
+func newDiskID() diskID {
+	var b [8]byte
+	crand.Read(b[:])
+	return diskID(binary.BigEndian.Uint64(b[:]) | 1)
+}
+
+func (v *Voter) now() time.Duration { return time.Since(v.started) }
+
+func (v *Voter) loop(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if err := v.settle(ctx); err != nil {
+			v.record("ledger_voter_stopped", err.Error())
+			return err
+		}
+		timer.Reset(max(v.core.due()-v.now(), time.Millisecond))
+		select {
+		case <-ctx.Done():
+			v.stop()
+			return ctx.Err()
+		case <-timer.C:
+		case r := <-v.inbox:
+			v.receive(r)
+		case r := <-v.requests:
+			v.serve(r)
+		}
+		v.takeBatch()
+		v.core.tick(v.now())
+	}
+}
+
+// takeBatch takes what else has arrived, so that one sync serves all of it.
+func (v *Voter) takeBatch() {
+	var commands []request
+	defer func() { v.proposeAll(commands) }()
+	for range batchSize {
+		select {
+		case r := <-v.inbox:
+			v.receive(r)
+		case r := <-v.requests:
+			if r.command != nil {
+				commands = append(commands, r)
+				continue
+			}
+			v.serve(r)
+		default:
+			return
+		}
+	}
+}
+
+func (v *Voter) receive(r received) {
+	v.peers.heard(r)
+	v.core.step(v.now(), r.m)
+}
+
+// settle does all that the core wants done.
+func (v *Voter) settle(ctx context.Context) error {
+	for {
+		a := v.core.take()
+		if a.empty() {
+			break
+		}
+		if err := v.act(&a); err != nil {
+			return err
+		}
+	}
+	v.peers.follow(ctx, v.core.members, v.Members)
+	v.publishStatus()
+	return v.checkpoint()
+}
+
+func (v *Voter) act(a *actions) error {
+	if a.Err != nil {
+		return a.Err
+	}
+	v.peers.send(a.Early)
+	if a.mustSave() {
+		began := time.Now()
+		if err := v.disk.save(a); err != nil {
+			return fmt.Errorf("ledger disk: %w", err)
+		}
+		v.metrics.saved(time.Since(began))
+		v.core.saved(a)
+	}
+	v.peers.send(a.Replies)
+	for _, e := range a.Events {
+		v.record("ledger_"+e.Kind, e.Detail)
+	}
+	if err := v.restore(a.Snapshot); err != nil {
+		return err
+	}
+	v.apply(a.Committed)
+	v.endReads(a.Reads)
+	return nil
+}
+
+func (v *Voter) restore(s *snapshot) error {
+	if s == nil {
+		return nil
+	}
+	m, err := decodeMachine(s.Data)
+	if err != nil {
+		return err
+	}
+	v.machine = m
+	v.publishState(true)
+	return nil
+}
+
+func (v *Voter) apply(entries []entry) {
+	if len(entries) == 0 {
+		return
+	}
+	before := v.machine.state
+	for _, e := range entries {
+		r := v.machine.apply(e)
+		v.answer(e, r)
+	}
+	v.metrics.applied(len(entries))
+	after := v.machine.state
+	v.publishState(before.content != after.content)
+}
+
+func (v *Voter) publishState(changed bool) {
+	s := v.machine.state
+	v.state.Store(s)
+	if changed && v.Applied != nil && s.index > 0 {
+		v.Applied(s)
+	}
+	if changed {
+		v.watchers.wake()
+	}
+}
+
+// checkpoint takes a snapshot when the log file has grown.
+func (v *Voter) checkpoint() error {
+	if !v.disk.wantsCheckpoint() {
+		return nil
+	}
+	data, err := v.machine.encode()
+	if err != nil {
+		return err
+	}
+	index := v.core.handedOut
+	term, _ := v.core.log.term(index)
+	s := snapshot{Index: index, Term: term, Members: v.core.committedMembers(), Data: data}
+	if err := v.disk.checkpoint(s, v.core.compact(s)); err != nil {
+		return fmt.Errorf("ledger disk: %w", err)
+	}
+	v.record("ledger_checkpoint", fmt.Sprintf("snapshot of %d bytes up to entry %d", len(data), index))
+	return nil
+}
+
+// stop ends the term of a voter that stops as planned.
+func (v *Voter) stop() {
+	v.core.handOver()
+	a := v.core.take()
+	v.peers.send(a.Early)
+	v.peers.flush()
+	v.dropPending(codeUncertain)
+	v.status.Store(&status{})
+}
+
+func (v *Voter) publishStatus() {
+	old := v.status.Load()
+	at, leads := v.core.quorumStart()
+	s := &status{
+		leader:   v.core.leader,
+		term:     v.core.term,
+		self:     leads,
+		quorumAt: v.started.Add(at),
+		current:  v.started.Add(v.core.currentAt),
+		members:  v.core.members,
+		disk:     v.core.disk,
+	}
+	if leads {
+		s.current = s.quorumAt
+	}
+	v.status.Store(s)
+	if !leads {
+		v.dropPending(codeUncertain)
+	}
+	if old.leader == s.leader && old.term == s.term {
+		return
+	}
+	v.clockBase, v.clockAt = v.machine.now, v.now()
+	v.metrics.leading(leads, s.term)
+	v.record("ledger_leader_changed", s.leader)
+	if v.LeaderChanged != nil {
+		v.LeaderChanged(s.leader, s.term)
+	}
+}
+
+// State returns the last applied state.
+func (v *Voter) State() *State {
+	v.init()
+	return v.state.Load()
+}
+
+// Leader returns the leader as this voter knows it, "" for none, and the term.
+// self is true while this voter leads and a quorum has lately followed it.
+func (v *Voter) Leader() (name string, term uint64, self bool) {
+	v.init()
+	s := v.status.Load()
+	return s.leader, s.term, s.self && time.Since(s.quorumAt) < minElectionTimeout
+}
+
+// leads reports whether this voter leads, as far as it knows.
+func (v *Voter) leads() bool {
+	v.init()
+	return v.status.Load().self
+}
+
+func (v *Voter) record(kind, detail string) {
+	var term uint64
+	if v.core != nil {
+		term = v.core.term
+	}
+	v.Recorder.Record(timeline.Event{Kind: kind, Term: term, VM: v.Name, Detail: detail})
+}
--- /dev/null
+++ b/ledger/wiretype.go
@@ -0,0 +1,80 @@
+package ledger
+
+import "github.com/bamboostep/bamboostep"
+
+// The calls that clients and voters make besides the consensus messages.
+
+const (
+	kindStep     = "ledger.step"     // a message between voters; no answer
+	kindPropose  = "ledger.propose"  // proposeCall, answered by proposeReply
+	kindBarrier  = "ledger.barrier"  // barrierCall, answered by proposeReply
+	kindWatch    = "ledger.watch"    // watchCall, answered by watchReply
+	kindIdentity = "ledger.identity" // answered by identityReply
+	kindChange   = "ledger.change"   // changeCall, answered by proposeReply
+)
+
+// callCode says how a call ended.
+type callCode string
+
+const (
+	codeDone      callCode = "done"
+	codeNotLeader callCode = "not_leader" // nothing was appended; Leader may say who leads
+	codeBusy      callCode = "busy"       // nothing was appended
+	codeDropped   callCode = "dropped"    // appended, and then replaced by another entry
+	codeUncertain callCode = "uncertain"  // appended, and this voter lost the lead
+	codeRefused   callCode = "refused"    // a membership change that is not allowed
+)
+
+// certain reports whether a call that ended so was and will not be applied.
+func (c callCode) certain() bool { return c != codeUncertain && c != codeDone }
+
+type proposeCall struct {
+	Command command `msgpack:"command"`
+}
+
+type barrierCall struct{}
+
+type changeCall struct {
+	Add    bool   `msgpack:"add"`
+	Member Member `msgpack:"member"`
+}
+
+// proposeReply answers everything that the leader does for a client.
+type proposeReply struct {
+	Code    callCode `msgpack:"code"`
+	Leader  Member   `msgpack:"leader"` // of a not_leader, if known
+	Index   uint64   `msgpack:"index"`  // entry of the command, or committed before the barrier
+	Result  result   `msgpack:"result"`
+	Detail  string   `msgpack:"detail"`
+	Joined  bool     `msgpack:"joined"`  // the added member votes
+	Settled bool     `msgpack:"settled"` // the newest membership is committed
+}
+
+// watchCall asks for the state once it differs from what the client has.
+type watchCall struct {
+	Index    uint64 `msgpack:"index"`    // of the client's state; 0 for none
+	Revision uint64 `msgpack:"revision"` // of the client's state
+	Content  uint64 `msgpack:"content"`  // index of the last change that the client has
+}
+
+// watchReply is a progress mark: it proves up to which index the client is
+// current. It brings what changed since, too.
+type watchReply struct {
+	Index      uint64                `msgpack:"index"`
+	Term       uint64                `msgpack:"term"`
+	Content    uint64                `msgpack:"content"`
+	Leader     string                `msgpack:"leader"`
+	LeaderTerm uint64                `msgpack:"leader_term"`
+	AgeMS      int64                 `msgpack:"age_ms"` // since the voter had all that a leader had committed
+	Changed    bool                  `msgpack:"changed"`
+	Revisions  []bamboostep.Revision `msgpack:"revisions"` // those after the client's, or all kept if Reset
+	Reset      bool                  `msgpack:"reset"`     // the client was too far behind for a delta
+	Set        []byte                `msgpack:"set"`       // if the revision is newer
+	Drained    []string              `msgpack:"drained"`
+	Members    []Member              `msgpack:"members"`
+}
+
+type identityReply struct {
+	Name string `msgpack:"name"`
+	Disk diskID `msgpack:"disk"`
+}
