Crash suspects, admission by predicted wait, attempts given up at once

Cause: a request that crashes its backend server was retried like any other; overload admitted everything; an attempt that was given up held the caller's answer back until the backend server confirmed.

Ruled out: running all suspects of a crash together. A second crash would then leave every one of them suspected twice, and either innocents are refused or a third backend server is lost.

No test of suspects yet.

--- a/dispatch/course.go
+++ b/dispatch/course.go
@@ -22,7 +22,7 @@
 // the retry budget allow.
 type Course struct {
 	Repeatable  bool      // the request may run more than once
-	Deadline    time.Time // nothing is begun after it
+	Deadline    time.Time // nothing is begun after it; later once the answer has begun
 	MaxAttempts int       // attempts that may start; those refused unstarted do not count
 	Budget      *Budget   // shared by all requests of the entry
 
@@ -74,6 +74,9 @@
 	return c.step("whole")
 }
 
+// Moved notes that the attempt was ended in order to go on elsewhere.
+func (c *Course) Moved() error { return c.step("retry") }
+
 // Outcome says whether the request ran, as far as is known.
 func (c *Course) Outcome() bamboostep.Outcome {
 	if c.outcome == "" {
@@ -88,6 +91,9 @@
 // Forget makes all VMs eligible again, when every one has been tried.
 func (c *Course) Forget() { c.tried = c.tried[:0] }
 
+// Fresh reports whether no attempt was made yet.
+func (c *Course) Fresh() bool { return c.offers == 0 }
+
 // Failed notes how an attempt ended and decides what follows: nil for another
 // attempt, or the final answer.
 func (c *Course) Failed(now time.Time, vm string, f bamboostep.Failure) *bamboostep.RefusedError {
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -26,6 +26,7 @@
 const (
 	defaultBlockTokens  = 16   // work saved by one cached prompt block
 	defaultLoadTokens   = 200  // work that loading an adapter costs
+	suspectTokens       = 1000 // work that a crash suspect holds back, which runs alone
 	defaultSlackTokens  = 64   // two scores this close are equal
 	defaultSlackShare   = 0.15 // share of the best score added to the slack
 	reportFadeTime      = time.Second
@@ -81,7 +82,7 @@
 }
 
 func (b *Balanced) score(c *bamboostep.Candidate) float64 {
-	s := QueueTokens(c) - float64(c.CachedBlocks)*b.BlockTokens
+	s := QueueTokens(c) + float64(c.Suspects)*suspectTokens - float64(c.CachedBlocks)*b.BlockTokens
 	if !c.Resident {
 		s += b.LoadTokens
 	}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -51,18 +51,18 @@
 
 // callerLimits bounds what one request may take. Zero fields take defaults.
 type callerLimits struct {
-	BodyBytes       int64         // request body
-	BufferBytes     int           // plain answer held back until whole, so that it can be retried
-	RecordBytes     int           // answer of a non-idempotent request kept for resends
-	DeadlineFactor  float64       // deadline of a request, in multiples of its target
-	MinDeadline     time.Duration // deadline of a request at least
-	AnswerTime      time.Duration // whole answer of a model at most
-	NoServerWait    time.Duration // wait for a backend server to come up
-	HeldWait        time.Duration // wait of a resend for the first sending to end
-	ClaimTime       time.Duration // claim or settlement of a non-idempotent request
-	ClaimKeep       time.Duration // recorded answers are kept for so long
-	IdleTime        time.Duration // a caller that takes nothing for so long is given up
-	NoteMaxInFlight int           // requests in flight at most
+	BodyBytes      int64         // request body
+	BufferBytes    int           // plain answer held back until whole, so that it can be retried
+	RecordBytes    int           // answer of a non-idempotent request kept for resends
+	DeadlineFactor float64       // deadline of a request, in multiples of its target
+	MinDeadline    time.Duration // deadline of a request at least
+	StallTime      time.Duration // pause in a model's answer after which it is resumed elsewhere
+	AnswerTime     time.Duration // whole answer of a model at most
+	NoServerWait   time.Duration // wait for a backend server to come up
+	HeldWait       time.Duration // wait of a resend for the first sending to end
+	ClaimTime      time.Duration // claim or settlement of a non-idempotent request
+	ClaimKeep      time.Duration // recorded answers are kept for so long
+	IdleTime       time.Duration // a caller that takes nothing for so long is given up
 }
 
 const (
@@ -71,13 +71,13 @@
 	defaultRecordBytes    = 1 << 20
 	defaultDeadlineFactor = 30
 	defaultMinDeadline    = 10 * time.Second
+	defaultStallTime      = 5 * time.Second
 	defaultAnswerTime     = 5 * time.Minute
 	defaultNoServerWait   = 3 * time.Second
 	defaultHeldWait       = 2 * time.Second
 	defaultClaimTime      = 2 * time.Second
 	defaultClaimKeep      = 24 * time.Hour
 	defaultIdleTime       = 30 * time.Second
-	defaultMaxInFlight    = 20_000
 )
 
 func defaultTo[T int | int64 | float64 | time.Duration](v *T, def T) {
@@ -92,23 +92,16 @@
 	defaultTo(&l.RecordBytes, defaultRecordBytes)
 	defaultTo(&l.DeadlineFactor, defaultDeadlineFactor)
 	defaultTo(&l.MinDeadline, defaultMinDeadline)
+	defaultTo(&l.StallTime, defaultStallTime)
 	defaultTo(&l.AnswerTime, defaultAnswerTime)
 	defaultTo(&l.NoServerWait, defaultNoServerWait)
 	defaultTo(&l.HeldWait, defaultHeldWait)
 	defaultTo(&l.ClaimTime, defaultClaimTime)
 	defaultTo(&l.ClaimKeep, defaultClaimKeep)
 	defaultTo(&l.IdleTime, defaultIdleTime)
-	defaultTo(&l.NoteMaxInFlight, defaultMaxInFlight)
 	return l
 }
 
-// NoteSuspects takes in requests that were running when a backend server crashed,
-// from agents and from other entries.
-func (c *callers) NoteSuspects(list []bamboostep.Suspect) {
-	c.once.Do(c.init)
-	c.Suspects.Note(c.Clock.Now(), list)
-}
-
 // callers is the callers' http.Handler. Set the exported fields before the first
 // request.
 type callers struct {
@@ -122,6 +115,7 @@
 	Registry      prometheus.Registerer
 	Clock         bamboostep.Clock
 	Router        bamboostep.Router // dispatch.Balanced if nil
+	Admission     dispatch.Admission
 	Seed          uint64
 	Limits        callerLimits
 
@@ -138,13 +132,26 @@
 func (c *callers) init() {
 	c.Limits = c.Limits.withDefaults()
 	c.budget = &dispatch.Budget{}
-	c.metrics = newCallerMetrics(c.Registry)
 	if c.Router == nil {
 		c.Router = dispatch.Balanced{}
 	}
 	if c.Suspects == nil {
 		c.Suspects = &dispatch.Suspects{}
 	}
+	c.metrics = newCallerMetrics(c.Registry, c.Suspects)
+}
+
+// NoteSuspects takes in all the requests that were running when a backend server
+// crashed, as its agent tells them.
+func (c *callers) NoteSuspects(list []bamboostep.Suspect) {
+	c.once.Do(c.init)
+	c.Suspects.Note(c.Clock.Now(), list)
+}
+
+// LearnSuspects takes in what another entry's ShareSuspects sent.
+func (c *callers) LearnSuspects(list []bamboostep.Suspect) {
+	c.once.Do(c.init)
+	c.Suspects.Learn(c.Clock.Now(), list)
 }
 
 // ServeHTTP implements http.Handler.
@@ -182,10 +189,10 @@
 	body    []byte
 	started time.Time
 
-	target string // model, adapter or service
-	class  bamboostep.Class
-	status int // sent to the caller; 0 before
-	code   string
+	target  string // model, adapter or service
+	class   bamboostep.Class
+	offered bool // the first offer was made
+	status  int  // sent to the caller; 0 before
 }
 
 func (c *callers) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
@@ -262,7 +269,6 @@
 }
 
 func (x *exchange) noteRefusal(e *bamboostep.RefusedError) {
-	x.code = e.Code
 	x.metrics.refusals.WithLabelValues(e.Code).Inc()
 	if x.set != nil {
 		x.note(timeline.Event{Kind: "refused", Detail: e.Code + " " + string(e.Outcome)})
@@ -290,6 +296,11 @@
 	x.w.Write(body)
 }
 
+// startLimit returns how long a request may wait for the first piece of its answer.
+func (x *exchange) startLimit(target time.Duration) time.Duration {
+	return max(time.Duration(float64(target)*x.Limits.DeadlineFactor), x.Limits.MinDeadline)
+}
+
 // caller returns the address of the caller without its port.
 func (x *exchange) caller() string {
 	host, _, err := net.SplitHostPort(x.r.RemoteAddr)
--- a/entry/callers_metrics.go
+++ b/entry/callers_metrics.go
@@ -4,6 +4,8 @@
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep/dispatch"
 )
 
 // callerMetrics counts callers' requests.
@@ -17,7 +19,7 @@
 	overhead   prometheus.Histogram
 }
 
-func newCallerMetrics(r prometheus.Registerer) *callerMetrics {
+func newCallerMetrics(r prometheus.Registerer, suspects *dispatch.Suspects) *callerMetrics {
 	m := &callerMetrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "bamboostep_requests_total",
 			Help: "Callers' requests by target, class and HTTP status."}, []string{"target", "class", "code"}),
@@ -37,12 +39,22 @@
 			Help:    "Time from a request to its first offer.",
 			Buckets: prometheus.ExponentialBuckets(0.00002, 2, 16)}),
 	}
+	strays := prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "bamboostep_suspect_strays_total",
+		Help: "Events of crash suspects that their state does not list."}, func() float64 { return float64(suspects.Strays()) })
 	if r != nil {
-		r.MustRegister(m.requests, m.refusals, m.retries, m.inFlight, m.firstPiece, m.between, m.overhead)
+		r.MustRegister(m.requests, m.refusals, m.retries, m.inFlight, m.firstPiece, m.between, m.overhead, strays)
 	}
 	return m
 }
 
+// observeOverhead notes the entry's own time before the first offer of a request.
+func (m *callerMetrics) observeOverhead(x *exchange) {
+	if !x.offered {
+		x.offered = true
+		m.overhead.Observe(x.Clock.Now().Sub(x.started).Seconds())
+	}
+}
+
 // countRequest counts a request that has ended. Targets that are not declared are
 // counted together, so that callers cannot add metrics.
 func (m *callerMetrics) countRequest(x *exchange) {
--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -20,8 +20,9 @@
 type lanes struct {
 	mu         sync.Mutex
 	byVM       map[string]*lane
-	candidates []bamboostep.Candidate // reused by every choice
-	servers    []server               // the same, index by index
+	candidates []bamboostep.Candidate    // reused by every choice
+	servers    []server                  // the same, index by index
+	waits      map[string]*dispatch.Wait // by place
 }
 
 // lane is one backend server as this entry's own requests see it.
@@ -29,9 +30,10 @@
 	inFlight    int
 	work        float64 // remaining work of the attempts in flight, tokens
 	suspects    int
-	incarnation uint64 // of the report that resident was made from
-	sequence    uint64
-	resident    map[string]bool // models and adapters
+	incarnation uint64               // of the agent, at the last report
+	sequence    uint64               // of the last report
+	replicas    []bamboostep.Replica // that resident was made from
+	resident    map[string]bool      // models and adapters
 	cache       dispatch.PrefixCache
 }
 
@@ -47,9 +49,10 @@
 	return n
 }
 
-// learn indexes a report that the lane has not seen.
+// learn indexes a report that the lane has not seen. Reports come often and their
+// replicas seldom change; reports that carry the same list share it.
 func (l *lane) learn(r *bamboostep.Report) {
-	if l.resident != nil && l.incarnation == r.Incarnation && l.sequence == r.Sequence {
+	if l.incarnation == r.Incarnation && l.sequence == r.Sequence {
 		return
 	}
 	if l.incarnation != r.Incarnation {
@@ -57,13 +60,22 @@
 	}
 	l.incarnation = r.Incarnation
 	l.sequence = r.Sequence
+	l.cache.Drop(r.CacheDropped)
+	if sameList(l.replicas, r.Replicas) {
+		return
+	}
+	l.replicas = r.Replicas
 	l.resident = make(map[string]bool, len(r.Replicas))
 	for _, p := range r.Replicas {
 		if p.State == bamboostep.ReplicaResident {
 			l.resident[p.Name] = true
 		}
 	}
-	l.cache.Drop(r.CacheDropped)
+}
+
+// sameList reports whether two lists are the same piece of memory.
+func sameList(a, b []bamboostep.Replica) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
 // choose picks a backend server for the next attempt of j and enters the attempt
@@ -74,12 +86,18 @@
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
 	c.gather(j, servers, now)
-	i, ok := c.Router.Pick(now, j.request, c.lanes.candidates, c.Seed+c.picks.Add(1))
+	i, ok := c.pick(j, now)
 	if !ok {
 		return nil
 	}
-	s := c.lanes.servers[i]
-	return c.lanes.enter(s, j, c.lanes.candidates[i].Resident)
+	return c.lanes.enter(c.lanes.servers[i], &c.lanes.candidates[i], j, now)
+}
+
+func (c *callers) pick(j *job, now time.Time) (int, bool) {
+	if j.verdict.Alone {
+		return dispatch.PickSuspect(j.place, c.lanes.candidates)
+	}
+	return c.Router.Pick(now, j.request, c.lanes.candidates, c.Seed+c.picks.Add(1))
 }
 
 // gather lists the candidates for j.
@@ -123,29 +141,33 @@
 	lane     *lane
 	server   server
 	vm       string
-	resident bool    // the adapter is there
-	left     float64 // remaining work of the attempt, tokens
+	resident bool      // the adapter is there
+	queue    float64   // estimated work before the attempt, tokens
+	offered  time.Time // when it was entered
+	left     float64   // remaining work of the attempt, tokens
 	suspect  bool
 }
 
-func (l *lanes) enter(s server, j *job, resident bool) *slot {
-	vm := s.VM().Name
-	n := l.lane(vm)
+// enter makes the slot of an attempt of j at the candidate.
+func (l *lanes) enter(s server, at *bamboostep.Candidate, j *job, now time.Time) *slot {
+	n := l.lane(at.VM)
+	p := &slot{lanes: l, lane: n, server: s, vm: at.VM, resident: at.Resident,
+		queue: dispatch.QueueTokens(at), offered: now, left: j.work, suspect: j.verdict.Alone}
 	n.inFlight++
 	n.work += j.work
 	n.cache.Add(j.request.Prefix)
-	if j.suspect {
+	if p.suspect {
 		n.suspects++
 	}
-	return &slot{lanes: l, lane: n, server: s, vm: vm, resident: resident, left: j.work, suspect: j.suspect}
+	return p
 }
 
 // progress takes generated tokens off the remaining work.
 func (p *slot) progress(tokens int) {
-	done := min(float64(tokens), p.left)
-	p.left -= done
 	p.lanes.mu.Lock()
 	defer p.lanes.mu.Unlock()
+	done := min(float64(tokens), p.left)
+	p.left -= done
 	p.lane.work -= done
 }
 
@@ -160,7 +182,10 @@
 	}
 }
 
-const choosePause = 10 * time.Millisecond
+const (
+	leastPause = 10 * time.Millisecond // before all backend servers are tried again
+	mostPause  = 200 * time.Millisecond
+)
 
 // chooseWithin waits for a backend server until the deadline. It returns nil when
 // none came up.
@@ -170,13 +195,15 @@
 			return p
 		}
 		j.course.Forget()
+		pause := min(leastPause<<min(j.rounds, 8), mostPause)
+		j.rounds++
 		if !c.Clock.Now().Before(deadline) {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(choosePause):
+		case <-time.After(pause):
 		}
 	}
 }
--- a/entry/callers_run.go
+++ b/entry/callers_run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -13,7 +12,8 @@
 )
 
 // This file runs the attempts of one request. The decisions are those of
-// dispatch.Course; the code here chooses, offers and passes the answer on.
+// dispatch.Course and dispatch.Suspects; the code here chooses, offers and passes
+// the answer on.
 
 // job is a request on its way through its attempts.
 type job struct {
@@ -23,36 +23,49 @@
 	load        bamboostep.Order // how to load the adapter
 	work        float64          // expected work, tokens
 	startTarget time.Duration    // target for the first piece of the answer
+	answerTime  time.Duration    // limit of the whole answer once it has begun
+	stallTime   time.Duration    // limit between two pieces
 	course      dispatch.Course
-	suspect     bool
+	verdict     dispatch.Verdict
 	resumable   bool   // an answer that broke off is continued elsewhere
 	prior       []byte // answer text that came so far
+	rounds      int    // times that every backend server had been tried
 }
 
 // run makes attempts until one has brought the whole answer through yield, or
 // returns the final refusal.
 func (x *exchange) run(ctx context.Context, j *job, yield func(bamboostep.Answer) error) *bamboostep.RefusedError {
-	ctx, cancel := context.WithDeadline(ctx, j.course.Deadline)
-	defer cancel()
 	for {
-		p, refused := x.place(ctx, j)
+		if refused := x.judge(j); refused != nil {
+			return refused
+		}
+		p, refused := x.assign(ctx, j)
 		if refused != nil {
 			return refused
 		}
-		failure := x.attempt(ctx, j, p, yield)
-		if failure == nil {
+		end := x.attempt(ctx, j, p, yield)
+		if end.whole {
+			x.Suspects.Completed(j.request.Fingerprint)
 			return nil
 		}
-		if refused := j.course.Failed(x.Clock.Now(), p.vm, *failure); refused != nil {
+		if refused := x.next(ctx, j, p, end); refused != nil {
 			return refused
 		}
-		x.metrics.retries.Inc()
-		x.note(timeline.Event{Kind: "retry", Attempt: failure.Attempt, VM: p.vm, Detail: failure.Code})
 	}
 }
 
-// place chooses a backend server for the next attempt.
-func (x *exchange) place(ctx context.Context, j *job) (*slot, *bamboostep.RefusedError) {
+// judge refuses a request that crashes backend servers.
+func (x *exchange) judge(j *job) *bamboostep.RefusedError {
+	j.verdict = x.Suspects.Judge(x.Clock.Now(), j.request.Fingerprint)
+	if !j.verdict.Refused {
+		return nil
+	}
+	return j.course.GiveUp(http.StatusServiceUnavailable, "crashes_backend_servers", j.verdict.RetryAfter,
+		"backend servers crashed while they ran this request")
+}
+
+// assign chooses a backend server for the next attempt.
+func (x *exchange) assign(ctx context.Context, j *job) (*slot, *bamboostep.RefusedError) {
 	wait := x.Clock.Now().Add(x.Limits.NoServerWait)
 	if wait.After(j.course.Deadline) {
 		wait = j.course.Deadline
@@ -62,73 +75,48 @@
 		return nil, j.course.GiveUp(http.StatusServiceUnavailable, "no_backend_server", noServerRetryAfter,
 			fmt.Sprintf("no backend server of place %q can take the request", j.place))
 	}
+	if refused := x.refuseLate(j, p); refused != nil {
+		p.leave()
+		return nil, refused
+	}
 	return p, nil
 }
 
 const noServerRetryAfter = 3 * time.Second
 
-// attempt makes one attempt and returns how it failed, or nil.
-func (x *exchange) attempt(ctx context.Context, j *job, p *slot, yield func(bamboostep.Answer) error) *bamboostep.Failure {
-	defer p.leave()
-	n, err := j.course.Offered()
-	if err != nil {
-		return &bamboostep.Failure{Outcome: bamboostep.NotRun, Code: "internal", Message: err.Error()}
-	}
-	offer := bamboostep.Offer{Attempt: attemptID(x.id, n), Request: j.request, Prior: j.prior, Alone: j.suspect}
-	if !p.resident {
-		offer.Load = j.load
-	}
-	x.note(timeline.Event{Kind: "offer_sent", Attempt: offer.Attempt, VM: p.vm})
-	began := x.Clock.Now()
-	first := true
-	err = p.server.Offer(ctx, offer, j.course.Deadline.Sub(began), func(a bamboostep.Answer) error {
-		if first {
-			first = false
-			x.noteFirst(j, offer.Attempt, p.vm)
-		}
-		p.progress(a.Tokens)
-		if j.resumable {
-			j.prior = append(j.prior, a.Data...)
+// next decides what follows an attempt that did not bring the whole answer.
+func (x *exchange) next(ctx context.Context, j *job, p *slot, end attemptEnd) *bamboostep.RefusedError {
+	if end.passed {
+		x.Suspects.Passed(j.request.Fingerprint)
+		x.note(timeline.Event{Kind: "suspect_passed", Attempt: end.failure.Attempt, VM: p.vm})
+		if err := j.course.Moved(); err != nil {
+			return j.course.GiveUp(http.StatusInternalServerError, "internal", 0, err.Error())
 		}
-		if err := j.course.Piece(); err != nil {
-			return err
-		}
-		return yield(a)
-	})
-	if err == nil {
-		return x.whole(j, offer.Attempt, p.vm)
+		return nil
 	}
-	return x.failed(err, offer.Attempt, p.vm)
-}
-
-func (x *exchange) noteFirst(j *job, attempt bamboostep.AttemptID, vm string) {
-	x.metrics.firstPiece.WithLabelValues(string(x.class)).Observe(x.Clock.Now().Sub(x.started).Seconds())
-	x.note(timeline.Event{Kind: "first_token", Attempt: attempt, VM: vm})
-	if x.Clock.Now().Sub(x.started) > j.startTarget {
-		x.demand.missed(x.target, x.Clock.Now())
+	if end.failure.Crashed {
+		x.noteCrash(j, p, end.failure)
 	}
-}
-
-func (x *exchange) whole(j *job, attempt bamboostep.AttemptID, vm string) *bamboostep.Failure {
-	if err := j.course.Whole(); err != nil {
-		return &bamboostep.Failure{Attempt: attempt, Outcome: bamboostep.Unknown, Code: "empty_answer", Message: err.Error()}
+	if refused := j.course.Failed(x.Clock.Now(), p.vm, end.failure); refused != nil {
+		return refused
 	}
-	x.note(timeline.Event{Kind: "answered", Attempt: attempt, VM: vm})
+	if ctx.Err() != nil {
+		return j.course.GiveUp(statusCallerGone, "caller_gone", 0, "the caller closed its connection")
+	}
+	x.metrics.retries.Inc()
+	x.note(timeline.Event{Kind: "retry", Attempt: end.failure.Attempt, VM: p.vm, Detail: end.failure.Code})
 	return nil
 }
 
-func (x *exchange) failed(err error, attempt bamboostep.AttemptID, vm string) *bamboostep.Failure {
-	f := &bamboostep.Failure{Outcome: bamboostep.Unknown, Code: "attempt_failed", Message: err.Error()}
-	var failed *bamboostep.FailedError
-	if errors.As(err, &failed) {
-		*f = failed.Failure
-	}
-	f.Attempt = attempt
-	x.note(timeline.Event{Kind: "failed", Attempt: attempt, VM: vm, Detail: f.Code + " " + string(f.Outcome)})
-	return f
-}
+// statusCallerGone is counted for requests whose caller is gone; nobody reads it.
+const statusCallerGone = 499
 
-// attemptID names the nth attempt of a request.
-func attemptID(id bamboostep.RequestID, n int) bamboostep.AttemptID {
-	return bamboostep.AttemptID(fmt.Sprintf("%s.%d", id, n))
+// noteCrash suspects a request whose backend server crashed while it ran.
+func (x *exchange) noteCrash(j *job, p *slot, f bamboostep.Failure) {
+	s := bamboostep.Suspect{Fingerprint: j.request.Fingerprint, Attempt: f.Attempt, VM: p.vm}
+	s = x.Suspects.Crashed(x.Clock.Now(), s, p.offered)
+	x.note(timeline.Event{Kind: "crash_suspected", Attempt: f.Attempt, VM: p.vm, Detail: fmt.Sprintf("crashes %d", s.Crashes)})
+	if x.ShareSuspects != nil {
+		x.ShareSuspects([]bamboostep.Suspect{s})
+	}
 }
--- a/entry/callers_service.go
+++ b/entry/callers_service.go
@@ -42,8 +42,9 @@
 	j := &job{place: s.Place, work: 1, startTarget: time.Duration(s.AnswerMS) * time.Millisecond}
 	j.request.Service = s.Name
 	x.fillRequest(&j.request)
-	limit := max(time.Duration(float64(j.startTarget)*x.Limits.DeadlineFactor), x.Limits.MinDeadline)
-	j.course = dispatch.Course{Repeatable: s.Idempotent, Budget: x.budget, Deadline: x.started.Add(limit)}
+	j.answerTime = x.Limits.AnswerTime
+	j.stallTime = x.startLimit(j.startTarget)
+	j.course = dispatch.Course{Repeatable: s.Idempotent, Budget: x.budget, Deadline: x.started.Add(j.stallTime)}
 	return j
 }
 
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -198,7 +198,7 @@
 			t.Errorf("event %+v has no revision or model", e)
 		}
 	}
-	want := "request_received offer_sent failed retry offer_sent first_token answered"
+	want := "request_received routed failed retry routed first_token answered"
 	if got := strings.Join(kinds, " "); got != want {
 		t.Errorf("events = %s, want %s", got, want)
 	}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -167,7 +166,9 @@
 	j.request.Prefix = dispatch.PrefixHashes(q.Model, s.prompt(q))
 	j.work = x.expectedWork(q, len(s.prompt(q)))
 	x.fillRequest(&j.request)
-	j.course = dispatch.Course{Repeatable: true, Budget: x.budget, Deadline: x.started.Add(x.Limits.AnswerTime)}
+	j.answerTime = x.Limits.AnswerTime
+	j.stallTime = x.Limits.StallTime
+	j.course = dispatch.Course{Repeatable: true, Budget: x.budget, Deadline: x.started.Add(x.startLimit(j.startTarget))}
 	return j, nil
 }
 
@@ -367,9 +368,3 @@
 	}
 	x.writeJSON(http.StatusOK, list)
 }
-
-// runAdmitted runs a job unless it is refused at once.
-func (x *exchange) runAdmitted(ctx context.Context, j *job, yield func(bamboostep.Answer) error) *bamboostep.RefusedError {
-	x.admit(j)
-	return x.run(ctx, j, yield)
-}
