--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,389 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/daemon"
+	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/operator"
+	"github.com/bamboostep/bamboostep/stock"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+const (
+	callerHeaderTimeout = 10 * time.Second // an old device on a bad line may send its headers slowly
+	callerIdleTimeout   = 2 * time.Minute
+	adminCloseTimeout   = 2 * time.Second
+	listReadTimeout     = 2 * time.Second
+	proveInterval       = time.Second
+)
+
+// routers and placers are the choices that the settings name.
+var (
+	routers = map[string]func() bamboostep.Router{
+		"score":       func() bamboostep.Router { return &dispatch.Balanced{} },
+		"least_load":  func() bamboostep.Router { return &dispatch.LeastLoad{} },
+		"round_robin": func() bamboostep.Router { return &dispatch.RoundRobin{} },
+	}
+	placers = map[string]func() bamboostep.Placer{
+		"demand": func() bamboostep.Placer { return &stock.Placer{} },
+	}
+)
+
+// entry is the whole program: its parts, wired to each other.
+type entry struct {
+	cfg      entrySettings
+	log      *log.Logger
+	registry *prometheus.Registry
+	recorder *timeline.Recorder
+	node     *wire.Node
+	mux      *wire.Mux
+
+	voter     *ledger.Voter // nil unless a data folder is set
+	client    *ledger.Client
+	feed      *catalog.Feed
+	peers     *peers
+	servers   *serverPool
+	callers   *callers
+	placement *placement
+
+	draining   atomic.Bool
+	configured chan struct{} // closed once a set is in force
+	firstSet   sync.Once
+}
+
+func newEntry(cfg entrySettings) (*entry, error) {
+	tlsConfig, err := cfg.TLS.Config()
+	if err != nil {
+		return nil, err
+	}
+	logger := daemon.NewLogger(os.Stderr, cfg.Name)
+	registry := daemon.NewRegistry()
+	clock := &timeline.Clock{Wall: daemon.SystemClock{}}
+	e := &entry{
+		cfg:      cfg,
+		log:      logger,
+		registry: registry,
+		recorder: &timeline.Recorder{Process: cfg.Name, Clock: clock, Log: logger},
+		node: &wire.Node{
+			Hello:   wire.Hello{Name: cfg.Name, Role: "entry", Incarnation: uint64(time.Now().UnixNano())},
+			Clock:   clock,
+			Metrics: wire.NewMetrics(registry),
+			TLS:     tlsConfig,
+			Source:  cfg.source(),
+		},
+		mux:        &wire.Mux{},
+		configured: make(chan struct{}),
+	}
+	e.buildLedger()
+	e.buildServers()
+	e.buildCallers()
+	e.buildPlacement()
+	return e, nil
+}
+
+func (e *entry) buildLedger() {
+	e.feed = &catalog.Feed{Node: e.node, Recorder: e.recorder, Registry: e.registry, Changed: e.noteSet}
+	e.feed.Register(e.mux)
+	if e.cfg.DataDir != "" {
+		e.voter = &ledger.Voter{
+			Name:     e.cfg.Name,
+			Members:  e.cfg.voters(),
+			Dir:      e.cfg.DataDir,
+			Node:     e.node,
+			Recorder: e.recorder,
+			Registry: e.registry,
+			Applied:  e.noteState,
+		}
+		e.voter.Register(e.mux)
+	}
+	e.client = &ledger.Client{
+		Node:     e.node,
+		Members:  e.cfg.voters(),
+		Local:    e.voter,
+		Recorder: e.recorder,
+	}
+	if e.voter == nil {
+		e.client.Applied = e.noteState
+	}
+}
+
+func (e *entry) buildServers() {
+	e.servers = &serverPool{
+		Node:      e.node,
+		Platform:  &httpPlatform{URL: e.cfg.PlatformURL, Client: &http.Client{Timeout: listReadTimeout}},
+		Recorder:  e.recorder,
+		Log:       e.log,
+		Current:   e.feed.Set,
+		OnSuspect: e.noteSuspects,
+	}
+}
+
+func (e *entry) buildCallers() {
+	e.peers = &peers{
+		Node:       e.node,
+		Mux:        e.mux,
+		Self:       e.cfg.Name,
+		Peers:      e.cfg.Peers,
+		Feed:       e.feed,
+		Recorder:   e.recorder,
+		OnSuspects: func(s []bamboostep.Suspect) { e.callers.NoteSuspects(s) },
+		OnDemand:   func(entry string, d []bamboostep.Demand) { e.placement.NoteDemand(entry, d) },
+	}
+	e.peers.Register()
+	e.callers = &callers{
+		Name:          e.cfg.Name,
+		FailureDomain: e.cfg.FailureDomain,
+		Fleet:         e.servers,
+		Ledger:        e.client,
+		Router:        routers[e.cfg.Router](),
+		ShareSuspects: e.peers.ShareSuspects,
+		Recorder:      e.recorder,
+		Registry:      e.registry,
+		Clock:         daemon.SystemClock{},
+		Seed:          uint64(time.Now().UnixNano()),
+	}
+	e.callers.Limits.BodyBytes = e.cfg.MaxBodyBytes
+}
+
+func (e *entry) buildPlacement() {
+	e.placement = &placement{
+		Name:     e.cfg.Name,
+		Placer:   placers[e.cfg.Placer](),
+		Servers:  e.servers,
+		Set:      e.feed.Set,
+		Leader:   e.leader,
+		Demand:   e.callers.Demand,
+		Send:     e.peers.SendDemand,
+		Recorder: e.recorder,
+		Log:      e.log,
+		Registry: e.registry,
+	}
+}
+
+// noteSuspects takes what an agent reported and passes it on to the other entries.
+func (e *entry) noteSuspects(suspects []bamboostep.Suspect) {
+	e.callers.NoteSuspects(suspects)
+	e.peers.ShareSuspects(suspects)
+}
+
+// noteState takes a newly applied state of the ledger.
+func (e *entry) noteState(s *ledger.State) {
+	e.servers.SetDrained(s.Drains())
+	encoded, revision := s.Set()
+	if revision == 0 {
+		return
+	}
+	if current := e.feed.Set(); current != nil && current.Revision() >= revision {
+		return
+	}
+	set, err := catalog.Decode(encoded)
+	if err != nil {
+		e.log.Error("set_not_readable", "revision", revision, "error", err)
+		return
+	}
+	e.feed.Offer(set.WithRevision(revision))
+}
+
+// noteSet puts a newer set in force, wherever it came from.
+func (e *entry) noteSet(s *catalog.Set) {
+	e.recorder.Record(timeline.Event{Kind: "revision_in_force", Revision: s.Revision()})
+	e.servers.SetRevision(s.Revision())
+	e.firstSet.Do(func() { close(e.configured) })
+}
+
+func (e *entry) leader() (string, uint64, bool) {
+	if e.voter != nil {
+		return e.voter.Leader()
+	}
+	name, term := e.client.Leader()
+	return name, term, false
+}
+
+// prove passes the ledger's proof that this entry's revision is the newest on to
+// the feed, which spreads it to entries that cannot hear the ledger.
+func (e *entry) prove(ctx context.Context) error {
+	t := time.NewTicker(proveInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			if s := e.client.State(); s != nil {
+				_, revision := s.Set()
+				e.feed.Prove(revision, e.client.Current())
+			}
+		}
+	}
+}
+
+func (e *entry) revision() uint64 {
+	if s := e.feed.Set(); s != nil {
+		return s.Revision()
+	}
+	return 0
+}
+
+// ready says why the balancer should prefer other entries, or nil.
+func (e *entry) ready() error {
+	if e.draining.Load() {
+		return fmt.Errorf("entry %q is stopping", e.cfg.Name)
+	}
+	if e.feed.Set() == nil {
+		return fmt.Errorf("entry %q has no configuration yet", e.cfg.Name)
+	}
+	if !e.servers.AnyReached() {
+		return fmt.Errorf("entry %q reaches no backend server", e.cfg.Name)
+	}
+	if age := time.Since(e.feed.ProvenAt()); age > e.cfg.StaleAfter.Duration {
+		return fmt.Errorf("entry %q has not heard from the ledger's leader for %v", e.cfg.Name, age.Round(time.Second))
+	}
+	return nil
+}
+
+// Run runs all parts until ctx ends, then drains: readiness goes off, running
+// requests finish, and only then do the connections to agents and other entries
+// end.
+func (e *entry) Run(ctx context.Context) error {
+	wireListener, err := net.Listen("tcp", e.cfg.Listen)
+	if err != nil {
+		return err
+	}
+	parts, stopParts := context.WithCancel(context.Background())
+	defer stopParts()
+	g, parts := errgroup.WithContext(parts)
+	listener := &wire.Listener{Node: e.node, Net: wireListener, Handler: e.mux}
+	g.Go(func() error { return stopped(listener.Run(parts)) })
+	g.Go(func() error { return stopped(e.runLedger(parts)) })
+	g.Go(func() error { return stopped(e.peers.Run(parts)) })
+	g.Go(func() error { return stopped(e.servers.Run(parts)) })
+	g.Go(func() error { return stopped(e.placement.Run(parts)) })
+	g.Go(func() error { return e.prove(parts) })
+	g.Go(func() error { return e.serveOperators(parts) })
+	g.Go(func() error {
+		defer stopParts()
+		return e.serveCallers(ctx, parts)
+	})
+	return g.Wait()
+}
+
+// stopped returns err unless it only says that the context ended.
+func stopped(err error) error {
+	if err == context.Canceled {
+		return nil
+	}
+	return err
+}
+
+func (e *entry) runLedger(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	if e.voter != nil {
+		g.Go(func() error { return e.voter.Run(ctx) })
+	}
+	g.Go(func() error { return e.client.Run(ctx) })
+	return g.Wait()
+}
+
+// serveCallers serves until ctx ends, the balancer has had time to notice and the
+// running requests have finished. It ends early if another part failed.
+func (e *entry) serveCallers(ctx, parts context.Context) error {
+	closing, closeNow := context.WithCancel(parts)
+	defer closeNow()
+	stopDrain := context.AfterFunc(ctx, func() {
+		e.draining.Store(true)
+		e.recorder.Record(timeline.Event{Kind: "draining"})
+		time.AfterFunc(e.cfg.DrainDelay.Duration, closeNow)
+	})
+	defer stopDrain()
+	if e.cfg.Callers == "" {
+		<-closing.Done()
+		return nil
+	}
+	if !e.waitConfigured(closing) {
+		return nil
+	}
+	nl, err := net.Listen("tcp", e.cfg.Callers)
+	if err != nil {
+		return err
+	}
+	e.recorder.Record(timeline.Event{Kind: "serving", Detail: nl.Addr().String()})
+	s := &http.Server{
+		Handler:           http.HandlerFunc(e.serveCaller),
+		ReadHeaderTimeout: callerHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		ErrorLog:          e.log.StandardLog(),
+	}
+	return daemon.ServeHTTP(closing, nl, s, e.cfg.DrainTimeout.Duration)
+}
+
+// waitConfigured waits until a set is in force, and reports whether one is. An
+// entry that has just started would refuse every caller, so it does not listen
+// yet and leaves them to the others.
+func (e *entry) waitConfigured(ctx context.Context) bool {
+	select {
+	case <-e.configured:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// serveCaller answers one request. While the entry drains, it asks the caller to
+// open its next connection anew, which the balancer then sends elsewhere.
+func (e *entry) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if e.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	e.callers.ServeHTTP(w, r)
+}
+
+func (e *entry) serveOperators(ctx context.Context) error {
+	nl, err := net.Listen("tcp", e.cfg.Operators)
+	if err != nil {
+		return err
+	}
+	admin := &daemon.Admin{Registry: e.registry, Recorder: e.recorder, Ready: e.ready}
+	mux := http.NewServeMux()
+	mux.Handle("/", admin.Handler())
+	mux.Handle("/operator/v1/", &operator.Handler{
+		Ledger:    e.client,
+		Set:       e.feed.Set,
+		Revisions: e.revisions,
+		Status:    e.status,
+		Timeline:  e.timeline,
+		Token:     e.cfg.OperatorToken,
+	})
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: e.log.StandardLog()}
+	return daemon.ServeHTTP(ctx, nl, s, adminCloseTimeout)
+}
+
+func (e *entry) revisions() []bamboostep.Revision {
+	if s := e.client.State(); s != nil {
+		return s.Revisions()
+	}
+	return nil
+}
+
+// timeline merges the events of all processes that answer.
+func (e *entry) timeline(ctx context.Context, q timeline.Query) []timeline.Event {
+	lists := [][]timeline.Event{e.recorder.Find(q)}
+	lists = append(lists, e.peers.Timeline(ctx, q)...)
+	lists = append(lists, e.servers.Timeline(ctx, q)...)
+	return timeline.Merge(lists...)
+}
--- /dev/null
+++ b/entry/placement.go
@@ -0,0 +1,264 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+// The leader's placement loop. Once a round the placer is asked for moves, and
+// each becomes an order to one agent under a fence of the ledger's term and a
+// sequence number. The placer is pure and keeps no orders: what is on its way is
+// shown to it as a replica that loads or unloads. A leader that has lost its
+// quorum stops at the next round; orders of its that are still on their way are
+// refused by agents that have seen the next leader's term.
+
+const (
+	roundInterval = time.Second
+	orderTimeout  = 60 * time.Second
+	demandMaxAge  = 5 * time.Second
+	reportMaxAge  = 4 * time.Second
+)
+
+// placement runs the placer while this entry leads. Set the exported fields
+// before Run.
+type placement struct {
+	Name     string
+	Placer   bamboostep.Placer
+	Servers  *serverPool
+	Set      func() *catalog.Set
+	Leader   func() (name string, term uint64, self bool)
+	Demand   func() []bamboostep.Demand // this entry's own
+	Send     func(leader string, demand []bamboostep.Demand)
+	Recorder *timeline.Recorder
+	Log      *log.Logger
+	Registry prometheus.Registerer
+
+	mu       sync.Mutex
+	demands  map[string]demandAt // by entry
+	pending  map[pendingKey]bamboostep.Order
+	term     uint64
+	sequence uint64
+	moves    *prometheus.CounterVec
+}
+
+type demandAt struct {
+	demand []bamboostep.Demand
+	at     time.Time
+}
+
+type pendingKey struct{ vm, name string }
+
+// NoteDemand takes another entry's demand.
+func (p *placement) NoteDemand(entry string, demand []bamboostep.Demand) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.demands == nil {
+		p.demands = make(map[string]demandAt)
+	}
+	p.demands[entry] = demandAt{demand, time.Now()}
+}
+
+// Run places until ctx ends.
+func (p *placement) Run(ctx context.Context) error {
+	p.pending = make(map[pendingKey]bamboostep.Order)
+	p.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "bamboostep",
+		Subsystem: "placement",
+		Name:      "moves_total",
+		Help:      "Orders given to agents, by kind, reason and result.",
+	}, []string{"kind", "reason", "result"})
+	p.Registry.MustRegister(p.moves)
+	t := time.NewTicker(roundInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			p.round(ctx, now)
+		}
+	}
+}
+
+func (p *placement) round(ctx context.Context, now time.Time) {
+	leader, term, self := p.Leader()
+	p.NoteDemand(p.Name, p.Demand())
+	if !self {
+		p.Send(leader, p.Demand())
+		return
+	}
+	set := p.Set()
+	if set == nil {
+		return
+	}
+	fleet := p.fleet(set, now)
+	for _, move := range p.Placer.Place(now, fleet) {
+		p.give(ctx, term, move)
+	}
+}
+
+// fleet is what the placer may look at: what the agents reported, with the
+// orders on their way laid over it.
+func (p *placement) fleet(set *catalog.Set, now time.Time) bamboostep.Fleet {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	objects := set.Objects()
+	fleet := bamboostep.Fleet{
+		Places:   objects.Places,
+		Versions: make(map[string]bamboostep.Version, len(objects.Versions)),
+		Models:   objects.Models,
+		Adapters: objects.Adapters,
+		Demand:   p.totalDemand(now),
+	}
+	for _, v := range objects.Versions {
+		fleet.Versions[v.Name] = v
+	}
+	for _, place := range objects.Places {
+		if place.Kind == bamboostep.EnginePlace {
+			fleet.VMs = append(fleet.VMs, p.reports(place.Name, now)...)
+		}
+	}
+	fleet.InFlight = loadsInFlight(fleet.VMs)
+	return fleet
+}
+
+// reports returns the last report of each VM of a place that stays. A VM that
+// has gone silent counts as it last was for a while, so that a broken connection
+// alone moves nothing.
+func (p *placement) reports(place string, now time.Time) []bamboostep.Report {
+	var out []bamboostep.Report
+	for _, s := range p.Servers.Staying(place) {
+		r, at := s.Report()
+		if now.Sub(at) < reportMaxAge {
+			out = append(out, p.overlay(r))
+		}
+	}
+	return out
+}
+
+// overlay returns r with the orders on their way to its VM shown as replicas that
+// load or unload. mu is held.
+func (p *placement) overlay(r bamboostep.Report) bamboostep.Report {
+	replicas := append([]bamboostep.Replica(nil), r.Replicas...)
+	for key, order := range p.pending {
+		if key.vm != r.VM {
+			continue
+		}
+		replicas, r.ReservedMiB = overlayOrder(replicas, r.ReservedMiB, order)
+	}
+	r.Replicas = replicas
+	return r
+}
+
+func overlayOrder(replicas []bamboostep.Replica, reservedMiB int64, o bamboostep.Order) ([]bamboostep.Replica, int64) {
+	for i := range replicas {
+		if replicas[i].Name != o.Name {
+			continue
+		}
+		if o.Kind == bamboostep.UnloadModel || o.Kind == bamboostep.UnloadAdapter {
+			replicas[i].State = bamboostep.ReplicaUnloading
+		}
+		return replicas, reservedMiB
+	}
+	if o.Kind == bamboostep.UnloadModel || o.Kind == bamboostep.UnloadAdapter {
+		return replicas, reservedMiB
+	}
+	loading := bamboostep.Replica{Name: o.Name, Model: o.Model, Version: o.Version, MiB: o.MiB, State: bamboostep.ReplicaLoading}
+	return append(replicas, loading), reservedMiB + o.MiB
+}
+
+func loadsInFlight(vms []bamboostep.Report) int {
+	n := 0
+	for _, vm := range vms {
+		for _, r := range vm.Replicas {
+			if r.State == bamboostep.ReplicaLoading && r.Model == "" {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// totalDemand adds up what the entries reported of late. mu is held.
+func (p *placement) totalDemand(now time.Time) map[string]bamboostep.Demand {
+	total := make(map[string]bamboostep.Demand)
+	for _, d := range p.demands {
+		if now.Sub(d.at) > demandMaxAge {
+			continue
+		}
+		for _, one := range d.demand {
+			total[one.Name] = addDemand(total[one.Name], one)
+		}
+	}
+	return total
+}
+
+func addDemand(a, b bamboostep.Demand) bamboostep.Demand {
+	rate := a.Rate + b.Rate
+	late := 0.0
+	if rate > 0 {
+		late = (a.LateShare*a.Rate + b.LateShare*b.Rate) / rate
+	}
+	return bamboostep.Demand{Name: b.Name, Rate: rate, Work: a.Work + b.Work, LateShare: late}
+}
+
+// give sends one order, unless one for the same replica is on its way.
+func (p *placement) give(ctx context.Context, term uint64, move bamboostep.Move) {
+	s := p.Servers.find(move.VM)
+	key := pendingKey{move.VM, move.Order.Name}
+	p.mu.Lock()
+	_, busy := p.pending[key]
+	if s == nil || busy {
+		p.mu.Unlock()
+		return
+	}
+	move.Order.Fence = p.nextFence(term)
+	p.pending[key] = move.Order
+	p.mu.Unlock()
+	p.record("order_given", move, "")
+	go p.await(ctx, s, key, move)
+}
+
+// nextFence returns the fence of the next order under term. mu is held.
+func (p *placement) nextFence(term uint64) bamboostep.Fence {
+	if term != p.term {
+		p.term = term
+		p.sequence = 0
+	}
+	p.sequence++
+	return bamboostep.Fence{Term: p.term, Sequence: p.sequence}
+}
+
+func (p *placement) await(ctx context.Context, s *remoteServer, key pendingKey, move bamboostep.Move) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	result, err := s.client.Order(ctx, move.Order)
+	p.mu.Lock()
+	delete(p.pending, key)
+	p.mu.Unlock()
+	code := result.Code
+	if err != nil {
+		code = "no_answer"
+		result.Error = err.Error()
+	}
+	if code == "" {
+		code = "done"
+	}
+	p.moves.WithLabelValues(string(move.Order.Kind), move.Reason, code).Inc()
+	p.record("order_"+code, move, result.Error)
+}
+
+func (p *placement) record(kind string, move bamboostep.Move, detail string) {
+	if detail == "" {
+		detail = string(move.Order.Kind) + " for " + move.Reason
+	}
+	p.Recorder.Record(timeline.Event{Kind: kind, Model: move.Order.Name, VM: move.VM, Term: move.Order.Fence.Term, Detail: detail})
+}
--- /dev/null
+++ b/entry/servers.go
@@ -0,0 +1,336 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/backend"
+	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/roster"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+// serverPool is this entry's view of the backend servers: a connection to the
+// agent of every VM in the platform's list, and what each last reported.
+//
+// The roster decides which of them take work. What a request needs is a snapshot
+// that is rebuilt when a VM's state changes and read without a lock, so that
+// routing never waits for membership.
+type serverPool struct {
+	Node      *wire.Node
+	Platform  bamboostep.Platform
+	Recorder  *timeline.Recorder
+	Log       *log.Logger
+	Current   func() *catalog.Set        // newest set, or nil
+	OnSuspect func([]bamboostep.Suspect) // crash suspects that agents report
+
+	mu       sync.Mutex
+	ctx      context.Context // of Run; clients live as long
+	roster   roster.Roster
+	remotes  map[string]*remoteServer // by VM
+	told     map[string]bool          // VMs whose agent was told to leave
+	revision uint64                   // newest, for agents that connect later
+
+	snapshot atomic.Pointer[serverSnapshot]
+}
+
+// serverSnapshot is immutable.
+type serverSnapshot struct {
+	byPlace map[string][]server        // those that take work
+	staying map[string][]*remoteServer // those that do not leave, reached or not
+}
+
+const (
+	platformInterval = 500 * time.Millisecond
+	platformTimeout  = 2 * time.Second
+	drainCallTimeout = 2 * time.Second
+)
+
+// remoteServer is one backend server, behind its agent.
+type remoteServer struct {
+	vm     bamboostep.VM
+	client *backend.Client
+	stop   context.CancelFunc
+	last   atomic.Pointer[reportAt]
+}
+
+type reportAt struct {
+	report bamboostep.Report
+	at     time.Time
+}
+
+// VM implements server.
+func (s *remoteServer) VM() bamboostep.VM { return s.vm }
+
+// Report implements server.
+func (s *remoteServer) Report() (bamboostep.Report, time.Time) {
+	r := s.last.Load()
+	if r == nil {
+		return bamboostep.Report{VM: s.vm.Name, Place: s.vm.Place, FailureDomain: s.vm.FailureDomain}, time.Time{}
+	}
+	return r.report, r.at
+}
+
+// Offer implements server.
+func (s *remoteServer) Offer(ctx context.Context, offer bamboostep.Offer, startWithin time.Duration, yield func(bamboostep.Answer) error) error {
+	return s.client.Offer(ctx, offer, startWithin, yield)
+}
+
+// Run follows the platform's list until ctx ends.
+func (p *serverPool) Run(ctx context.Context) error {
+	p.mu.Lock()
+	p.ctx = ctx
+	p.remotes = make(map[string]*remoteServer)
+	p.told = make(map[string]bool)
+	p.mu.Unlock()
+	t := time.NewTicker(platformInterval)
+	defer t.Stop()
+	for {
+		p.poll(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// poll reads the platform's list. While the list cannot be read, the last one
+// stands.
+func (p *serverPool) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	vms, err := p.Platform.VMs(ctx)
+	if err != nil {
+		p.Log.Warn("platform_list_failed", "error", err)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ts := p.roster.List(vms)
+	for _, m := range p.roster.Members() {
+		p.ensureClient(m.VM)
+	}
+	p.apply(ts)
+}
+
+// ensureClient connects to a VM's agent, anew if its address has changed.
+func (p *serverPool) ensureClient(vm bamboostep.VM) {
+	s := p.remotes[vm.Name]
+	if s != nil && s.vm.Address == vm.Address {
+		return
+	}
+	if s != nil {
+		s.stop()
+	}
+	ctx, stop := context.WithCancel(p.ctx)
+	s = &remoteServer{vm: vm, stop: stop}
+	s.client = &backend.Client{
+		Node:      p.Node,
+		VM:        vm,
+		Recorder:  p.Recorder,
+		OnReport:  func(r bamboostep.Report) { p.noteReport(s, r) },
+		OnSuspect: p.OnSuspect,
+		OnUp:      func() { p.noteUp(s) },
+		OnDown:    func() { p.noteDown(s) },
+	}
+	p.remotes[vm.Name] = s
+	go s.client.Run(ctx)
+}
+
+func (p *serverPool) noteReport(s *remoteServer, r bamboostep.Report) {
+	s.last.Store(&reportAt{r, time.Now()})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.remotes[s.vm.Name] == s {
+		p.apply(p.roster.Says(s.vm.Name, r.Leaving))
+	}
+}
+
+func (p *serverPool) noteUp(s *remoteServer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.remotes[s.vm.Name] != s {
+		return
+	}
+	s.client.SetRevision(p.revision)
+	if p.roster.Told(s.vm.Name) {
+		p.tell(s, true)
+	}
+	p.apply(p.roster.Reached(s.vm.Name))
+}
+
+func (p *serverPool) noteDown(s *remoteServer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.remotes[s.vm.Name] == s {
+		p.apply(p.roster.Lost(s.vm.Name))
+	}
+}
+
+// SetDrained takes the operators' drains from the ledger.
+func (p *serverPool) SetDrained(vms []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.apply(p.roster.Drain(vms))
+}
+
+// SetRevision tells every agent which revision is in force.
+func (p *serverPool) SetRevision(n uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision = max(p.revision, n)
+	for _, s := range p.remotes {
+		s.client.SetRevision(p.revision)
+	}
+}
+
+// apply acts on what the roster decided: it drops the clients of VMs that are
+// gone, tells agents that their VM leaves, and rebuilds the snapshot. mu is held.
+func (p *serverPool) apply(ts []roster.Transition) {
+	for _, t := range ts {
+		p.Recorder.Record(timeline.Event{Kind: "member_changed", VM: t.VM.Name, Detail: fmt.Sprintf("%s to %s", t.From, t.To)})
+		if t.To == roster.Gone {
+			p.forget(t.VM.Name)
+		}
+	}
+	p.tellLeaving()
+	if len(ts) > 0 {
+		p.rebuild()
+	}
+}
+
+func (p *serverPool) forget(vm string) {
+	s := p.remotes[vm]
+	if s == nil {
+		return
+	}
+	s.stop()
+	delete(p.remotes, vm)
+	delete(p.told, vm)
+}
+
+// tellLeaving passes the platform's and the operators' word on to the agents, so
+// that they refuse the offers of entries that have not heard it.
+func (p *serverPool) tellLeaving() {
+	for name, s := range p.remotes {
+		leaving := p.roster.Told(name)
+		if leaving == p.told[name] {
+			continue
+		}
+		p.told[name] = leaving
+		p.tell(s, leaving)
+	}
+}
+
+func (p *serverPool) tell(s *remoteServer, leaving bool) {
+	go func() {
+		ctx, cancel := context.WithTimeout(p.ctx, drainCallTimeout)
+		defer cancel()
+		if err := s.client.Drain(ctx, leaving); err != nil {
+			p.Log.Warn("drain_not_delivered", "vm", s.vm.Name, "error", err)
+		}
+	}()
+}
+
+func (p *serverPool) rebuild() {
+	snap := &serverSnapshot{
+		byPlace: make(map[string][]server),
+		staying: make(map[string][]*remoteServer),
+	}
+	for _, m := range p.roster.Members() {
+		s := p.remotes[m.VM.Name]
+		if s == nil {
+			continue
+		}
+		if m.Stays() {
+			snap.staying[m.VM.Place] = append(snap.staying[m.VM.Place], s)
+		}
+		if m.TakesWork() {
+			snap.byPlace[m.VM.Place] = append(snap.byPlace[m.VM.Place], s)
+		}
+	}
+	p.snapshot.Store(snap)
+}
+
+// Set implements fleet.
+func (p *serverPool) Set() *catalog.Set { return p.Current() }
+
+// Servers implements fleet.
+func (p *serverPool) Servers(place string) []server {
+	snap := p.snapshot.Load()
+	if snap == nil {
+		return nil
+	}
+	return snap.byPlace[place]
+}
+
+// Staying returns the backend servers of a place that do not leave, whether they
+// can be reached now or not.
+func (p *serverPool) Staying(place string) []*remoteServer {
+	snap := p.snapshot.Load()
+	if snap == nil {
+		return nil
+	}
+	return snap.staying[place]
+}
+
+// AnyReached reports whether any VM takes work.
+func (p *serverPool) AnyReached() bool {
+	snap := p.snapshot.Load()
+	return snap != nil && len(snap.byPlace) > 0
+}
+
+// poolMember is one VM with its backend server.
+type poolMember struct {
+	roster.Member
+	server *remoteServer
+}
+
+// Members returns every known VM, by name.
+func (p *serverPool) Members() []poolMember {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []poolMember
+	for _, m := range p.roster.Members() {
+		out = append(out, poolMember{m, p.remotes[m.VM.Name]})
+	}
+	return out
+}
+
+// Timeline collects the events that the agents keep. An agent that does not
+// answer in time is left out.
+func (p *serverPool) Timeline(ctx context.Context, q timeline.Query) [][]timeline.Event {
+	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
+	defer cancel()
+	members := p.Members()
+	return gather(len(members), func(add func([]timeline.Event), all *sync.WaitGroup) {
+		for _, m := range members {
+			all.Go(func() {
+				events, err := m.server.client.Timeline(ctx, q)
+				if err == nil {
+					add(events)
+				}
+			})
+		}
+	})
+}
+
+var (
+	_ fleet  = (*serverPool)(nil)
+	_ server = (*remoteServer)(nil)
+)
+
+// find returns the backend server on the named VM, or nil.
+func (p *serverPool) find(vm string) *remoteServer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.remotes[vm]
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"net"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/settings"
+)
+
+const (
+	defaultDrainDelay   = 3 * time.Second
+	defaultDrainTimeout = 30 * time.Second
+	defaultStaleAfter   = 10 * time.Second
+)
+
+// entrySettings is the settings file of one entry.
+type entrySettings struct {
+	Name          string            `toml:"name"`
+	FailureDomain string            `toml:"failure_domain"`
+	Callers       string            `toml:"callers"`        // host and port of the callers' HTTP; empty on a VM set aside for control
+	Operators     string            `toml:"operators"`      // host and port of the operators' HTTP, metrics and health
+	Listen        string            `toml:"listen"`         // host and port for the other entries
+	PlatformURL   string            `toml:"platform_url"`   // where the platform lists its VMs
+	DataDir       string            `toml:"data_dir"`       // set on a voter of the ledger
+	OperatorToken string            `toml:"operator_token"` // bearer token that operators send; empty for none
+	Router        string            `toml:"router"`         // score, least_load or round_robin
+	Placer        string            `toml:"placer"`         // how models are placed: demand
+	MaxBodyBytes  int64             `toml:"max_body_bytes"` // bound on a caller's body
+	DrainDelay    settings.Duration `toml:"drain_delay"`    // how long a planned stop goes on accepting, readiness off, until the balancer has noticed
+	DrainTimeout  settings.Duration `toml:"drain_timeout"`  // how long a planned stop waits for running requests
+	StaleAfter    settings.Duration `toml:"stale_after"`    // age of the last proof of being current that turns readiness off
+	TLS           settings.TLS      `toml:"tls"`
+	Peers         []peerSettings    `toml:"peer"` // every entry, this one included
+}
+
+// peerSettings names one entry.
+type peerSettings struct {
+	Name          string `toml:"name"`
+	Address       string `toml:"address"`
+	FailureDomain string `toml:"failure_domain"`
+	Voter         bool   `toml:"voter"`
+}
+
+func defaultSettings() entrySettings {
+	return entrySettings{
+		Router:       "score",
+		Placer:       "demand",
+		MaxBodyBytes: defaultBodyBytes,
+		DrainDelay:   settings.Duration{Duration: defaultDrainDelay},
+		DrainTimeout: settings.Duration{Duration: defaultDrainTimeout},
+		StaleAfter:   settings.Duration{Duration: defaultStaleAfter},
+	}
+}
+
+// Check implements settings.Checker.
+func (s *entrySettings) Check() []settings.Problem {
+	var found []settings.Problem
+	add := func(key, format string, args ...any) {
+		found = append(found, settings.Problem{Key: key, Issue: fmt.Sprintf(format, args...)})
+	}
+	s.checkNames(add)
+	s.checkAddresses(add)
+	s.checkChoices(add)
+	s.checkPeers(add)
+	return append(found, s.TLS.Check()...)
+}
+
+type addProblem func(key, format string, args ...any)
+
+func (s *entrySettings) checkNames(add addProblem) {
+	if s.Name == "" {
+		add("name", "is missing")
+	}
+	if s.FailureDomain == "" {
+		add("failure_domain", "is missing")
+	}
+}
+
+func (s *entrySettings) checkAddresses(add addProblem) {
+	for _, a := range []struct {
+		key, value string
+		needed     bool
+	}{
+		{"callers", s.Callers, false},
+		{"operators", s.Operators, true},
+		{"listen", s.Listen, true},
+	} {
+		if a.value == "" && !a.needed {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			add(a.key, "is not a host and port: %q", a.value)
+		}
+	}
+	u, err := url.Parse(s.PlatformURL)
+	if err != nil || u.Host == "" {
+		add("platform_url", "is not a URL: %q", s.PlatformURL)
+	}
+}
+
+func (s *entrySettings) checkChoices(add addProblem) {
+	if _, ok := routers[s.Router]; !ok {
+		add("router", "is %q, not one of %s", s.Router, choices(routers))
+	}
+	if _, ok := placers[s.Placer]; !ok {
+		add("placer", "is %q, not one of %s", s.Placer, choices(placers))
+	}
+	if s.MaxBodyBytes < 1 {
+		add("max_body_bytes", "is %d, want at least 1", s.MaxBodyBytes)
+	}
+	if s.DrainDelay.Duration < 0 {
+		add("drain_delay", "is %v, want at least 0s", s.DrainDelay)
+	}
+	if s.DrainTimeout.Duration <= 0 {
+		add("drain_timeout", "is %v, want more than 0s", s.DrainTimeout)
+	}
+	if s.StaleAfter.Duration <= 0 {
+		add("stale_after", "is %v, want more than 0s", s.StaleAfter)
+	}
+}
+
+// choices lists the keys of m.
+func choices[V any](m map[string]V) string {
+	return strings.Join(slices.Sorted(maps.Keys(m)), ", ")
+}
+
+func (s *entrySettings) checkPeers(add addProblem) {
+	names := make(map[string]bool)
+	voters := 0
+	for i, p := range s.Peers {
+		key := fmt.Sprintf("peer[%d]", i)
+		if p.Name == "" || names[p.Name] {
+			add(key+".name", "is missing or used twice: %q", p.Name)
+		}
+		names[p.Name] = true
+		if _, _, err := net.SplitHostPort(p.Address); err != nil {
+			add(key+".address", "is not a host and port: %q", p.Address)
+		}
+		if p.Voter {
+			voters++
+		}
+	}
+	if voters == 0 {
+		add("peer", "names no voter")
+	}
+	if self, ok := s.peer(s.Name); ok && self.Voter != (s.DataDir != "") {
+		add("data_dir", "must be set on a voter, and only there")
+	}
+}
+
+func (s *entrySettings) peer(name string) (peerSettings, bool) {
+	for _, p := range s.Peers {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return peerSettings{}, false
+}
+
+// source returns the address that connections to other processes come from: that
+// of listen, or nil if it names none.
+func (s *entrySettings) source() net.IP {
+	host, _, err := net.SplitHostPort(s.Listen)
+	if err != nil {
+		return nil
+	}
+	ip := net.ParseIP(host)
+	if ip == nil || ip.IsUnspecified() {
+		return nil
+	}
+	return ip
+}
+
+// voters returns the members of the ledger.
+func (s *entrySettings) voters() []ledger.Member {
+	var members []ledger.Member
+	for _, p := range s.Peers {
+		if p.Voter {
+			members = append(members, ledger.Member{Name: p.Name, Address: p.Address, FailureDomain: p.FailureDomain})
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/operator"
+	"github.com/bamboostep/bamboostep/roster"
+)
+
+const statusTimeout = time.Second
+
+// status is the state of the system as this entry sees it. Other entries are
+// asked for their revision; one that does not answer counts as unreachable.
+func (e *entry) status() operator.Status {
+	name, term, _ := e.leader()
+	s := operator.Status{
+		Entry:    e.cfg.Name,
+		Revision: e.revision(),
+		ProvenAt: e.feed.ProvenAt(),
+		Leader:   name,
+		Term:     term,
+		Entries:  e.entryStatus(),
+	}
+	for _, p := range e.cfg.Peers {
+		if p.Voter {
+			reachable := p.Name == e.cfg.Name || e.peers.Reachable(p.Name)
+			s.Voters = append(s.Voters, operator.VoterStatus{Name: p.Name, Reachable: reachable})
+		}
+	}
+	members := e.servers.Members()
+	drained := e.drains()
+	for _, m := range members {
+		s.VMs = append(s.VMs, vmStatus(m, slices.Contains(drained, m.VM.Name)))
+	}
+	if set := e.feed.Set(); set != nil {
+		s.Models = modelStatus(set, members)
+	}
+	return s
+}
+
+func (e *entry) drains() []string {
+	if s := e.client.State(); s != nil {
+		return s.Drains()
+	}
+	return nil
+}
+
+func (e *entry) entryStatus() []operator.EntryStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	revisions := e.peers.Revisions(ctx)
+	revisions[e.cfg.Name] = e.revision()
+	var out []operator.EntryStatus
+	for _, p := range e.cfg.Peers {
+		revision, ok := revisions[p.Name]
+		out = append(out, operator.EntryStatus{Name: p.Name, Reachable: ok, Revision: revision})
+	}
+	return out
+}
+
+func vmStatus(m poolMember, drained bool) operator.VMStatus {
+	r, _ := m.server.Report()
+	return operator.VMStatus{
+		Name:          m.VM.Name,
+		Place:         m.VM.Place,
+		FailureDomain: m.VM.FailureDomain,
+		State:         vmState(m, r.Ready, drained),
+		MemoryMiB:     r.MemoryMiB,
+		ReservedMiB:   r.ReservedMiB,
+		HeldMiB:       r.HeldMiB,
+		Running:       r.Running,
+		Waiting:       r.Waiting,
+		Revision:      r.Revision,
+	}
+}
+
+func vmState(m poolMember, ready, drained bool) operator.VMState {
+	switch {
+	case m.State == roster.Unreached || m.State == roster.Left:
+		return operator.VMUnreachable
+	case drained:
+		return operator.VMDrained
+	case !m.TakesWork():
+		return operator.VMLeaving
+	case !ready:
+		return operator.VMNotReady
+	}
+	return operator.VMReady
+}
+
+// modelStatus lists every model and adapter with its copies.
+func modelStatus(set *catalog.Set, members []poolMember) []operator.ModelStatus {
+	copies := make(map[string][]operator.CopyStatus)
+	for _, m := range members {
+		if m.State == roster.Unreached || m.State == roster.Left {
+			continue
+		}
+		r, _ := m.server.Report()
+		for _, replica := range r.Replicas {
+			copies[replica.Name] = append(copies[replica.Name], copyStatus(m.VM, replica))
+		}
+	}
+	var out []operator.ModelStatus
+	for _, m := range set.Objects().Models {
+		out = append(out, operator.ModelStatus{
+			Kind: catalog.KindModel, Name: m.Name, Place: m.Place, Wanted: m.MinCopies, Copies: copies[m.Name],
+		})
+	}
+	for _, a := range set.Objects().Adapters {
+		base, _ := set.Model(a.Model)
+		out = append(out, operator.ModelStatus{
+			Kind: catalog.KindAdapter, Name: a.Name, Place: base.Place, Copies: copies[a.Name],
+		})
+	}
+	return out
+}
+
+func copyStatus(vm bamboostep.VM, r bamboostep.Replica) operator.CopyStatus {
+	return operator.CopyStatus{VM: vm.Name, FailureDomain: vm.FailureDomain, Version: r.Version, State: r.State}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -43,6 +43,10 @@
 // TakesWork reports whether the member may be given new work.
 func (m Member) TakesWork() bool { return m.State == Live || m.State == Unlisted }
 
+// Stays reports whether the member is part of the system and not leaving,
+// whether it can be reached now or not.
+func (m Member) Stays() bool { return m.TakesWork() || m.State == Unreached }
+
 // Transition is a change of a member's state.
 type Transition struct {
 	VM       bamboostep.VM
@@ -173,9 +177,15 @@
 	return Member{m.vm, m.state}, true
 }
 
-func (r *Roster) leaves(name string) bool {
+// Told reports whether the platform's list or an operator's drain says that the
+// VM leaves: the two sources that its agent cannot see by itself.
+func (r *Roster) Told(name string) bool {
 	m := r.members[name]
-	return m.listedLeaving || m.saysLeaving || r.drained[name]
+	return m != nil && (m.listedLeaving || r.drained[name])
+}
+
+func (r *Roster) leaves(name string) bool {
+	return r.members[name].saysLeaving || r.Told(name)
 }
 
 func (r *Roster) stepLeaving(m *member, before bool, out []Transition) []Transition {
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -123,11 +123,12 @@
 	HeldMiB   int64 `json:"held_mib"`
 	MemoryMiB int64 `json:"memory_mib"`
 	Started   int   `json:"started"`
+	Running   int   `json:"running"`
 	Orders    int   `json:"orders"`
 }
 
 func (e *Engine) stats() stats {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return stats{e.peak, e.held, e.MemoryMiB, e.started, e.orders}
+	return stats{e.peak, e.held, e.MemoryMiB, e.started, len(e.running), e.orders}
 }
--- a/wire/node.go
+++ b/wire/node.go
@@ -35,6 +35,7 @@
 	Clock   *timeline.Clock
 	Metrics *Metrics
 	TLS     *tls.Config // mutual TLS on every connection; nil for plain TCP
+	Source  net.IP      // address that links dial from; nil for the kernel's choice
 
 	once    sync.Once
 	started time.Time
@@ -167,6 +168,9 @@
 
 func (l *Link) connect(ctx context.Context) {
 	d := net.Dialer{Timeout: dialTimeout}
+	if l.Node.Source != nil {
+		d.LocalAddr = &net.TCPAddr{IP: l.Node.Source}
+	}
 	nc, err := d.DialContext(ctx, "tcp", l.Address)
 	if err != nil {
 		return
