--- a/catalog/load.go
+++ b/catalog/load.go
@@ -83,10 +83,10 @@
 	for _, file := range slices.Sorted(maps.Keys(files)) {
 		l.readFile(file, files[file])
 	}
-	l.problems = append(l.problems, check(l.entries)...)
-	if len(l.problems) > 0 {
-		sortProblems(l.problems)
-		return nil, &ProblemsError{l.problems}
+	problems := append(l.found(), check(l.entries)...)
+	if len(problems) > 0 {
+		sortProblems(problems)
+		return nil, &ProblemsError{problems}
 	}
 	return New(collect(l.entries)), nil
 }
@@ -100,7 +100,26 @@
 // loader gathers the objects and the mistakes of all files.
 type loader struct {
 	entries  []*entry
-	problems []Problem
+	mistakes []mistake
+}
+
+// mistake is a problem found while reading. The name of its object may follow
+// on a later line.
+type mistake struct {
+	entry   *entry // nil for a mistake outside any object
+	problem Problem
+}
+
+// found returns the mistakes found while reading, their objects named.
+func (l *loader) found() []Problem {
+	var problems []Problem
+	for _, m := range l.mistakes {
+		if m.entry != nil {
+			m.problem.Kind, m.problem.Name = m.entry.kind, m.entry.name()
+		}
+		problems = append(problems, m.problem)
+	}
+	return problems
 }
 
 // fileReader reads one file. It parses a part of the text at a time: all of it,
@@ -164,10 +183,7 @@
 
 func (r *fileReader) report(line int, field, issue string) {
 	p := Problem{File: r.file, Line: line, Field: field, Issue: issue}
-	if r.current != nil {
-		p.Kind, p.Name = r.current.kind, r.current.name()
-	}
-	r.loader.problems = append(r.loader.problems, p)
+	r.loader.mistakes = append(r.loader.mistakes, mistake{r.current, p})
 }
 
 func (r *fileReader) readExpression(n *unstable.Node) {
--- a/catalog/load_test.go
+++ b/catalog/load_test.go
@@ -125,7 +125,9 @@
 
 func TestLoadOfExamples(t *testing.T) {
 	tests := map[string]struct{ models, adapters, services int }{
-		"demo": {2, 4, 2},
+		"demo":      {2, 4, 2},
+		"canaletas": {13, 55, 3},
+		"campanas":  {26, 95, 3},
 	}
 	for name, want := range tests {
 		t.Run(name, func(t *testing.T) {
