Feed polls a few peers, and more while its proof is old

Cause: polling every peer costs each of n entries n polls a second; at 380 entries that alone passes the budget of 20 KB a second. Ruled out: a fixed tree, which one lost parent cuts; asking all peers all the time. Change: each process draws at least 3 peers by a hash of both names, and while its proof is older than 3 s polls others too, 10 a second over all. Peers that stop polling get no pushes. Conclusion: the cost of following no longer grows with the number of entries.

--- a/catalog/feed_conn.go
+++ b/catalog/feed_conn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bamboostep/bamboostep/timeline"
@@ -19,6 +20,10 @@
 
 	pollInterval = time.Second
 	pollTimeout  = 2 * time.Second
+	subscription = 5 * time.Second // a peer that has not polled for so long gets no pushes
+	staleAfter   = 3 * time.Second // age of proof at which more peers are polled
+	extraPolls   = 10              // polls a second, over all peers, while stale
+	minUpstreams = 3
 )
 
 type pollBody struct {
@@ -28,22 +33,30 @@
 // Feed keeps this process's set current from the ledger and from peers, and
 // passes it on. Set the exported fields before Register.
 //
-// A subscriber polls each peer every second; the poll doubles as a subscription,
-// after which newer revisions are pushed at once. The answer to a poll is the
-// progress mark: it carries the age of the peer's proof of being current.
+// A subscriber polls a few of its peers every second; the poll doubles as a
+// subscription, after which newer revisions are pushed at once. The answer to a
+// poll is the progress mark: it carries the age of the peer's proof of being
+// current.
+//
+// Polling every peer would cost each of n processes n polls a second. Each
+// process therefore draws its few peers by a hash of both names, which makes a
+// random graph of small diameter. Such a graph may still be cut where the full
+// mesh is not; so a process whose proof grows old polls others as well, at a
+// bounded rate, until it is current again.
 type Feed struct {
-	Node     *wire.Node
-	Recorder *timeline.Recorder
-	Registry prometheus.Registerer
-	Changed  func(*Set) // gets each newer set, in order; must not call Offer; may be nil
+	Node      *wire.Node
+	Recorder  *timeline.Recorder
+	Registry  prometheus.Registerer
+	Changed   func(*Set) // gets each newer set, in order; must not call Offer; may be nil
+	Upstreams int        // peers polled every second; at least 3
 
 	metrics *feedMetrics
 	deliver sync.Mutex // held while sets are applied and handed to Changed
 
 	mu          sync.Mutex
 	state       feedState
-	subscribers map[*wire.Conn]bool
-	known       map[string]uint64 // revision that each peer is known to have
+	subscribers map[*wire.Conn]time.Time // when each last polled
+	known       map[string]uint64        // revision that each peer is known to have
 	kicks       map[*wire.Conn]chan struct{}
 }
 
@@ -51,7 +64,7 @@
 // listener that mux serves, and pushes arrive on the links that it serves.
 func (f *Feed) Register(mux *wire.Mux) {
 	f.metrics = newFeedMetrics(f.Registry, f)
-	f.subscribers = make(map[*wire.Conn]bool)
+	f.subscribers = make(map[*wire.Conn]time.Time)
 	f.known = make(map[string]uint64)
 	f.kicks = make(map[*wire.Conn]chan struct{})
 	mux.On(kindPoll, f.handlePoll)
@@ -105,8 +118,7 @@
 func (f *Feed) follow(c *wire.Conn, kick chan struct{}) {
 	defer f.unfollow(c)
 	for {
-		var remote *wire.RemoteError
-		if err := f.poll(c); errors.As(err, &remote) {
+		if f.due(c) && refused(f.poll(c)) {
 			return
 		}
 		t := time.NewTimer(pollInterval/2 + rand.N(pollInterval))
@@ -121,6 +133,40 @@
 	}
 }
 
+// refused reports whether err says that a peer has no feed.
+func refused(err error) bool {
+	var remote *wire.RemoteError
+	return errors.As(err, &remote)
+}
+
+// due reports whether c is to be polled in this interval.
+func (f *Feed) due(c *wire.Conn) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.rank(c) < max(f.Upstreams, minUpstreams) {
+		return true
+	}
+	stale := time.Since(f.state.proven) > staleAfter
+	return stale && rand.IntN(len(f.kicks)) < extraPolls
+}
+
+// rank returns the position of a followed peer in this process's own order of
+// preference.
+func (f *Feed) rank(c *wire.Conn) int {
+	own := f.preference(c)
+	rank := 0
+	for other := range f.kicks {
+		if f.preference(other) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (f *Feed) preference(c *wire.Conn) uint64 {
+	return xxhash.Sum64String(f.Node.Hello.Name + "\x00" + c.Peer().Name)
+}
+
 func (f *Feed) unfollow(c *wire.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -190,39 +236,48 @@
 func (f *Feed) push() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c := range f.subscribers {
-		name := c.Peer().Name
-		known := f.known[name]
-		if known >= f.state.revision() {
-			continue
-		}
-		u := f.state.since(known, time.Now())
-		f.metrics.countSent(u)
-		if c.Send(kindUpdate, u) == nil {
-			f.known[name] = f.state.revision()
+	now := time.Now()
+	for c, polled := range f.subscribers {
+		if now.Sub(polled) < subscription {
+			f.pushTo(c, now)
 		}
 	}
 }
 
+func (f *Feed) pushTo(c *wire.Conn, now time.Time) {
+	name := c.Peer().Name
+	known := f.known[name]
+	if known >= f.state.revision() {
+		return
+	}
+	u := f.state.since(known, now)
+	f.metrics.countSent(u)
+	if c.Send(kindUpdate, u) == nil {
+		f.known[name] = f.state.revision()
+	}
+}
+
 func (f *Feed) handlePoll(m *wire.Message) {
 	var body pollBody
 	if m.Decode(&body) != nil {
 		return
 	}
 	f.mu.Lock()
-	f.addSubscriber(m.Conn())
-	u := f.state.since(body.Revision, time.Now())
+	now := time.Now()
+	f.addSubscriber(m.Conn(), now)
+	u := f.state.since(body.Revision, now)
 	f.known[m.Conn().Peer().Name] = max(body.Revision, u.Revision)
 	f.mu.Unlock()
 	f.metrics.countSent(u)
 	m.Reply(u)
 }
 
-func (f *Feed) addSubscriber(c *wire.Conn) {
-	if f.subscribers[c] {
+func (f *Feed) addSubscriber(c *wire.Conn, now time.Time) {
+	_, old := f.subscribers[c]
+	f.subscribers[c] = now
+	if old {
 		return
 	}
-	f.subscribers[c] = true
 	go func() {
 		<-c.Done()
 		f.mu.Lock()
@@ -265,3 +320,10 @@
 	f.metrics.countRefused()
 	f.Recorder.Record(timeline.Event{Kind: "update_refused", Detail: source + ": " + err.Error()})
 }
+
+// Following returns the number of peers that the feed may poll.
+func (f *Feed) Following() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.kicks)
+}
--- a/catalog/feed_conn_test.go
+++ b/catalog/feed_conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -105,3 +106,20 @@
 	c.follow(ctx, b)
 	await(t, "c holds revision 400", func() bool { return c.at(400) })
 }
+
+// A process whose preferred peers all know nothing new finds the one that does.
+func TestFeedLooksFurtherWhenStale(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := startFeed(t, ctx, "c")
+	current := startFeed(t, ctx, "current")
+	for i := range 12 {
+		c.follow(ctx, startFeed(t, ctx, fmt.Sprintf("cut-off-%d", i)))
+	}
+	await(t, "c follows twelve peers", func() bool { return c.Following() == 12 })
+	c.follow(ctx, current)
+	await(t, "c follows thirteen peers", func() bool { return c.Following() == 13 })
+	current.Offer(numberedSet(9))
+	current.Prove(9, time.Now())
+	await(t, "c holds revision 9", func() bool { return c.at(9) })
+}
--- a/catalog/feed_metrics.go
+++ b/catalog/feed_metrics.go
@@ -34,7 +34,11 @@
 		Namespace: "bamboostep", Subsystem: "feed", Name: "proof_age_seconds",
 		Help: "Time since the revision in force was last proven to be the newest; -1 before the first proof.",
 	}, f.proofAgeGauge)
-	r.MustRegister(m.sent, m.taken, m.refused, revision, proof)
+	peers := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "bamboostep", Subsystem: "feed", Name: "peers",
+		Help: "Connected peers that this process may poll.",
+	}, func() float64 { return float64(f.Following()) })
+	r.MustRegister(m.sent, m.taken, m.refused, revision, proof, peers)
 	return m
 }
 
