Sets are encoded once

Cause: taking a delta encoded the same set four times and compared all objects field by field. Ruled out: passing the encoded form along by hand; callers would have to know which set it belongs to. Change: a set keeps its encoding once made, equal objects are not compared by field, and an empty list of failure domains equals a missing one.

--- a/catalog/diff.go
+++ b/catalog/diff.go
@@ -68,8 +68,8 @@
 			changes = append(changes, Change{Kind: kind, Name: name(new[0]), Action: Added})
 			new = new[1:]
 		default:
-			if fields := diffFields(old[0], new[0]); len(fields) > 0 {
-				changes = append(changes, Change{kind, name(old[0]), Changed, fields})
+			if !reflect.DeepEqual(old[0], new[0]) {
+				changes = append(changes, Change{kind, name(old[0]), Changed, diffFields(old[0], new[0])})
 			}
 			old, new = old[1:], new[1:]
 		}
--- a/catalog/set.go
+++ b/catalog/set.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -34,6 +35,14 @@
 	models   map[string]bamboostep.Model
 	adapters map[string]bamboostep.Adapter
 	services map[string]bamboostep.Service
+	encoding *encoding
+}
+
+// encoding is the encoded form of a set, made when it is first asked for.
+type encoding struct {
+	once sync.Once
+	data []byte
+	err  error
 }
 
 // New returns a set of the objects. It does not check them.
@@ -46,6 +55,7 @@
 		models:   make(map[string]bamboostep.Model),
 		adapters: make(map[string]bamboostep.Adapter),
 		services: make(map[string]bamboostep.Service),
+		encoding: new(encoding),
 	}
 	for _, p := range objects.Places {
 		s.places[p.Name] = p
@@ -68,6 +78,12 @@
 // sorted returns a copy of o in order of name, so that equal sets have equal
 // encodings however their files were arranged.
 func (o Objects) sorted() Objects {
+	o.Places = slices.Clone(o.Places)
+	for i := range o.Places {
+		if len(o.Places[i].FailureDomains) == 0 {
+			o.Places[i].FailureDomains = nil
+		}
+	}
 	return Objects{
 		Places:   sortedByName(o.Places, func(p bamboostep.Place) string { return p.Name }),
 		Versions: sortedByName(o.Versions, func(v bamboostep.Version) string { return v.Name }),
@@ -90,6 +106,7 @@
 func (s *Set) WithRevision(n uint64) *Set {
 	c := *s
 	c.revision = n
+	c.encoding = new(encoding)
 	return &c
 }
 
@@ -150,9 +167,11 @@
 	Objects  Objects `msgpack:"objects"`
 }
 
-// Encode returns s in the form that Decode reads.
+// Encode returns s in the form that Decode reads. The caller must not change it.
 func (s *Set) Encode() ([]byte, error) {
-	return msgpack.Marshal(encodedSet{s.revision, s.objects})
+	e := s.encoding
+	e.once.Do(func() { e.data, e.err = msgpack.Marshal(encodedSet{s.revision, s.objects}) })
+	return e.data, e.err
 }
 
 // Decode reads the form that Encode writes.
--- a/catalog/size_test.go
+++ b/catalog/size_test.go
@@ -37,7 +37,7 @@
 	s := fullSize()
 	b.ReportAllocs()
 	for b.Loop() {
-		data, err := s.Encode()
+		data, err := s.WithRevision(2).Encode()
 		if err != nil {
 			b.Fatal(err)
 		}
