Publishes are sent again under their ID

Cause: an operator whose terminal dies, or whose publish finds the ledger between leaders, should not have to know publish IDs. Ruled out: a new ID for each try; the second would conflict with the first, and the operator could not tell herself from a rival. Change: the command notes the ID beside the objects before it sends, uses it again while the outcome is unknown and the objects are the same, and goes on trying the entries for 10 s (--wait). Conclusion: publishing the same folder again is always safe.

--- a/bamboostep/exit.go
+++ b/bamboostep/exit.go
@@ -27,12 +27,11 @@
 type unknownOutcomeError struct {
 	dir   string
 	id    string
-	based uint64
 	cause error
 }
 
 func (e *unknownOutcomeError) Error() string {
-	return fmt.Sprintf("%v\nto learn the outcome, send it again: bamboostep publish --id %s --based %d %s", e.cause, e.id, e.based, e.dir)
+	return fmt.Sprintf("%v\nto learn the outcome, publish folder %q again as it is; its publish ID is %s", e.cause, e.dir, e.id)
 }
 
 func (e *unknownOutcomeError) Unwrap() error { return e.cause }
--- a/bamboostep/flags.go
+++ b/bamboostep/flags.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/url"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -16,6 +17,8 @@
 	outputText = "text"
 	outputJSON = "json"
 
+	defaultWait = 10 * time.Second
+
 	envEntry = "BAMBOOSTEP_ENTRY"
 	envToken = "BAMBOOSTEP_TOKEN"
 )
@@ -49,6 +52,15 @@
 	return append(flags, more...)
 }
 
+// waitFlag is a flag of every command that changes something.
+func waitFlag() cli.Flag {
+	return &cli.DurationFlag{
+		Name:  "wait",
+		Value: defaultWait,
+		Usage: "go on for `SPAN` while the entries cannot carry out the command",
+	}
+}
+
 func checkEntries(entries []string) error {
 	for _, entry := range entries {
 		u, err := url.Parse(entry)
@@ -64,7 +76,7 @@
 	if len(entries) == 0 {
 		return nil, &usageProblem{fmt.Sprintf("no entry is named; set --entry or %s", envEntry)}
 	}
-	return &operator.Client{Entries: entries, Token: cmd.String("token")}, nil
+	return &operator.Client{Entries: entries, Token: cmd.String("token"), Patience: cmd.Duration("wait")}, nil
 }
 
 // oneArgument returns the only argument of a command.
--- a/bamboostep/folder.go
+++ b/bamboostep/folder.go
@@ -6,7 +6,9 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"strconv"
 
+	"github.com/google/uuid"
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/bamboostep/bamboostep/catalog"
@@ -14,13 +16,33 @@
 )
 
 // stateFile notes beside the objects which revision they were made from, so that
-// of two operators who start from one revision the second is told.
+// of two operators who start from one revision the second is told. It also notes
+// the ID of a publish before it is sent: whatever happens to the answer, or to
+// this process, publishing the same objects again repeats that publish.
 const stateFile = ".bamboostep.toml"
 
 const objectFile = "objects.toml"
 
 type folderState struct {
-	Revision uint64 `toml:"revision"`
+	Revision     uint64 `toml:"revision"`
+	PendingID    string `toml:"pending_id,omitempty"`    // publish whose outcome is not known
+	PendingBased uint64 `toml:"pending_based,omitempty"` // revision it is based on
+	PendingSum   string `toml:"pending_sum,omitempty"`   // checksum of its objects
+}
+
+// withPending returns s with a publish noted. Its ID is the given one, that of
+// the same publish if one is pending, or a new one.
+func (s folderState) withPending(id string, based, sum uint64) folderState {
+	text := strconv.FormatUint(sum, 16)
+	same := s.PendingID != "" && s.PendingBased == based && s.PendingSum == text
+	switch {
+	case id != "":
+		s.PendingID = id
+	case !same:
+		s.PendingID = uuid.NewString()
+	}
+	s.PendingBased, s.PendingSum = based, text
+	return s
 }
 
 // readState returns the noted state of a folder; that of a new one is zero.
--- a/bamboostep/publish.go
+++ b/bamboostep/publish.go
@@ -8,7 +8,6 @@
 	"os"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/urfave/cli/v3"
 
 	"github.com/bamboostep/bamboostep"
@@ -22,8 +21,9 @@
 		Usage:     "make the objects of a folder the next revision",
 		ArgsUsage: "DIR",
 		Flags: entryFlags(
+			waitFlag(),
 			&cli.Uint64Flag{Name: "based", Usage: "`REVISION` that the objects were made from; by default the one that get or publish noted in DIR"},
-			&cli.StringFlag{Name: "id", Usage: "`ID` of an earlier publish, to send it again after its answer was lost"},
+			&cli.StringFlag{Name: "id", Usage: "`ID` to publish under; by default a new one, or that of the same publish if its outcome is unknown"},
 			&cli.StringFlag{Name: "author", Usage: "`NAME` to publish under; by default the user's", Sources: cli.EnvVars("USER")},
 		),
 		OnUsageError: usageError,
@@ -49,32 +49,32 @@
 	if err != nil {
 		return none, err
 	}
-	id, based := publishID(cmd), state.Revision
+	based := state.Revision
 	if cmd.IsSet("based") {
 		based = cmd.Uint64("based")
 	}
-	revision, err := client.Publish(ctx, id, based, cmd.String("author"), set)
+	sum, err := set.Sum()
 	if err != nil {
-		return none, unknownOutcome(dir, id, based, err)
+		return none, err
 	}
-	return revision, writeState(dir, folderState{Revision: revision.Number})
-}
-
-func publishID(cmd *cli.Command) string {
-	if id := cmd.String("id"); id != "" {
-		return id
+	state = state.withPending(cmd.String("id"), based, sum)
+	if err := writeState(dir, state); err != nil {
+		return none, err
+	}
+	revision, err := client.Publish(ctx, state.PendingID, based, cmd.String("author"), set)
+	if err != nil {
+		return none, settle(dir, state, err)
 	}
-	return uuid.NewString()
+	return revision, writeState(dir, folderState{Revision: revision.Number})
 }
 
-// unknownOutcome adds to err how to send the publish again, if it may have taken
-// effect.
-func unknownOutcome(dir, id string, based uint64, err error) error {
+// settle notes how a publish failed: one whose outcome is unknown stays pending.
+func settle(dir string, state folderState, err error) error {
 	var unreachable *operator.UnreachableError
 	if errors.As(err, &unreachable) && !unreachable.Known {
-		return &unknownOutcomeError{dir, id, based, err}
+		return &unknownOutcomeError{dir, state.PendingID, err}
 	}
-	return err
+	return errors.Join(err, writeState(dir, folderState{Revision: state.Revision}))
 }
 
 func writePublish(w io.Writer, r bamboostep.Revision) {
--- a/bamboostep/status.go
+++ b/bamboostep/status.go
@@ -92,7 +92,7 @@
 		Name:         "drain",
 		Usage:        "give a VM no new work",
 		ArgsUsage:    "VM",
-		Flags:        entryFlags(&cli.BoolFlag{Name: "undo", Usage: "give it work again"}),
+		Flags:        entryFlags(waitFlag(), &cli.BoolFlag{Name: "undo", Usage: "give it work again"}),
 		OnUsageError: usageError,
 		Action:       action(drain, writeDrain),
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -19,6 +19,7 @@
 
 const (
 	defaultEntryTimeout = 10 * time.Second
+	roundDelay          = 250 * time.Millisecond
 	maxAnswerBytes      = 64 << 20
 )
 
@@ -30,10 +31,11 @@
 // the next; but if one may have carried out the command and no later one said
 // how it ended, the error says that the outcome is unknown.
 type Client struct {
-	Entries []string      // base URLs
-	Token   string        // bearer token; none is sent if empty
-	HTTP    *http.Client  // http.DefaultClient if nil
-	Timeout time.Duration // for each entry; ten seconds if 0
+	Entries  []string      // base URLs
+	Token    string        // bearer token; none is sent if empty
+	HTTP     *http.Client  // http.DefaultClient if nil
+	Timeout  time.Duration // for each entry; ten seconds if 0
+	Patience time.Duration // how long to go on trying all entries; once each if 0
 }
 
 // Set returns the newest set that an entry has, and revision 0 before the first.
@@ -82,8 +84,38 @@
 	return events, err
 }
 
-// do sends a command to each entry in turn until one gives a final answer.
+// do sends a command to each entry in turn until one gives a final answer or
+// the patience ends.
 func (c *Client) do(ctx context.Context, build func(*sling.Sling) *sling.Sling, v any) error {
+	began := time.Now()
+	known := true
+	for {
+		err := c.doOnce(ctx, build, v)
+		var failed *UnreachableError
+		if !errors.As(err, &failed) {
+			return err
+		}
+		known = known && failed.Known
+		failed.Known = known
+		if time.Since(began)+roundDelay > c.Patience || !pause(ctx, roundDelay) {
+			return failed
+		}
+	}
+}
+
+// pause waits for d and reports whether ctx still stands.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (c *Client) doOnce(ctx context.Context, build func(*sling.Sling) *sling.Sling, v any) error {
 	failed := &UnreachableError{Known: true}
 	for _, entry := range c.Entries {
 		err := c.send(ctx, entry, build, v)
