Refusals by the ledger are final; adapters must fit beside their model

Cause: a set that the ledger refuses for its size looked to the command line like an unknown outcome; and an adapter larger than the room beside its model was accepted though no caller could ever reach it. Ruled out: mapping every unknown error of the server to a refusal; what is not known to be final must stay unknown. Conclusion: both get a clear error at the earliest point that can tell.

--- a/bamboostep/publish.go
+++ b/bamboostep/publish.go
@@ -114,7 +114,11 @@
 	if err != nil {
 		return diffOutput{}, err
 	}
-	return diffOutput{newest.Revision(), catalog.Diff(newest, set)}, nil
+	changes := catalog.Diff(newest, set)
+	if changes == nil {
+		changes = []catalog.Change{}
+	}
+	return diffOutput{newest.Revision(), changes}, nil
 }
 
 func writeDiff(w io.Writer, d diffOutput) {
--- a/catalog/check.go
+++ b/catalog/check.go
@@ -48,6 +48,7 @@
 	c.checkPrefixes()
 	if len(c.problems) == 0 && !slices.ContainsFunc(entries, (*entry).unread) {
 		c.checkMemory()
+		c.checkAdapterMemory()
 	}
 	return c.problems
 }
--- a/catalog/fit.go
+++ b/catalog/fit.go
@@ -24,6 +24,24 @@
 	}
 }
 
+// checkAdapterMemory reports adapters that cannot be loaded beside their model
+// even on an otherwise empty VM, so that no caller could ever reach them.
+func (c *checker) checkAdapterMemory() {
+	for _, e := range c.entries {
+		a, ok := e.object.(*bamboostep.Adapter)
+		if !ok {
+			continue
+		}
+		m := c.models[a.Model]
+		p := c.places[m.Place]
+		model := c.versions[m.Version].WeightsMiB + m.CacheMiB
+		if model <= p.MemoryMiB && model+a.WeightsMiB > p.MemoryMiB {
+			c.report(e, "weights_mib", "is %d, but model %q leaves only %d MiB on a VM of place %q",
+				a.WeightsMiB, m.Name, p.MemoryMiB-model, p.Name)
+		}
+	}
+}
+
 func (c *checker) modelsOf(place string) []bamboostep.Model {
 	var models []bamboostep.Model
 	for _, name := range slices.Sorted(maps.Keys(c.models)) {
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -206,6 +207,7 @@
 	var problems *catalog.ProblemsError
 	var conflict *ConflictError
 	var unavailable *bamboostep.UnavailableError
+	var refused *ledger.RefusedError
 	switch {
 	case errors.As(err, &problems):
 		detail.Code, detail.Problems = codeInvalid, problems.Problems
@@ -216,6 +218,9 @@
 	case errors.As(err, &unavailable):
 		detail.Code, detail.Known = codeUnavailable, unavailable.Known
 		return http.StatusServiceUnavailable, detail
+	case errors.As(err, &refused):
+		detail.Code = refused.Code
+		return http.StatusUnprocessableEntity, detail
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		detail.Code = codeUnavailable
 		return http.StatusServiceUnavailable, detail
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/operator"
 	"github.com/bamboostep/bamboostep/timeline"
 )
@@ -185,6 +186,18 @@
 	}
 }
 
+// A refusal by the ledger is final: nothing is tried again.
+func TestRefusalByLedgerIsFinal(t *testing.T) {
+	l := newLedger()
+	l.down = &ledger.RefusedError{Operation: "publish", Code: "set_too_large", Detail: "9 bytes, at most 8"}
+	c := &operator.Client{Entries: []string{startEntry(t, l, "")}, Patience: time.Minute}
+	_, err := c.Publish(context.Background(), "id-1", 0, "ana", oneModel(1))
+	var remote *operator.RemoteError
+	if !errors.As(err, &remote) || remote.Code != "set_too_large" {
+		t.Errorf("got error %v, want *RemoteError with code set_too_large", err)
+	}
+}
+
 func TestEntryThatIsDownIsPassedOver(t *testing.T) {
 	down := httptest.NewServer(http.NotFoundHandler())
 	down.Close()
