Frames are checked before they are decoded

Cause: a fuzz test of the feed brought the process down with "out of memory": the msgpack library (v5.4.1) takes memory for an array as soon as it has read its length, its own limit being inverted in decodeSliceValue. It also recurses for each level of nesting. One damaged frame could so end any process, though a bad frame must harm nothing but its connection. Ruled out: a limit on the length of arrays, which some message will outgrow; decoding by hand. Change: a frame is walked once before it is decoded: all announced values must be there and at most 64 levels nest. The walk neither allocates nor recurses. CheckEncoding does the same for bytes carried inside a frame. Conclusion: memory taken is in proportion to the frame's length.

--- a/wire/frame.go
+++ b/wire/frame.go
@@ -64,6 +64,9 @@
 
 func decodeFrame(body []byte) (envelope, error) {
 	var e envelope
+	if err := CheckEncoding(body); err != nil {
+		return envelope{}, &FrameError{len(body), err.Error()}
+	}
 	if err := msgpack.Unmarshal(body, &e); err != nil {
 		return envelope{}, &FrameError{len(body), err.Error()}
 	}
