Updates are checked before they are decoded; names are checked

Names with spaces or control characters would not survive a URL, a log line or a metric label. Ruled out: nothing further. Change: Decode and deltas go through wire.CheckEncoding; names hold no space, quotation mark, equals sign or control character and at most 128 bytes. Conclusion: whatever a peer sends, a feed neither panics nor falls back.

--- a/catalog/check.go
+++ b/catalog/check.go
@@ -10,6 +10,8 @@
 	"math"
 	"slices"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/bamboostep/bamboostep"
 )
@@ -20,6 +22,8 @@
 // maxNumber bounds every size, count and time, so that sums cannot overflow.
 const maxNumber = 1 << 30
 
+const maxNameBytes = 128
+
 // Check checks objects that did not come from files. The error is a
 // *ProblemsError.
 func Check(o Objects) error {
@@ -80,6 +84,7 @@
 			c.report(e, "name", "is missing")
 			continue
 		}
+		c.checkName(e)
 		space := string(e.kind)
 		if e.kind == KindAdapter {
 			space = string(KindModel)
@@ -94,6 +99,19 @@
 	}
 }
 
+// checkName refuses names that would not survive a URL, a log line or a metric
+// label.
+func (c *checker) checkName(e *entry) {
+	name := e.name()
+	bad := func(r rune) bool { return unicode.IsSpace(r) || !unicode.IsPrint(r) || strings.ContainsRune(`"'=`, r) }
+	if strings.ContainsFunc(name, bad) || !utf8.ValidString(name) {
+		c.report(e, "name", "must hold no space, quotation mark, equals sign or control character")
+	}
+	if len(name) > maxNameBytes {
+		c.report(e, "name", "is %d bytes long, at most %d", len(name), maxNameBytes)
+	}
+}
+
 func (e *entry) where() string {
 	if e.file == "" {
 		return "of the same name"
--- a/catalog/delta.go
+++ b/catalog/delta.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/wire"
 )
 
 // Delta is what changes from one revision to a later one. It carries the whole
@@ -139,6 +140,9 @@
 
 func decodeDelta(data []byte) (Delta, error) {
 	var d Delta
+	if err := wire.CheckEncoding(data); err != nil {
+		return Delta{}, fmt.Errorf("encoded delta: %w", err)
+	}
 	if err := msgpack.Unmarshal(data, &d); err != nil {
 		return Delta{}, fmt.Errorf("encoded delta: %w", err)
 	}
--- a/catalog/feed_test.go
+++ b/catalog/feed_test.go
@@ -6,10 +6,12 @@
 	"testing"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/internal/seed"
+	"github.com/bamboostep/bamboostep/wire"
 )
 
 func init() { seed.Rapid() }
@@ -249,3 +251,39 @@
 		t.Errorf("got error %v, want *ForkError at revision 7", err)
 	}
 }
+
+// Whatever a peer sends, a feed neither panics nor falls back.
+func FuzzTakeUpdate(f *testing.F) {
+	var state feedState
+	for n := range uint64(3) {
+		m := bamboostep.Model{Name: "m", MinCopies: int(n)}
+		if _, err := state.offer(New(Objects{Models: []bamboostep.Model{m}}).WithRevision(n + 5)); err != nil {
+			f.Fatal(err)
+		}
+	}
+	for _, revision := range []uint64{0, 5, 6, 7} {
+		data, err := msgpack.Marshal(state.since(revision, time.Unix(0, 0)))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var u update
+		if wire.CheckEncoding(data) != nil || msgpack.Unmarshal(data, &u) != nil {
+			return
+		}
+		var g feedState
+		if _, err := g.offer(New(Objects{}).WithRevision(6)); err != nil {
+			t.Fatal(err)
+		}
+		last := g.revision()
+		sets, _ := g.take(u)
+		for _, s := range sets {
+			if s.Revision() <= last {
+				t.Fatalf("applied revision %d after %d", s.Revision(), last)
+			}
+			last = s.Revision()
+		}
+	})
+}
--- a/catalog/set.go
+++ b/catalog/set.go
@@ -15,6 +15,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/wire"
 )
 
 // Objects are the objects of a set. Within a Set they are in order of name.
@@ -177,6 +178,9 @@
 // Decode reads the form that Encode writes.
 func Decode(data []byte) (*Set, error) {
 	var e encodedSet
+	if err := wire.CheckEncoding(data); err != nil {
+		return nil, fmt.Errorf("encoded set: %w", err)
+	}
 	if err := msgpack.Unmarshal(data, &e); err != nil {
 		return nil, fmt.Errorf("encoded set: %w", err)
 	}
