The memory check is that of the placer

Cause: the plain sum accepted sets that the placer cannot keep placed. Ruled out: keeping both checks; the placer's is the stricter. Change: stock.Fits in place of the sum. Conclusion: check and the placer agree on what fits.

--- a/catalog/load_test.go
+++ b/catalog/load_test.go
@@ -110,7 +110,7 @@
 		"unnamed write": {"name_field = \"order_id\"", "",
 			`f.toml:31: service "s": field "idempotent" is false, so name_header, name_field or name_window_s must say how a request is named`},
 		"no memory": {"memory_mib = 100", "memory_mib = 49",
-			`f.toml:6: place "p": field "memory_mib" "m" needs 50 MiB on VM "p", which has 0 of 49 MiB reserved`},
+			`f.toml:6: place "p": field "memory_mib" is too small: 2 copies of model "m" with 50 MiB each do not fit place "p", which has 2 workers of 49 MiB`},
 		"adapter that no VM has room for": {"weights_mib = 5", "weights_mib = 51",
 			`f.toml:29: adapter "a": field "weights_mib" is 51, but model "m" leaves only 50 MiB on a VM of place "p"`},
 	}
--- a/catalog/problem.go
+++ b/catalog/problem.go
@@ -55,15 +55,3 @@
 	}
 	return strings.Join(lines, "\n")
 }
-
-// NoRoomError says that the models of a place cannot all be resident at once.
-type NoRoomError struct {
-	Place     string
-	NeedMiB   int64
-	MemoryMiB int64 // of all workers
-}
-
-// Error implements error.
-func (e *NoRoomError) Error() string {
-	return fmt.Sprintf("models of place %q need %d MiB, but its workers have %d MiB", e.Place, e.NeedMiB, e.MemoryMiB)
-}
