Feed keeps its newest set over a restart

Cause: a voter that restarts applies its committed log anew and may know less at first than it had in force before, so a restarted process could go back to an older revision for a while; and with no quorum it would have no set at all. Ruled out: keeping only the number of the highest revision, which would prevent the step back but leave the process with nothing to serve. A damaged file is told by its checksum and passed over. Conclusion: no process goes back over a restart, and an entry serves from its first moment without a quorum.

--- a/catalog/feed_conn.go
+++ b/catalog/feed_conn.go
@@ -49,6 +49,7 @@
 	Registry  prometheus.Registerer
 	Changed   func(*Set) // gets each newer set, in order; must not call Offer; may be nil
 	Upstreams int        // peers polled every second; at least 3
+	File      string     // keeps the newest set over a restart; nothing is kept if empty
 
 	metrics *feedMetrics
 	deliver sync.Mutex // held while sets are applied and handed to Changed
@@ -222,6 +223,7 @@
 	if len(sets) == 0 {
 		return err
 	}
+	f.keep(sets[len(sets)-1])
 	f.push()
 	for _, s := range sets {
 		f.Recorder.Record(timeline.Event{Kind: "revision_applied", Revision: s.Revision()})
@@ -232,6 +234,18 @@
 	return err
 }
 
+// keep writes s to the feed's file. If that fails the set is in force all the
+// same: a full disk must not hold up a change.
+func (f *Feed) keep(s *Set) {
+	if f.File == "" {
+		return
+	}
+	if err := writeSetFile(f.File, s); err != nil {
+		f.metrics.countUnkept()
+		f.Recorder.Record(timeline.Event{Kind: "revision_not_kept", Revision: s.Revision(), Detail: err.Error()})
+	}
+}
+
 // push sends the subscribers what they are not known to have.
 func (f *Feed) push() {
 	f.mu.Lock()
--- a/catalog/feed_conn_test.go
+++ b/catalog/feed_conn_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -123,3 +126,51 @@
 	current.Prove(9, time.Now())
 	await(t, "c holds revision 9", func() bool { return c.at(9) })
 }
+
+// A process that restarts, cut off from everything, has the revision that it had
+// before, and takes no older one from a ledger that is still behind. A damaged
+// file is reported and passed over.
+func TestFeedRestartsFromItsFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "feed.set")
+	restart := func() (*feedProcess, error) {
+		p := startFeed(t, t.Context(), "a")
+		p.File = file
+		return p, p.Restore()
+	}
+	first, err := restart()
+	if err != nil || first.Set() != nil {
+		t.Fatalf("got set %v, %v without a file, want none", first.Set(), err)
+	}
+	first.Offer(numberedSet(8))
+	first.Offer(numberedSet(9))
+
+	second, err := restart()
+	if err != nil || !second.at(9) {
+		t.Fatalf("got set %v, %v, want revision 9", second.Set(), err)
+	}
+	second.Offer(numberedSet(8))
+	if !second.at(9) {
+		t.Errorf("got revision %d, want 9", second.Set().Revision())
+	}
+
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, damaged := range map[string][]byte{
+		"cut short": data[:len(data)/2],
+		"empty":     {},
+		"one bit":   append([]byte{data[0] ^ 1}, data[1:]...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if err := os.WriteFile(file, damaged, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			third, err := restart()
+			var bad *catalog.FileError
+			if !errors.As(err, &bad) || third.Set() != nil {
+				t.Errorf("got set %v, error %v, want none and *FileError", third.Set(), err)
+			}
+		})
+	}
+}
--- a/catalog/feed_metrics.go
+++ b/catalog/feed_metrics.go
@@ -12,6 +12,7 @@
 	sent    *prometheus.CounterVec
 	taken   *prometheus.CounterVec
 	refused prometheus.Counter
+	unkept  prometheus.Counter
 }
 
 func newFeedMetrics(r prometheus.Registerer, f *Feed) *feedMetrics {
@@ -26,6 +27,10 @@
 			Help: "Updates that did not fit the current set.",
 		}),
 	}
+	m.unkept = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "bamboostep", Subsystem: "feed", Name: "revisions_not_kept_total",
+		Help: "Revisions that could not be written to the feed's file.",
+	})
 	revision := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "bamboostep", Subsystem: "feed", Name: "revision",
 		Help: "Revision in force in this process.",
@@ -38,7 +43,7 @@
 		Namespace: "bamboostep", Subsystem: "feed", Name: "peers",
 		Help: "Connected peers that this process may poll.",
 	}, func() float64 { return float64(f.Following()) })
-	r.MustRegister(m.sent, m.taken, m.refused, revision, proof, peers)
+	r.MustRegister(m.sent, m.taken, m.refused, m.unkept, revision, proof, peers)
 	return m
 }
 
@@ -90,3 +95,9 @@
 		m.refused.Inc()
 	}
 }
+
+func (m *feedMetrics) countUnkept() {
+	if m != nil {
+		m.unkept.Inc()
+	}
+}
