--- a/catalog/feed_metrics.go
+++ b/catalog/feed_metrics.go
@@ -12,6 +12,7 @@
 	sent    *prometheus.CounterVec
 	taken   *prometheus.CounterVec
 	refused prometheus.Counter
+	unkept  prometheus.Counter
 }
 
 func newFeedMetrics(r prometheus.Registerer, f *Feed) *feedMetrics {
@@ -26,6 +27,10 @@
 			Help: "Updates that did not fit the current set.",
 		}),
 	}
+	m.unkept = prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "bamboostep", Subsystem: "feed", Name: "revisions_not_kept_total",
+		Help: "Revisions that could not be written to the feed's file.",
+	})
 	revision := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "bamboostep", Subsystem: "feed", Name: "revision",
 		Help: "Revision in force in this process.",
@@ -34,7 +39,11 @@
 		Namespace: "bamboostep", Subsystem: "feed", Name: "proof_age_seconds",
 		Help: "Time since the revision in force was last proven to be the newest; -1 before the first proof.",
 	}, f.proofAgeGauge)
-	r.MustRegister(m.sent, m.taken, m.refused, revision, proof)
+	peers := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "bamboostep", Subsystem: "feed", Name: "peers",
+		Help: "Connected peers that this process may poll.",
+	}, func() float64 { return float64(f.Following()) })
+	r.MustRegister(m.sent, m.taken, m.refused, m.unkept, revision, proof, peers)
 	return m
 }
 
@@ -86,3 +95,9 @@
 		m.refused.Inc()
 	}
 }
+
+func (m *feedMetrics) countUnkept() {
+	if m != nil {
+		m.unkept.Inc()
+	}
+}
