--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/bamboostep/bamboostep/standin/engine"
+	"github.com/bamboostep/bamboostep/standin/load"
 	"github.com/bamboostep/bamboostep/standin/platform"
 	"github.com/bamboostep/bamboostep/standin/service"
 	"github.com/bamboostep/bamboostep/standin/store"
@@ -25,6 +26,7 @@
 			service.Command(),
 			store.Command(),
 			platform.Command(),
+			load.Command(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
