--- a/stock/placer.go
+++ b/stock/placer.go
@@ -49,16 +49,23 @@
 		p.added = make(map[string]time.Time)
 		p.repacking = make(map[string]bool)
 	}
+	return eachPlace(fleet, func(v *view) {
+		v.withdraw(fleet)
+		if !p.repacking[v.place.Name] || !p.repack(v, fleet) {
+			p.improve(now, v, fleet)
+		}
+	})
+}
+
+// eachPlace runs a round on every place with engines.
+func eachPlace(fleet bamboostep.Fleet, round func(*view)) []bamboostep.Move {
 	var moves []bamboostep.Move
 	for _, place := range fleet.Places {
 		if place.Kind != bamboostep.EnginePlace {
 			continue
 		}
 		v := newView(place, fleet)
-		v.withdraw(fleet)
-		if !p.repacking[place.Name] || !p.repack(v, fleet) {
-			p.improve(now, v, fleet)
-		}
+		round(v)
 		moves = append(moves, v.moves...)
 	}
 	return moves
--- a/stock/placer_test.go
+++ b/stock/placer_test.go
@@ -60,6 +60,32 @@
 	}
 }
 
+// TestPlacerFollowsDemand asks for one copy more of a model whose requests come
+// late, in full memory, where that gains more than the declared cost of moves.
+func TestPlacerFollowsDemand(t *testing.T) {
+	tests := map[string]struct {
+		late, moveWeight float64
+		wantMore         bool
+	}{
+		"late":           {late: 0.5, moveWeight: 20, wantMore: true},
+		"in time":        {late: 0, moveWeight: 20},
+		"moves too dear": {late: 0.5, moveWeight: 2000},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(6, 5, 1900)
+			f.Places[0].MoveWeight = tt.moveWeight
+			f.settle(&Placer{}, 100)
+			f.Demand["m0"] = bamboostep.Demand{Name: "m0", Rate: 20, Work: 400, LateShare: tt.late}
+			before := f.copies("m0", "")
+			moves, _ := f.settle(&Placer{}, 3)
+			if got := f.copies("m0", "") > before; got != tt.wantMore {
+				t.Errorf("more copies: got %v after %d moves, want %v", got, moves, tt.wantMore)
+			}
+		})
+	}
+}
+
 // TestPlacerProperties runs rounds over a fleet that may be packed as tightly as
 // Fits allows, with changes that end late, versions that change and workers that
 // are lost, and asks after each round that no load was refused for memory, that
@@ -67,30 +93,53 @@
 // that every model has its copies of its version.
 func TestPlacerProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newTestFleet(rapid.IntRange(3, 8).Draw(t, "workers"), rapid.IntRange(1, 12).Draw(t, "models"), int64(rapid.IntRange(1300, 5000).Draw(t, "memory")))
-		for i := range f.Models {
-			f.Models[i] = f.Models[i].WithMinCopies(rapid.IntRange(1, 2).Draw(t, "copies"))
-		}
-		if f.fits(len(f.VMs)) != nil {
-			t.Skip("does not fit")
-		}
+		f := drawFleet(t)
 		p := &Placer{}
-		now := time.Unix(0, 0)
-		for range rapid.IntRange(5, 60).Draw(t, "rounds") {
-			f.disturb(t)
-			before := f.allCopies()
-			moves := p.Place(now, f.Fleet)
-			for _, m := range moves {
-				f.start(m)
-			}
-			f.check(t, before, moves)
-			f.finish(func() bool { return rapid.Bool().Draw(t, "ends") })
-			now = now.Add(time.Second)
-		}
+		f.run(t, p)
 		f.checkSettles(t, p)
 	})
 }
 
+// TestBaselineProperties asks the same of the baselines, but that they end with
+// copies of the declared versions.
+func TestBaselineProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		if rapid.Bool().Draw(t, "static") {
+			f.run(t, &Static{})
+		} else {
+			f.run(t, OnDemand{})
+		}
+	})
+}
+
+func drawFleet(t *rapid.T) *testFleet {
+	f := newTestFleet(rapid.IntRange(3, 8).Draw(t, "workers"), rapid.IntRange(1, 12).Draw(t, "models"), int64(rapid.IntRange(1300, 5000).Draw(t, "memory")))
+	for i := range f.Models {
+		f.Models[i] = f.Models[i].WithMinCopies(rapid.IntRange(1, 2).Draw(t, "copies"))
+	}
+	if f.fits(len(f.VMs)) != nil {
+		t.Skip("does not fit")
+	}
+	return f
+}
+
+// run disturbs the fleet for some rounds and checks each.
+func (f *testFleet) run(t *rapid.T, p bamboostep.Placer) {
+	now := time.Unix(0, 0)
+	for range rapid.IntRange(5, 60).Draw(t, "rounds") {
+		f.disturb(t)
+		before := f.allCopies()
+		moves := p.Place(now, f.Fleet)
+		for _, m := range moves {
+			f.start(m)
+		}
+		f.check(t, before, moves)
+		f.finish(func() bool { return rapid.Bool().Draw(t, "ends") })
+		now = now.Add(time.Second)
+	}
+}
+
 func (f *testFleet) fits(workers int) error {
 	return Fits(f.Places[0], f.Versions, f.Models, workers)
 }
