--- a/catalog/load_test.go
+++ b/catalog/load_test.go
@@ -91,6 +91,10 @@
 			`f.toml:26: adapter "m": field "name" is taken by the model at f.toml:17`},
 		"no name": {`name = "a"`, ``,
 			`f.toml:25: adapter "": field "name" is missing`},
+		"name with a space": {`name = "a"`, `name = "a b"`,
+			`f.toml:26: adapter "a b": field "name" must hold no space, quotation mark, equals sign or control character`},
+		"name too long": {`name = "a"`, `name = "` + strings.Repeat("a", 129) + `"`,
+			`f.toml:26: adapter "` + strings.Repeat("a", 129) + `": field "name" is 129 bytes long, at most 128`},
 		"no copies": {"min_copies = 2", "min_copies = 0",
 			`f.toml:22: model "m": field "min_copies" must be at least 1, is 0`},
 		"more copies than workers": {"min_copies = 2", "min_copies = 3",
@@ -106,7 +110,9 @@
 		"unnamed write": {"name_field = \"order_id\"", "",
 			`f.toml:31: service "s": field "idempotent" is false, so name_header, name_field or name_window_s must say how a request is named`},
 		"no memory": {"memory_mib = 100", "memory_mib = 49",
-			`f.toml:6: place "p": field "memory_mib" "m" needs 50 MiB on VM "p", which has 0 of 49 MiB reserved`},
+			`f.toml:6: place "p": field "memory_mib" is too small: 2 copies of model "m" with 50 MiB each do not fit place "p", which has 2 workers of 49 MiB`},
+		"adapter that no VM has room for": {"weights_mib = 5", "weights_mib = 51",
+			`f.toml:29: adapter "a": field "weights_mib" is 51, but model "m" leaves only 50 MiB on a VM of place "p"`},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -125,7 +131,9 @@
 
 func TestLoadOfExamples(t *testing.T) {
 	tests := map[string]struct{ models, adapters, services int }{
-		"demo": {2, 4, 2},
+		"demo":      {2, 4, 2},
+		"canaletas": {13, 55, 3},
+		"campanas":  {26, 95, 3},
 	}
 	for name, want := range tests {
 		t.Run(name, func(t *testing.T) {
