Claims: windows for unnamed requests, and the property that nothing runs twice

Cause: a request without a name was claimed under its body for the time the ledger keeps a settled name. A name whose outcome is unknown stays taken for good, so the same order could never be sent again after one failure. A name whose holder died answered "in progress, come back" for ever.

Change: time is cut into windows; an unnamed request claims the names of its window and of the one before and settles both. A resend that finds a name held for longer than any request takes gets the final "outcome unknown". A claim that the ledger refused is not run; one that it may have applied is given back in the background.

Ruled out: one name per window.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -62,6 +62,7 @@
 	HeldWait       time.Duration // wait of a resend for the first sending to end
 	ClaimTime      time.Duration // claim or settlement of a non-idempotent request
 	ClaimKeep      time.Duration // recorded answers are kept for so long
+	NameWindow     time.Duration // a repeated body counts as the same request, where the service does not say
 	IdleTime       time.Duration // a caller that takes nothing for so long is given up
 }
 
@@ -77,6 +78,7 @@
 	defaultHeldWait       = 2 * time.Second
 	defaultClaimTime      = 2 * time.Second
 	defaultClaimKeep      = 24 * time.Hour
+	defaultNameWindow     = 10 * time.Minute
 	defaultIdleTime       = 30 * time.Second
 )
 
@@ -98,6 +100,7 @@
 	defaultTo(&l.HeldWait, defaultHeldWait)
 	defaultTo(&l.ClaimTime, defaultClaimTime)
 	defaultTo(&l.ClaimKeep, defaultClaimKeep)
+	defaultTo(&l.NameWindow, defaultNameWindow)
 	defaultTo(&l.IdleTime, defaultIdleTime)
 	return l
 }
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/timeline"
@@ -38,6 +39,8 @@
 	heldPause          = 200 * time.Millisecond
 	heldRetryAfter     = 2 * time.Second
 	noLedgerRetryAfter = 2 * time.Second
+	clockMargin        = 10 * time.Second // between the clocks of two entries
+	maxNameBytes       = 1024
 	settlePause        = 100 * time.Millisecond
 	settleTime         = time.Minute // a settlement is tried again for so long
 )
@@ -45,8 +48,12 @@
 func (x *exchange) serveClaimed(s bamboostep.Service, j *job) {
 	// The request goes on when its caller has gone, so that the end is recorded.
 	ctx := context.WithoutCancel(x.r.Context())
-	claim := bamboostep.Claim{Name: x.claimName(s), Attempt: attemptID(x.id, 1), Keep: x.keepFor(s)}
-	result, refused := x.claim(ctx, claim)
+	h, refused := x.claimNames(s)
+	if refused != nil {
+		x.refuse(refused)
+		return
+	}
+	result, refused := x.claimAll(ctx, h)
 	if refused != nil {
 		x.refuse(refused)
 		return
@@ -60,7 +67,7 @@
 		held.add(p)
 		return nil
 	})
-	x.settle(ctx, settlementOf(claim, &held, refused, x.Limits.RecordBytes))
+	x.settleAll(ctx, h, settlementOf(&held, refused, x.Limits.RecordBytes))
 	if refused != nil {
 		x.refuse(refused)
 		return
@@ -69,15 +76,44 @@
 	a.end(nil)
 }
 
-// claimName returns the name of the request over all entries.
-func (x *exchange) claimName(s bamboostep.Service) string {
+// holding is what one request claims.
+type holding struct {
+	names   []string // claimed in this order
+	attempt bamboostep.AttemptID
+	keep    time.Duration
+}
+
+// claimNames returns the names of the request over all entries.
+//
+// A device that sends no name is known by its address, and its request by the
+// body, for the declared window. The window cannot be left to the time that the
+// ledger keeps a settled name, because a name whose outcome is unknown stays taken
+// for good, and the device may send the same words next week and mean it. So time
+// is cut into windows, and the name holds the number of its window. A request
+// claims the names of its window and of the one before, and holds both until it
+// ends: two sendings less than a window apart then always share a name.
+func (x *exchange) claimNames(s bamboostep.Service) (holding, *bamboostep.RefusedError) {
+	h := holding{attempt: attemptID(x.id, 1), keep: x.Limits.ClaimKeep}
 	if name := x.givenName(s); name != "" {
-		return s.Name + "/name/" + name
+		if len(name) > maxNameBytes {
+			return h, badRequest(http.StatusBadRequest, "name_too_long", fmt.Sprintf("the name of the request is longer than %d bytes", maxNameBytes))
+		}
+		h.names = []string{s.Name + "/name/" + name}
+		return h, nil
+	}
+	window := x.Limits.NameWindow
+	if s.NameWindowS > 0 {
+		window = time.Duration(s.NameWindowS) * time.Second
 	}
+	h.keep = 2 * window
 	d := xxhash.New()
 	d.WriteString(x.r.Method + "\x00" + x.r.URL.RequestURI() + "\x00")
 	d.Write(x.body)
-	return fmt.Sprintf("%s/body/%s/%016x", s.Name, x.caller(), d.Sum64())
+	n := x.started.UnixNano() / int64(window)
+	for _, k := range []int64{n - 1, n} {
+		h.names = append(h.names, fmt.Sprintf("%s/body/%s/%016x/%d", s.Name, x.caller(), d.Sum64(), k))
+	}
+	return h, nil
 }
 
 // givenName returns the name that the caller gave the request, or "".
@@ -101,11 +137,20 @@
 	return strings.Trim(value, `"`)
 }
 
-func (x *exchange) keepFor(s bamboostep.Service) time.Duration {
-	if s.NameWindowS > 0 {
-		return time.Duration(s.NameWindowS) * time.Second
+// claimAll claims the names one after another. Unless all are granted it gives
+// back those that were.
+func (x *exchange) claimAll(ctx context.Context, h holding) (bamboostep.ClaimResult, *bamboostep.RefusedError) {
+	var result bamboostep.ClaimResult
+	for i, name := range h.names {
+		var refused *bamboostep.RefusedError
+		result, refused = x.claim(ctx, bamboostep.Claim{Name: name, Attempt: h.attempt, Keep: h.keep})
+		if refused != nil || result.State == bamboostep.ClaimSettled {
+			granted := holding{names: h.names[:i], attempt: h.attempt}
+			x.settleAll(ctx, granted, bamboostep.Settlement{Outcome: bamboostep.NotRun})
+			return result, refused
+		}
 	}
-	return x.Limits.ClaimKeep
+	return result, nil
 }
 
 // claim claims a name. The result is granted or settled; a name that another
@@ -115,9 +160,7 @@
 	for {
 		result, err := x.claimOnce(ctx, claim)
 		if err != nil {
-			x.releaseLost(claim, err)
-			return result, &bamboostep.RefusedError{Status: http.StatusServiceUnavailable, Code: "ledger_unavailable", Outcome: bamboostep.Unknown,
-				Message: "whether this request was sent before cannot be told now; this sending was not run, and sending it again is safe", RetryAfter: noLedgerRetryAfter}
+			return result, x.claimFailed(claim, err)
 		}
 		if result.State != bamboostep.ClaimHeld {
 			x.note(timeline.Event{Kind: "claimed", Attempt: claim.Attempt, Detail: string(result.State)})
@@ -136,26 +179,63 @@
 	return x.Ledger.Claim(ctx, claim)
 }
 
+// heldRefusal answers a resend while the name is held. The holder ends within a
+// bounded time; after that it must have died, and coming back does not help.
 func (x *exchange) heldRefusal(result bamboostep.ClaimResult) *bamboostep.RefusedError {
 	x.note(timeline.Event{Kind: "claim_held", Attempt: result.Holder})
+	longest := x.Limits.AnswerTime + x.Limits.ClaimTime + clockMargin
+	if began, ok := attemptTime(result.Holder); ok && x.Clock.Now().Sub(began) > longest {
+		return sentBefore
+	}
 	return &bamboostep.RefusedError{Status: http.StatusConflict, Code: "in_progress", Outcome: bamboostep.Unknown,
 		Message: "this request was sent before and has not ended; it will not be run again", RetryAfter: heldRetryAfter}
 }
 
-// releaseLost gives back a claim whose answer was lost: it may have been granted,
-// and nothing will be offered under it.
-func (x *exchange) releaseLost(claim bamboostep.Claim, err error) {
+// sentBefore is the final answer to a request whose outcome will never be known.
+var sentBefore = &bamboostep.RefusedError{Status: http.StatusGatewayTimeout, Code: "outcome_unknown", Outcome: bamboostep.Unknown,
+	Message: "this request was sent before and may have run; it will not be run again"}
+
+// attemptTime returns when the request of an attempt arrived.
+func attemptTime(id bamboostep.AttemptID) (time.Time, bool) {
+	request, _, _ := strings.Cut(string(id), ".")
+	u, err := uuid.Parse(request)
+	if err != nil || u.Version() != 7 {
+		return time.Time{}, false
+	}
+	sec, nsec := u.Time().UnixTime()
+	return time.Unix(sec, nsec), true
+}
+
+// claimFailed answers a request whose name could not be claimed.
+func (x *exchange) claimFailed(claim bamboostep.Claim, err error) *bamboostep.RefusedError {
 	x.note(timeline.Event{Kind: "claim_failed", Attempt: claim.Attempt, Detail: err.Error()})
-	var unavailable *bamboostep.UnavailableError
-	if errors.As(err, &unavailable) && unavailable.Known {
-		return
+	known, unavailable := isUnavailable(err)
+	if !unavailable {
+		// The ledger refused the claim, so nobody holds the name.
+		return &bamboostep.RefusedError{Status: http.StatusServiceUnavailable, Code: "claim_refused", Outcome: bamboostep.NotRun,
+			Message: err.Error(), RetryAfter: noLedgerRetryAfter}
 	}
-	go x.settleUntilDone(bamboostep.Settlement{Name: claim.Name, Attempt: claim.Attempt, Outcome: bamboostep.NotRun})
+	if !known {
+		// The claim may be granted, and nothing will be offered under it.
+		go x.settleUntilDone(bamboostep.Settlement{Name: claim.Name, Attempt: claim.Attempt, Outcome: bamboostep.NotRun})
+	}
+	return &bamboostep.RefusedError{Status: http.StatusServiceUnavailable, Code: "ledger_unavailable", Outcome: bamboostep.Unknown,
+		Message: "this sending was not run, but whether an earlier one was cannot be told now; sending it again is safe", RetryAfter: noLedgerRetryAfter}
+}
+
+// isUnavailable reports whether the ledger could not be reached, and whether it is
+// certain that the command was not and will not be applied.
+func isUnavailable(err error) (known, unavailable bool) {
+	var u *bamboostep.UnavailableError
+	if errors.As(err, &u) {
+		return u.Known, true
+	}
+	return false, errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled)
 }
 
 // settlementOf returns how a claimed request ended.
-func settlementOf(claim bamboostep.Claim, held *heldAnswer, refused *bamboostep.RefusedError, limit int) bamboostep.Settlement {
-	s := bamboostep.Settlement{Name: claim.Name, Attempt: claim.Attempt, Outcome: bamboostep.Ran}
+func settlementOf(held *heldAnswer, refused *bamboostep.RefusedError, limit int) bamboostep.Settlement {
+	s := bamboostep.Settlement{Outcome: bamboostep.Ran}
 	switch {
 	case refused != nil && refused.Outcome == bamboostep.NotRun:
 		s.Outcome = bamboostep.NotRun
@@ -169,15 +249,21 @@
 	return s
 }
 
-// settle records the end of a claimed request. Where the ledger does not answer in
-// time it is tried again in the background, and the caller is answered meanwhile.
-func (x *exchange) settle(ctx context.Context, s bamboostep.Settlement) {
-	if x.settleOnce(ctx, s) == nil {
-		x.note(timeline.Event{Kind: "settled", Attempt: s.Attempt, Detail: string(s.Outcome)})
-		return
+// settleAll records the end of a claimed request under all its names. Where the
+// ledger does not answer in time it is tried again in the background, and the
+// caller is answered meanwhile.
+func (x *exchange) settleAll(ctx context.Context, h holding, s bamboostep.Settlement) {
+	for _, name := range h.names {
+		s.Name = name
+		s.Attempt = h.attempt
+		err := x.settleOnce(ctx, s)
+		if err == nil {
+			x.note(timeline.Event{Kind: "settled", Attempt: s.Attempt, Detail: string(s.Outcome)})
+			continue
+		}
+		x.note(timeline.Event{Kind: "settle_failed", Attempt: s.Attempt, Detail: string(s.Outcome) + ": " + err.Error()})
+		go x.settleUntilDone(s)
 	}
-	x.note(timeline.Event{Kind: "settle_failed", Attempt: s.Attempt, Detail: string(s.Outcome)})
-	go x.settleUntilDone(s)
 }
 
 func (x *exchange) settleOnce(ctx context.Context, s bamboostep.Settlement) error {
@@ -188,7 +274,8 @@
 
 func (x *exchange) settleUntilDone(s bamboostep.Settlement) {
 	for end := time.Now().Add(settleTime); time.Now().Before(end); {
-		if x.settleOnce(context.Background(), s) == nil {
+		err := x.settleOnce(context.Background(), s)
+		if _, unavailable := isUnavailable(err); !unavailable {
 			return
 		}
 		time.Sleep(settlePause)
@@ -200,8 +287,7 @@
 	x.note(timeline.Event{Kind: "answer_repeated", Attempt: s.Attempt, Detail: string(s.Outcome)})
 	switch {
 	case s.Outcome != bamboostep.Ran:
-		x.refuse(&bamboostep.RefusedError{Status: http.StatusGatewayTimeout, Code: "outcome_unknown", Outcome: bamboostep.Unknown,
-			Message: "this request was sent before and may have run; it will not be run again"})
+		x.refuse(sentBefore)
 	case s.Status == 0:
 		x.refuse(&bamboostep.RefusedError{Status: http.StatusConflict, Code: "answer_not_kept", Outcome: bamboostep.Ran,
 			Message: "this request was sent before and ran; its answer was too large to keep"})
--- /dev/null
+++ b/entry/claims_property_test.go
@@ -0,0 +1,281 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/internal/seed"
+)
+
+const checks = "500" // of each property
+
+func init() {
+	seed.Rapid()
+	if err := flag.Set("rapid.checks", checks); err != nil {
+		panic(err)
+	}
+}
+
+// world is an application that counts its runs, a ledger, and entries that are
+// killed and restarted. A script of drawn numbers says what goes wrong at each step.
+type world struct {
+	mu       sync.Mutex
+	script   []int
+	ledger   fakeLedger
+	entries  [2]*worldEntry
+	runs     map[string]int // by order
+	ranAs    map[bamboostep.RequestID]bool
+	problems []string
+}
+
+type worldEntry struct {
+	*callers
+	dead chan struct{}
+}
+
+func (w *world) fault() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.script) == 0 {
+		return 0
+	}
+	f := w.script[0]
+	w.script = w.script[1:]
+	return f
+}
+
+func (w *world) start(i int) {
+	e := &worldEntry{dead: make(chan struct{})}
+	f := newTestFleet(2, nil, nil)
+	for _, s := range f.servers["apps"] {
+		s.offer = func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error { return w.offer(e, i, o, yield) }
+	}
+	e.callers = newTestCallers(f, &worldLedger{w: w, entry: e, index: i})
+	e.Limits = callerLimits{MinDeadline: time.Second, DeadlineFactor: 1}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entries[i] = e
+}
+
+// kill ends an entry where it stands and starts another in its place.
+func (w *world) kill(e *worldEntry, i int) {
+	select {
+	case <-e.dead:
+	default:
+		close(e.dead)
+		w.start(i)
+	}
+}
+
+func (w *world) isDead(e *worldEntry) bool {
+	select {
+	case <-e.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+func (w *world) run(o bamboostep.Offer) []byte {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	order := string(o.Request.Body)
+	w.runs[order]++
+	w.ranAs[o.Request.ID] = true
+	return fmt.Appendf(nil, "%s run %d", order, w.runs[order])
+}
+
+// offer is an agent and its application.
+func (w *world) offer(e *worldEntry, i int, o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+	if w.isDead(e) {
+		return failure(bamboostep.NotRun, "entry_dead")
+	}
+	fault := w.fault()
+	switch fault {
+	case 3:
+		return failure(bamboostep.NotRun, "queue_full")
+	case 4:
+		return failure(bamboostep.Unknown, "connection_lost")
+	case 5: // runs long after the entry was told that nothing is known
+		time.AfterFunc(413*time.Millisecond, func() { w.run(o) })
+		return failure(bamboostep.Unknown, "connection_lost")
+	case 6:
+		w.kill(e, i)
+		return failure(bamboostep.NotRun, "entry_dead")
+	}
+	time.Sleep(53 * time.Millisecond)
+	answer := w.run(o)
+	switch fault {
+	case 7:
+		return failure(bamboostep.Ran, "crashed")
+	case 8:
+		w.kill(e, i)
+	case 9:
+		time.Sleep(3 * time.Second) // past the deadline
+		return failure(bamboostep.Ran, "cancelled")
+	}
+	return yield(bamboostep.Answer{Attempt: o.Attempt, Status: 200, Data: answer, Last: true})
+}
+
+// worldLedger is one entry's way to the ledger.
+type worldLedger struct {
+	bamboostep.Ledger
+	w     *world
+	entry *worldEntry
+	index int
+}
+
+var errLost = errors.New("answer lost")
+
+// do applies a command unless the script or the death of the entry forbids it.
+func (l *worldLedger) do(ctx context.Context, apply func()) error {
+	time.Sleep(2 * time.Millisecond)
+	if l.w.isDead(l.entry) {
+		<-ctx.Done()
+		return &bamboostep.UnavailableError{Cause: ctx.Err()}
+	}
+	switch l.w.fault() {
+	case 3:
+		return &bamboostep.UnavailableError{Known: true, Cause: errLost}
+	case 4:
+		apply()
+		return &bamboostep.UnavailableError{Cause: errLost}
+	case 5:
+		time.AfterFunc(307*time.Millisecond, apply)
+		return &bamboostep.UnavailableError{Cause: errLost}
+	case 6:
+		l.w.kill(l.entry, l.index)
+		<-ctx.Done()
+		return &bamboostep.UnavailableError{Cause: errLost}
+	case 7:
+		apply()
+		l.w.kill(l.entry, l.index)
+		<-ctx.Done()
+		return &bamboostep.UnavailableError{Cause: errLost}
+	}
+	apply()
+	return nil
+}
+
+func (l *worldLedger) Claim(ctx context.Context, c bamboostep.Claim) (bamboostep.ClaimResult, error) {
+	answer := make(chan bamboostep.ClaimResult, 1)
+	err := l.do(ctx, func() {
+		r, _ := l.w.ledger.Claim(ctx, c)
+		answer <- r
+	})
+	if err != nil {
+		return bamboostep.ClaimResult{}, err
+	}
+	return <-answer, nil
+}
+
+func (l *worldLedger) Settle(ctx context.Context, s bamboostep.Settlement) error {
+	return l.do(ctx, func() { l.w.ledger.Settle(ctx, s) })
+}
+
+// sending is one sending of an order by its caller.
+type sending struct {
+	Order string
+	Named bool
+	Entry int
+	At    time.Duration
+}
+
+func (w *world) send(s sending) {
+	time.Sleep(s.At)
+	w.mu.Lock()
+	e := w.entries[s.Entry]
+	w.mu.Unlock()
+	r := httptest.NewRequest("POST", "/orders", strings.NewReader(s.Order))
+	if s.Named {
+		r.Header.Set("X-Order", s.Order)
+	}
+	rec := httptest.NewRecorder()
+	e.ServeHTTP(rec, r)
+	if !w.isDead(e) {
+		w.check(s, rec)
+	}
+}
+
+func (w *world) check(s sending, rec *httptest.ResponseRecorder) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if rec.Code == 200 {
+		if got, want := rec.Body.String(), s.Order+" run 1"; got != want {
+			w.problems = append(w.problems, fmt.Sprintf("%+v got answer %q, want %q", s, got, want))
+		}
+		return
+	}
+	var e errorAnswer
+	if err := json.Unmarshal(rec.Body.Bytes(), &e); err != nil {
+		w.problems = append(w.problems, fmt.Sprintf("%+v got %q: %v", s, rec.Body, err))
+		return
+	}
+	if e.Error.Outcome != bamboostep.NotRun {
+		return
+	}
+	if n := w.runs[s.Order]; n > 0 {
+		w.problems = append(w.problems, fmt.Sprintf("%+v was told %q (not run) after %d runs", s, e.Error.Code, n))
+	}
+	id := bamboostep.RequestID(e.Error.RequestID)
+	time.AfterFunc(time.Minute, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.ranAs[id] {
+			w.problems = append(w.problems, fmt.Sprintf("%+v was told not run and ran later", s))
+		}
+	})
+}
+
+// However entries, agents and the ledger fail at any step, and wherever the caller
+// sends its order again, the application runs it at most once, a whole answer is
+// that of the one run, and "not run" is true when it is said and stays true.
+func TestClaimedRequestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		script := rapid.SliceOfN(rapid.SampledFrom([]int{0, 0, 0, 0, 3, 4, 5, 6, 7, 8, 9}), 0, 40).Draw(rt, "script")
+		sendings := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) sending {
+			order := rapid.IntRange(0, 1).Draw(rt, "order")
+			return sending{
+				Order: fmt.Sprint("order ", order),
+				Named: order == 0,
+				Entry: rapid.IntRange(0, 1).Draw(rt, "entry"),
+				At:    time.Duration(rapid.IntRange(0, 3000).Draw(rt, "at")) * time.Millisecond,
+			}
+		}), 1, 6).Draw(rt, "sendings")
+		// The window of unnamed requests ends while they are sent.
+		beforeWindowEnd := time.Duration(rapid.IntRange(0, 3000).Draw(rt, "before_window_end")) * time.Millisecond
+		w := &world{script: script, runs: make(map[string]int), ranAs: make(map[bamboostep.RequestID]bool)}
+		synctest.Test(t, func(t *testing.T) {
+			time.Sleep(defaultNameWindow - beforeWindowEnd)
+			w.start(0)
+			w.start(1)
+			var all sync.WaitGroup
+			for i, s := range sendings {
+				s.At += time.Duration(i) * time.Microsecond // no two steps at one instant
+				all.Go(func() { w.send(s) })
+			}
+			all.Wait()
+			time.Sleep(3 * time.Minute)
+		})
+		for order, n := range w.runs {
+			if n > 1 {
+				rt.Errorf("%s ran %d times", order, n)
+			}
+		}
+		for _, p := range w.problems {
+			rt.Error(p)
+		}
+	})
+}
