Suspects: only a request that was alone at its second crash is refused

Cause: a request counted as guilty when it was the only one of a crash that had been at another crash before.

Change: a crash convicts only if it had one member. Agents' batches are crashes of their own; single notes join the last crash of their VM. The property brings about a crash for no request's fault as well.

--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -17,16 +17,20 @@
 // One of them may crash every backend server that runs it, and its caller sends it
 // again; the others are innocent and must get their answers. One crash cannot tell
 // which is which. So every suspect runs again with nothing beside it, all on the
-// same backend server. If that crashes too, exactly one request was at both
-// crashes: it is refused for a time, and the others are cleared at once.
+// same backend server. If that crashes too, only one request was there: it is
+// refused for a time, and the others are cleared at once.
 //
 // The hard point is that most crashes have no guilty request, and running thirty
 // innocents one after another would make them all late. A request that crashes
 // its backend server does so at the same point of its answer each time. A suspect
 // that gets a few tokens further than it was has therefore passed: it is moved
-// back among the others and resumes there. If it crashes a backend server after
-// all, several may have been at both crashes. Then none is refused; they run
-// apart to their end, which costs one backend server more and no innocent answer.
+// back among the others and resumes there. If it is at a second crash there, it
+// was not alone, and nothing is proved: it runs alone again, this time to its end,
+// which may cost one backend server more but no innocent answer.
+//
+// Agents name all attempts of a crash at once (Note), and that is what convicts.
+// Single notes, of this entry's own attempts or from other entries, stand in for
+// a batch that did not arrive.
 //
 // When its refusal has run out, a request is suspected as after its first crash,
 // so one that never improves costs one backend server in each period, and each
@@ -50,7 +54,7 @@
 	defaultRefuseFor = 5 * time.Minute
 	defaultKeep      = time.Hour
 	maxRefuseFor     = 4 * time.Hour
-	sameCrash        = time.Second // notes of one VM this close are of one crash
+	sameCrash        = time.Second // single notes of one VM this close are of one crash
 
 	suspectRefused chart.State = "refused"
 	suspectPassed  chart.State = "passed"
@@ -60,7 +64,7 @@
 type suspect struct {
 	state    chart.State
 	crashes  []*crash
-	attempts map[bamboostep.AttemptID]bool // counted
+	attempts map[bamboostep.AttemptID]*crash
 	heard    time.Time
 	refused  int // times
 	until    time.Time
@@ -106,32 +110,44 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.forget(now)
-	byVM := make(map[string][]bamboostep.Suspect)
+	if len(batch) == 0 {
+		return
+	}
+	c := s.crashOf(batch)
+	if c == nil {
+		c = s.newCrash(now, batch[0].VM)
+	}
 	for _, n := range batch {
-		byVM[n.VM] = append(byVM[n.VM], n)
+		s.add(now, c, n)
 	}
-	for vm, list := range byVM {
-		c := s.lastCrash(now, vm)
-		for _, n := range list {
-			s.add(now, c, n)
+	s.convict(now, c)
+}
+
+// crashOf returns the crash that one of the attempts is known from, or nil.
+func (s *Suspects) crashOf(batch []bamboostep.Suspect) *crash {
+	for _, n := range batch {
+		if p := s.byPrint[n.Fingerprint]; p != nil && p.attempts[n.Attempt] != nil {
+			return p.attempts[n.Attempt]
 		}
-		s.convict(now, c)
 	}
+	return nil
 }
 
-// Crashed takes in this entry's own attempt, which was offered at a known time and
-// whose backend server has crashed. It returns what other entries should Learn.
-func (s *Suspects) Crashed(now time.Time, n bamboostep.Suspect, offered time.Time) bamboostep.Suspect {
+// Crashed takes in this entry's own attempt, which was offered at a known time,
+// alone or not, and whose backend server has crashed. It returns what other
+// entries should Learn.
+func (s *Suspects) Crashed(now time.Time, n bamboostep.Suspect, offered time.Time, alone bool) bamboostep.Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.byPrint[n.Fingerprint]
-	if p == nil || !p.attempts[n.Attempt] {
+	if s.crashOf([]bamboostep.Suspect{n}) == nil {
 		c := s.lastCrash(now, n.VM)
-		if c.members[n.Fingerprint] && offered.After(c.at) {
+		if offered.After(c.at) {
 			c = s.newCrash(now, n.VM)
 		}
 		s.add(now, c, n)
-		s.convict(now, c)
+		if alone {
+			s.convict(now, c)
+		}
 	}
 	n.Crashes = 1
 	if s.byPrint[n.Fingerprint].state == suspectRefused {
@@ -148,7 +164,7 @@
 	s.forget(now)
 	for _, n := range list {
 		p := s.byPrint[n.Fingerprint]
-		if p == nil || !p.attempts[n.Attempt] {
+		if p == nil || p.attempts[n.Attempt] == nil {
 			s.add(now, s.lastCrash(now, n.VM), n)
 			p = s.byPrint[n.Fingerprint]
 		}
@@ -174,7 +190,7 @@
 	s.clear(fingerprint)
 }
 
-// lastCrash returns the crash of the VM that a note made now belongs to.
+// lastCrash returns the crash of the VM that a single note made now belongs to.
 func (s *Suspects) lastCrash(now time.Time, vm string) *crash {
 	c := s.crashes[vm]
 	if c != nil && now.Sub(c.at) < sameCrash {
@@ -199,30 +215,33 @@
 	}
 	p := s.byPrint[n.Fingerprint]
 	if p == nil {
-		p = &suspect{state: suspectChart.Initial(), attempts: make(map[bamboostep.AttemptID]bool)}
+		p = &suspect{state: suspectChart.Initial(), attempts: make(map[bamboostep.AttemptID]*crash)}
 		s.byPrint[n.Fingerprint] = p
 	}
 	p.heard = now
-	if p.attempts[n.Attempt] || c.members[n.Fingerprint] {
+	if p.attempts[n.Attempt] != nil {
+		return
+	}
+	p.attempts[n.Attempt] = c
+	if c.members[n.Fingerprint] {
 		return
 	}
-	p.attempts[n.Attempt] = true
 	p.crashes = append(p.crashes, c)
 	c.members[n.Fingerprint] = true
 	s.step(p, "crash")
 }
 
-// convict refuses the only request that was at this crash and at another.
+// convict refuses a request that was the only one at this crash and was at another
+// before.
 func (s *Suspects) convict(now time.Time, c *crash) {
-	var guilty []uint64
+	if len(c.members) != 1 {
+		return
+	}
 	for f := range c.members {
 		if p := s.byPrint[f]; p != nil && len(p.crashes) > 1 {
-			guilty = append(guilty, f)
+			s.refuse(now, f, p)
 		}
 	}
-	if len(guilty) == 1 {
-		s.refuse(now, guilty[0], s.byPrint[guilty[0]])
-	}
 }
 
 // refuse refuses a request for a time and clears those whose crashes it explains.
--- /dev/null
+++ b/entry/suspects_property_test.go
@@ -0,0 +1,280 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+const (
+	poison       = "poison"
+	answerWords  = 12
+	wordTime     = 20 * time.Millisecond
+	prefillTime  = 30 * time.Millisecond
+	innocentsMax = 40
+)
+
+// crashAgent is an agent whose engine crashes when it reads a poisoned prompt. It
+// keeps to the agents' rules: a suspect runs with nothing beside it, and all
+// entries hear which attempts were running at a crash before these fail.
+type crashAgent struct {
+	vm      string
+	entries []*callers
+	restart time.Duration
+
+	mu      sync.Mutex
+	idle    sync.Cond
+	down    bool
+	alone   int // suspects that wait or run
+	running map[bamboostep.AttemptID]*crashRun
+	crashes int
+}
+
+type crashRun struct {
+	offer  bamboostep.Offer
+	cancel context.CancelFunc
+	died   bool
+}
+
+func (a *crashAgent) VM() bamboostep.VM { return bamboostep.VM{Name: a.vm} }
+
+func (a *crashAgent) Report() (bamboostep.Report, time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return bamboostep.Report{VM: a.vm, Ready: !a.down, Incarnation: 1, Sequence: 1,
+		Replicas: []bamboostep.Replica{{Name: "base", State: bamboostep.ReplicaResident}}}, time.Now()
+}
+
+// enter waits until the offer may run.
+func (a *crashAgent) enter(offer bamboostep.Offer, cancel context.CancelFunc) *crashRun {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if offer.Alone {
+		a.alone++
+	}
+	for !a.down && (offer.Alone && len(a.running) > 0 || !offer.Alone && a.alone > 0) {
+		a.idle.Wait()
+	}
+	if a.down {
+		a.leaveAlone(offer)
+		return nil
+	}
+	r := &crashRun{offer: offer, cancel: cancel}
+	a.running[offer.Attempt] = r
+	return r
+}
+
+func (a *crashAgent) leaveAlone(offer bamboostep.Offer) {
+	if offer.Alone {
+		a.alone--
+	}
+	a.idle.Broadcast()
+}
+
+func (a *crashAgent) Offer(ctx context.Context, offer bamboostep.Offer, _ time.Duration, yield func(bamboostep.Answer) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := a.enter(offer, cancel)
+	if r == nil {
+		return failure(bamboostep.NotRun, "backend_down")
+	}
+	err := a.generate(ctx, offer, yield)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.died {
+		return &bamboostep.FailedError{Failure: bamboostep.Failure{Outcome: bamboostep.Unknown, Code: "backend_broke_off", Crashed: true}}
+	}
+	delete(a.running, offer.Attempt)
+	a.leaveAlone(offer)
+	return err
+}
+
+func (a *crashAgent) generate(ctx context.Context, offer bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+	words := strings.SplitAfter(referenceText(string(offer.Request.Body)), " ")
+	done := len(strings.Fields(string(offer.Prior)))
+	pause(ctx, prefillTime)
+	if strings.Contains(string(offer.Request.Body), poison) && ctx.Err() == nil {
+		a.crash()
+	}
+	for i := done; i < answerWords; i++ {
+		pause(ctx, wordTime)
+		if ctx.Err() != nil {
+			return failure(bamboostep.Ran, "cancelled")
+		}
+		if err := yield(bamboostep.Answer{Attempt: offer.Attempt, Data: []byte(words[i]), Tokens: 1, Last: i == answerWords-1}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// crash ends every attempt that runs.
+func (a *crashAgent) crash() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.crashes++
+	a.down = true
+	var batch []bamboostep.Suspect
+	for id, r := range a.running {
+		batch = append(batch, bamboostep.Suspect{Fingerprint: r.offer.Request.Fingerprint, Attempt: id, VM: a.vm, Crashes: 1})
+	}
+	for _, e := range a.entries {
+		e.NoteSuspects(batch)
+	}
+	for id, r := range a.running {
+		r.died = true
+		r.cancel()
+		delete(a.running, id)
+		a.leaveAlone(r.offer)
+	}
+	time.AfterFunc(a.restart, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.down = false
+	})
+}
+
+func referenceText(body string) string {
+	var words []string
+	for i := range answerWords {
+		words = append(words, fmt.Sprintf("%d-%d", len(body), i))
+	}
+	return strings.Join(words, " ")
+}
+
+type crashFleet struct {
+	fakeFleet
+	agents []*crashAgent
+}
+
+func (f *crashFleet) Servers(string) []server {
+	var list []server
+	for _, a := range f.agents {
+		list = append(list, a)
+	}
+	return list
+}
+
+// ask sends a prompt and returns the answer's text, or the error.
+func ask(t *testing.T, e *callers, prompt string) (string, *httptest.ResponseRecorder, errorDetail) {
+	body := `{"model":"base","stream":true,"messages":[{"content":"` + prompt + `"}]}`
+	rec := httptest.NewRecorder()
+	e.ServeHTTP(rec, httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(body)))
+	if rec.Code == 200 {
+		text, done := streamText(t, rec.Body.String())
+		if done && text == referenceText(body) {
+			return text, rec, errorDetail{}
+		}
+		return "", rec, errorDetail{Code: "wrong_answer", Message: rec.Body.String()}
+	}
+	var e2 errorAnswer
+	json.Unmarshal(rec.Body.Bytes(), &e2)
+	return "", rec, e2.Error
+}
+
+// A request that crashes every backend server which runs it, sent again and again
+// to any entry among normal traffic, takes down two of them, is then refused at
+// once, and every other request gets its whole answer. One engine may also be
+// killed meanwhile for no request's fault.
+func TestCrashingRequestIsContained(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ms := func(name string, low, high int) time.Duration {
+			return time.Duration(rapid.IntRange(low, high).Draw(rt, name)) * time.Millisecond
+		}
+		agents := rapid.IntRange(2, 4).Draw(rt, "agents")
+		restart := ms("restart", 100, 3000)
+		poisonGap := ms("poison_gap", 0, 500)
+		arrivals := rapid.SliceOfN(rapid.IntRange(0, 3000), 1, innocentsMax).Draw(rt, "arrivals")
+		kill := ms("kill", 0, 4000)
+		resends := rapid.SliceOfN(rapid.IntRange(0, 2), 2, 8).Draw(rt, "resends")
+		var mu sync.Mutex
+		var problems []string
+		problem := func(format string, args ...any) {
+			mu.Lock()
+			defer mu.Unlock()
+			problems = append(problems, fmt.Sprintf(format, args...))
+		}
+		crashes := 0
+		synctest.Test(t, func(t *testing.T) {
+			f := &crashFleet{fakeFleet: *newTestFleet(0, nil, nil)}
+			var entries []*callers
+			for range 3 {
+				e := newTestCallers(f, nil)
+				e.Limits = callerLimits{MinDeadline: 30 * time.Second}
+				e.ShareSuspects = func(list []bamboostep.Suspect) {
+					for _, other := range entries {
+						if other != e {
+							time.AfterFunc(time.Millisecond, func() { other.LearnSuspects(list) })
+						}
+					}
+				}
+				entries = append(entries, e)
+			}
+			for i := range agents {
+				a := &crashAgent{vm: fmt.Sprint("vm-", i), entries: entries, restart: restart, running: make(map[bamboostep.AttemptID]*crashRun)}
+				a.idle.L = &a.mu
+				f.agents = append(f.agents, a)
+			}
+			var all sync.WaitGroup
+			for i, at := range slices.Sorted(slices.Values(arrivals)) {
+				all.Go(func() {
+					time.Sleep(time.Duration(at)*time.Millisecond + time.Duration(i)*time.Microsecond)
+					began := time.Now()
+					if _, _, e := ask(t, entries[i%len(entries)], strings.Repeat("x", i)); e.Code != "" {
+						problem("innocent %d at %d ms got %+v after %v", i, at, e, time.Since(began))
+					}
+				})
+			}
+			all.Go(func() {
+				time.Sleep(500*time.Millisecond + 100*time.Nanosecond)
+				for i, entry := range resends {
+					began := time.Now()
+					_, rec, e := ask(t, entries[entry], poison)
+					if e.Code != "crashes_backend_servers" || rec.Header().Get("Retry-After") == "" {
+						problem("sending %d of the poisoned request got %+v", i, e)
+					}
+					if spent := time.Since(began); i > 0 && spent > 0 {
+						problem("sending %d was refused after %v, want at once", i, spent)
+					}
+					time.Sleep(poisonGap)
+				}
+			})
+			if kill > 0 {
+				time.AfterFunc(kill, f.agents[0].crash)
+			}
+			all.Wait()
+			time.Sleep(restart + time.Minute)
+			for _, a := range f.agents {
+				crashes += a.crashes
+			}
+		})
+		want := 2
+		if kill > 0 {
+			want++
+		}
+		if crashes > want {
+			rt.Errorf("%d backend servers crashed, want at most %d", crashes, want)
+		}
+		for _, p := range problems {
+			rt.Error(p)
+		}
+	})
+}
