--- /dev/null
+++ b/dispatch/policy_test.go
@@ -0,0 +1,144 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/dispatch"
+)
+
+var noon = time.Date(2026, 1, 31, 12, 0, 0, 0, time.UTC)
+
+// When the wait is three times the target, quotes and writes are still admitted.
+func ExampleAdmission_Admit() {
+	for _, class := range []bamboostep.Class{bamboostep.ClassWrite, bamboostep.ClassQuote, bamboostep.ClassQuestion} {
+		after, ok := dispatch.Admission{}.Admit(class, 3*time.Second, time.Second)
+		fmt.Println(class, ok, after)
+	}
+	// Output:
+	// write true 0s
+	// quote true 0s
+	// question false 2s
+}
+
+// A Wait learns the speed of an engine from what it sees, and a new speed too.
+func ExampleWait() {
+	var w dispatch.Wait
+	for _, tokensPerSecond := range []int{1000, 500} {
+		for i := range 2000 {
+			tokens := float64(i % 400)
+			w.Observe(tokens, 50*time.Millisecond+time.Duration(tokens)*time.Second/time.Duration(tokensPerSecond))
+		}
+		wait, _ := w.Predict(1000)
+		fmt.Println(wait.Round(10 * time.Millisecond))
+	}
+	// Output:
+	// 1.05s
+	// 2.05s
+}
+
+// However requests and retries arrive, no more retries are allowed than the
+// budget says.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := &dispatch.Budget{Share: 0.1, PerSecond: 1, Burst: 5}
+		now := noon
+		requests, retries := 0, 0
+		b.Request(now)
+		for range rapid.IntRange(0, 500).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(rt, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(rt, "request") {
+				b.Request(now)
+				requests++
+			}
+			if b.Retry(now) {
+				retries++
+			}
+		}
+		limit := 5 + 0.1*float64(requests+1) + now.Sub(noon).Seconds() + 1e-6
+		if float64(retries) > limit {
+			rt.Errorf("%d retries were allowed for %d requests in %v, want at most %.1f", retries, requests, now.Sub(noon), limit)
+		}
+	})
+}
+
+// A request that may not be repeated is offered again only after "not run", and
+// the outcome told is "not run" only if no attempt ran.
+func TestCourseKeepsToTheOutcomes(t *testing.T) {
+	outcomes := []bamboostep.Outcome{bamboostep.NotRun, bamboostep.Ran, bamboostep.Unknown}
+	rapid.Check(t, func(rt *rapid.T) {
+		c := dispatch.Course{Repeatable: rapid.Bool().Draw(rt, "repeatable"), Deadline: noon.Add(time.Second)}
+		now := noon
+		ran := false
+		for {
+			if _, err := c.Offered(); err != nil {
+				rt.Fatal(err)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(rt, "ms")) * time.Millisecond)
+			o := rapid.SampledFrom(outcomes).Draw(rt, "outcome")
+			refused := c.Failed(now, "vm", bamboostep.Failure{Outcome: o})
+			ran = ran || o != bamboostep.NotRun
+			if refused == nil {
+				if ran && !c.Repeatable {
+					rt.Fatal("a request that may have run is offered again")
+				}
+				if !now.Before(c.Deadline) {
+					rt.Fatal("a request is offered after its deadline")
+				}
+				continue
+			}
+			if got, want := refused.Outcome == bamboostep.NotRun, !ran; got != want {
+				rt.Errorf("told not run: %v, want %v", got, want)
+			}
+			return
+		}
+	})
+}
+
+func TestRefusalOfSuspectEndsAndDoubles(t *testing.T) {
+	s := &dispatch.Suspects{RefuseFor: time.Minute}
+	now := noon
+	crash := func(i int) {
+		s.Note(now, []bamboostep.Suspect{{Fingerprint: 7, Attempt: bamboostep.AttemptID(fmt.Sprint(i)), VM: "vm"}})
+	}
+	crash(1)
+	if got, want := s.Judge(now, 7), (dispatch.Verdict{Alone: true}); got != want {
+		t.Errorf("after one crash verdict = %+v, want %+v", got, want)
+	}
+	crash(1)
+	crash(2)
+	for _, want := range []time.Duration{time.Minute, 2 * time.Minute} {
+		if got := s.Judge(now, 7); !got.Refused || got.RetryAfter != want {
+			t.Errorf("verdict = %+v, want refused for %v", got, want)
+		}
+		now = now.Add(want)
+		if got := s.Judge(now, 7); got.Refused || !got.Alone {
+			t.Errorf("after the refusal verdict = %+v, want alone", got)
+		}
+		crash(int(want))
+	}
+	if got, want := s.Strays(), uint64(0); got != want {
+		t.Errorf("strays = %d, want %d", got, want)
+	}
+}
+
+func TestPrefixCacheForgets(t *testing.T) {
+	prompt := make([]byte, 1000)
+	hashes := dispatch.PrefixHashes("model", prompt)
+	var p dispatch.PrefixCache
+	p.Add(hashes)
+	if got, want := p.Match(hashes), 3; got != want {
+		t.Errorf("matched %d blocks, want %d", got, want)
+	}
+	if got, want := p.Match(dispatch.PrefixHashes("other", prompt)), 0; got != want {
+		t.Errorf("another model matched %d blocks, want %d", got, want)
+	}
+	p.Drop(hashes[1:2])
+	if got, want := p.Match(hashes), 1; got != want {
+		t.Errorf("after a drop matched %d blocks, want %d", got, want)
+	}
+}
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -30,7 +30,8 @@
 	defaultSlackTokens  = 64   // two scores this close are equal
 	defaultSlackShare   = 0.15 // share of the best score added to the slack
 	reportFadeTime      = time.Second
-	defaultAttemptFloor = 8 // tokens of a running attempt that has overrun its estimate
+	scoresOnStack       = 512 // candidates scored without allocating
+	defaultAttemptFloor = 8   // tokens of a running attempt that has overrun its estimate
 )
 
 // Balanced is the router of the product. Fields that are zero take defaults.
@@ -92,15 +93,18 @@
 // Pick implements bamboostep.Router.
 func (b Balanced) Pick(_ time.Time, _ bamboostep.Request, candidates []bamboostep.Candidate, seed uint64) (int, bool) {
 	b = b.withDefaults()
+	var buffer [scoresOnStack]float64
+	scores := buffer[:0]
 	best := math.Inf(1)
 	for i := range candidates {
-		best = min(best, b.score(&candidates[i]))
+		s := b.score(&candidates[i])
+		scores = append(scores, s)
+		best = min(best, s)
 	}
 	limit := best + b.SlackTokens + b.SlackShare*max(best, 0)
 	local := pair{rand: random(seed)}
 	all := pair{rand: random(seed)}
-	for i := range candidates {
-		s := b.score(&candidates[i])
+	for i, s := range scores {
 		if s > limit {
 			continue
 		}
--- /dev/null
+++ b/dispatch/router_test.go
@@ -0,0 +1,124 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/internal/seed"
+)
+
+func init() { seed.Rapid() }
+
+func fleetOf(n int) []bamboostep.Candidate {
+	list := make([]bamboostep.Candidate, n)
+	for i := range list {
+		list[i] = bamboostep.Candidate{
+			VM:           fmt.Sprint("vm-", i),
+			Local:        i%3 == 0,
+			Resident:     i%5 != 0,
+			InFlight:     i % 4,
+			InFlightWork: float64(i*37%400) + 1,
+			Reported:     float64(i * 91 % 900),
+			ReportAge:    time.Duration(i%7) * 50 * time.Millisecond,
+			CachedBlocks: i % 3,
+		}
+	}
+	return list
+}
+
+// The better of two near equals is taken, in the own failure domain if there is
+// one; a prefix cache or a shorter queue beyond the slack decides alone.
+func ExampleBalanced_Pick() {
+	show := func(list ...bamboostep.Candidate) {
+		i, _ := dispatch.Balanced{}.Pick(time.Time{}, bamboostep.Request{}, list, 1)
+		fmt.Println(list[i].VM)
+	}
+	idle := bamboostep.Candidate{VM: "idle", Resident: true}
+	near := bamboostep.Candidate{VM: "near", Resident: true, Local: true, InFlightWork: 20}
+	busy := bamboostep.Candidate{VM: "busy", Resident: true, Local: true, InFlightWork: 900}
+	warm := bamboostep.Candidate{VM: "warm", Resident: true, InFlightWork: 100, CachedBlocks: 30}
+	show(idle, near)
+	show(idle, busy)
+	show(idle, warm)
+	// Output:
+	// near
+	// idle
+	// warm
+}
+
+// Whatever the candidates, the routers pick one of them; Balanced picks none that
+// is far worse than the best.
+func TestRoutersPickAnyOfTheCandidates(t *testing.T) {
+	routers := map[string]bamboostep.Router{
+		"balanced":    dispatch.Balanced{},
+		"round robin": &dispatch.RoundRobin{},
+		"least load":  dispatch.LeastLoad{},
+	}
+	for name, r := range routers {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(rt *rapid.T) {
+				list := fleetOf(rapid.IntRange(0, 50).Draw(rt, "n"))
+				for i := range list {
+					list[i].Resident = rapid.Bool().Draw(rt, "resident")
+					list[i].InFlightWork = rapid.Float64Range(0, 1e6).Draw(rt, "work")
+				}
+				i, ok := r.Pick(time.Time{}, bamboostep.Request{}, list, rapid.Uint64().Draw(rt, "seed"))
+				if ok != (len(list) > 0) || ok && (i < 0 || i >= len(list)) {
+					rt.Fatalf("picked %d, %v of %d", i, ok, len(list))
+				}
+			})
+		})
+	}
+}
+
+// Entries that see the same reports do not all go to the one that looks best.
+func TestBalancedSpreadsNearEquals(t *testing.T) {
+	list := make([]bamboostep.Candidate, 10)
+	for i := range list {
+		list[i] = bamboostep.Candidate{VM: fmt.Sprint(i), Resident: true, Reported: float64(5 * i)}
+	}
+	counts := make([]int, len(list))
+	for s := range uint64(1000) {
+		i, _ := dispatch.Balanced{}.Pick(time.Time{}, bamboostep.Request{}, list, s)
+		counts[i]++
+	}
+	for i, n := range counts[:9] {
+		if n == 0 || n > 300 {
+			t.Errorf("candidate %d got %d of 1000 requests", i, n)
+		}
+	}
+	if counts[0] < counts[8] {
+		t.Errorf("the emptiest got %d requests, one of the fullest %d", counts[0], counts[8])
+	}
+}
+
+func TestRoundRobinTakesTurns(t *testing.T) {
+	list := fleetOf(3)
+	for i := range list {
+		list[i].Resident = true
+	}
+	r := &dispatch.RoundRobin{}
+	counts := make([]int, 3)
+	for range 9 {
+		i, _ := r.Pick(time.Time{}, bamboostep.Request{}, list, 0)
+		counts[i]++
+	}
+	if got, want := fmt.Sprint(counts), "[3 3 3]"; got != want {
+		t.Errorf("got turns %s, want %s", got, want)
+	}
+}
+
+func BenchmarkPick200(b *testing.B) {
+	list := fleetOf(200)
+	var r bamboostep.Router = dispatch.Balanced{}
+	req := bamboostep.Request{}
+	b.ReportAllocs()
+	for i := range b.N {
+		r.Pick(time.Time{}, req, list, uint64(i))
+	}
+}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -52,6 +52,7 @@
 // callerLimits bounds what one request may take. Zero fields take defaults.
 type callerLimits struct {
 	BodyBytes      int64         // request body
+	BodyTime       time.Duration // request body, from the first byte of the request on
 	BufferBytes    int           // plain answer held back until whole, so that it can be retried
 	RecordBytes    int           // answer of a non-idempotent request kept for resends
 	DeadlineFactor float64       // deadline of a request, in multiples of its target
@@ -68,6 +69,10 @@
 
 const (
 	defaultBodyBytes      = 1 << 20
+	defaultBodyTime       = 30 * time.Second
+	defaultHeaderTime     = 10 * time.Second
+	defaultKeepAlive      = 2 * time.Minute
+	maxHeaderBytes        = 64 << 10
 	defaultBufferBytes    = 256 << 10
 	defaultRecordBytes    = 1 << 20
 	defaultDeadlineFactor = 30
@@ -90,6 +95,7 @@
 
 func (l callerLimits) withDefaults() callerLimits {
 	defaultTo(&l.BodyBytes, defaultBodyBytes)
+	defaultTo(&l.BodyTime, defaultBodyTime)
 	defaultTo(&l.BufferBytes, defaultBufferBytes)
 	defaultTo(&l.RecordBytes, defaultRecordBytes)
 	defaultTo(&l.DeadlineFactor, defaultDeadlineFactor)
@@ -132,6 +138,17 @@
 
 var _ http.Handler = (*callers)(nil)
 
+// newCallersServer returns the HTTP server for callers. It has no limit on the
+// time of a whole answer, which streams may exceed; the handler bounds each write.
+func newCallersServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: defaultHeaderTime,
+		IdleTimeout:       defaultKeepAlive,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
 func (c *callers) init() {
 	c.Limits = c.Limits.withDefaults()
 	c.budget = &dispatch.Budget{}
@@ -230,8 +247,13 @@
 	x.Recorder.Record(e)
 }
 
+// readBody reads the body within a time. The deadline is lifted afterwards, or it
+// would end the connection while the answer is still made.
 func (x *exchange) readBody() bool {
+	rc := http.NewResponseController(x.w)
+	rc.SetReadDeadline(x.started.Add(x.Limits.BodyTime))
 	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, x.Limits.BodyBytes), x.r.ContentLength)
+	rc.SetReadDeadline(time.Time{})
 	if err == nil {
 		x.body = body
 		return true
--- a/entry/callers_attempt.go
+++ b/entry/callers_attempt.go
@@ -29,7 +29,7 @@
 
 const (
 	cancelWait  = 250 * time.Millisecond // wait to hear whether a cancelled attempt ran
-	probeTokens = 8                      // a crash suspect has passed after so many
+	probeTokens = 3                      // a crash suspect has passed after so many
 )
 
 var (
--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -9,88 +9,167 @@
 	"github.com/bamboostep/bamboostep/dispatch"
 )
 
-// This file holds what an entry knows of each backend server from its own
-// requests (a lane), and the choice of one for an attempt.
+// This file holds what an entry knows of each backend server (a lane), and the
+// choice of one for an attempt.
 //
-// The cost of a choice must not grow with anything but the number of candidates:
-// what a report says is indexed once when it comes, and the list of candidates is
-// kept from one choice to the next.
+// A choice looks only at the holders of the wanted model, which are listed once
+// and kept until some report says otherwise. Reports are read at most every
+// refreshTime: a backend server that stopped in the meantime refuses the offer,
+// and the request goes elsewhere. What changes with every request, the entry's own
+// attempts in flight, is always up to date.
 
-// lanes holds one lane for each backend server that this entry has used.
+const refreshTime = 20 * time.Millisecond
+
+// lanes holds one lane for each backend server that this entry has seen.
 type lanes struct {
 	mu         sync.Mutex
 	byVM       map[string]*lane
+	views      map[string]*view          // by place
 	candidates []bamboostep.Candidate    // reused by every choice
-	servers    []server                  // the same, index by index
+	chosen     []*lane                   // the same, index by index
 	waits      map[string]*dispatch.Wait // by place
 }
 
-// lane is one backend server as this entry's own requests see it.
+// lane is one backend server.
 type lane struct {
-	inFlight    int
-	work        float64 // remaining work of the attempts in flight, tokens
-	suspects    int
-	incarnation uint64               // of the agent, at the last report
-	sequence    uint64               // of the last report
-	replicas    []bamboostep.Replica // that resident was made from
-	resident    map[string]bool      // models and adapters
-	cache       dispatch.PrefixCache
+	server    server
+	vm        bamboostep.VM
+	ready     bool
+	reported  float64              // queue by the last report, tokens
+	trueAt    time.Time            // when that was so
+	replicas  []bamboostep.Replica // that resident was made from
+	resident  map[string]bool      // models and adapters
+	reportID  [2]uint64            // incarnation and sequence of the last report
+	inFlight  int                  // this entry's own attempts
+	work      float64              // their remaining work, tokens
+	suspects  int                  // those that run alone
+	cache     dispatch.PrefixCache
+	candidate bamboostep.Candidate // the part that only reports change
+}
+
+// view is one place as of the last reading of reports.
+type view struct {
+	at      time.Time
+	lanes   []*lane
+	holders map[string][]*lane // by model; those of services by ""
 }
 
 func (l *lanes) lane(vm string) *lane {
 	n := l.byVM[vm]
 	if n == nil {
-		if l.byVM == nil {
-			l.byVM = make(map[string]*lane)
-		}
 		n = &lane{}
 		l.byVM[vm] = n
 	}
 	return n
 }
 
-// learn indexes a report that the lane has not seen. Reports come often and their
-// replicas seldom change; reports that carry the same list share it.
-func (l *lane) learn(r *bamboostep.Report) {
-	if l.incarnation == r.Incarnation && l.sequence == r.Sequence {
-		return
+// view returns the place, with its reports read lately.
+func (c *callers) view(place string, now time.Time) *view {
+	l := &c.lanes
+	if l.views == nil {
+		l.views = make(map[string]*view)
+		l.byVM = make(map[string]*lane)
+	}
+	v := l.views[place]
+	if v == nil {
+		v = &view{}
+		l.views[place] = v
+	}
+	if v.at.IsZero() || now.Sub(v.at) >= refreshTime {
+		v.at = now
+		c.refresh(v, c.Fleet.Servers(place))
+	}
+	return v
+}
+
+// refresh reads the reports of a place. The lists of holders are made anew only if
+// one of them may have changed.
+func (c *callers) refresh(v *view, servers []server) {
+	changed := len(servers) != len(v.lanes)
+	v.lanes = v.lanes[:0]
+	for _, s := range servers {
+		n := c.lanes.lane(s.VM().Name)
+		v.lanes = append(v.lanes, n)
+		if n.learn(s, c.FailureDomain) {
+			changed = true
+		}
+	}
+	if changed || v.holders == nil {
+		v.holders = make(map[string][]*lane)
+	}
+}
+
+// learn takes in the last report of a backend server and reports whether it may
+// hold other models than before.
+func (n *lane) learn(s server, ownDomain string) bool {
+	r, at := s.Report()
+	id := [2]uint64{r.Incarnation, r.Sequence}
+	ready := r.Ready && !r.Leaving
+	if n.server == s && n.reportID == id && n.ready == ready {
+		return false
 	}
-	if l.incarnation != r.Incarnation {
-		l.cache.Clear()
+	changed := n.server != s || n.ready != ready || !sameList(n.replicas, r.Replicas)
+	if n.reportID[0] != r.Incarnation {
+		n.cache.Clear()
 	}
-	l.incarnation = r.Incarnation
-	l.sequence = r.Sequence
-	l.cache.Drop(r.CacheDropped)
-	if sameList(l.replicas, r.Replicas) {
-		return
+	n.cache.Drop(r.CacheDropped)
+	n.server = s
+	n.vm = s.VM()
+	n.ready = ready
+	n.reported = r.EngineLoad
+	n.trueAt = at.Add(-r.LoadAge)
+	n.reportID = id
+	n.candidate = bamboostep.Candidate{VM: n.vm.Name, FailureDomain: n.vm.FailureDomain, Local: n.vm.FailureDomain == ownDomain}
+	if changed {
+		n.learnReplicas(r.Replicas)
 	}
-	l.replicas = r.Replicas
-	l.resident = make(map[string]bool, len(r.Replicas))
-	for _, p := range r.Replicas {
+	return changed
+}
+
+func (n *lane) learnReplicas(list []bamboostep.Replica) {
+	n.replicas = list
+	n.resident = make(map[string]bool, len(list))
+	for _, p := range list {
 		if p.State == bamboostep.ReplicaResident {
-			l.resident[p.Name] = true
+			n.resident[p.Name] = true
 		}
 	}
 }
 
-// sameList reports whether two lists are the same piece of memory.
+// sameList reports whether two lists are the same piece of memory. Reports that
+// carry the same replicas share them.
 func sameList(a, b []bamboostep.Replica) bool {
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
+// holding returns the backend servers that can run a model now; the model of a
+// service is "".
+func (v *view) holding(model string) []*lane {
+	list, ok := v.holders[model]
+	if ok {
+		return list
+	}
+	for _, n := range v.lanes {
+		if n.ready && (model == "" || n.resident[model]) {
+			list = append(list, n)
+		}
+	}
+	v.holders[model] = list
+	return list
+}
+
 // choose picks a backend server for the next attempt of j and enters the attempt
 // in its lane. It returns nil when there is none now.
 func (c *callers) choose(j *job) *slot {
 	now := c.Clock.Now()
-	servers := c.Fleet.Servers(j.place)
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
-	c.gather(j, servers, now)
+	c.gather(j, now)
 	i, ok := c.pick(j, now)
 	if !ok {
 		return nil
 	}
-	return c.lanes.enter(c.lanes.servers[i], &c.lanes.candidates[i], j, now)
+	return c.lanes.enter(c.lanes.chosen[i], &c.lanes.candidates[i], j, now)
 }
 
 func (c *callers) pick(j *job, now time.Time) (int, bool) {
@@ -101,37 +180,25 @@
 }
 
 // gather lists the candidates for j.
-func (c *callers) gather(j *job, servers []server, now time.Time) {
+func (c *callers) gather(j *job, now time.Time) {
 	l := &c.lanes
 	l.candidates = l.candidates[:0]
-	l.servers = l.servers[:0]
-	for _, s := range servers {
-		vm := s.VM()
-		if j.course.Tried(vm.Name) {
-			continue
-		}
-		r, at := s.Report()
-		if !r.Ready || r.Leaving {
-			continue
-		}
-		n := l.lane(vm.Name)
-		n.learn(&r)
-		if j.model != "" && !n.resident[j.model] {
+	l.chosen = l.chosen[:0]
+	adapter := j.request.Adapter
+	for _, n := range c.view(j.place, now).holding(j.model) {
+		if j.course.Tried(n.vm.Name) {
 			continue
 		}
-		l.servers = append(l.servers, s)
-		l.candidates = append(l.candidates, bamboostep.Candidate{
-			VM:            vm.Name,
-			FailureDomain: vm.FailureDomain,
-			Local:         vm.FailureDomain == c.FailureDomain,
-			Resident:      j.request.Adapter == "" || n.resident[j.request.Adapter],
-			InFlight:      n.inFlight,
-			InFlightWork:  n.work,
-			Reported:      r.EngineLoad,
-			ReportAge:     now.Sub(at) + r.LoadAge,
-			CachedBlocks:  n.cache.Match(j.request.Prefix),
-			Suspects:      n.suspects,
-		})
+		l.chosen = append(l.chosen, n)
+		l.candidates = append(l.candidates, n.candidate)
+		at := &l.candidates[len(l.candidates)-1]
+		at.Resident = adapter == "" || n.resident[adapter]
+		at.InFlight = n.inFlight
+		at.InFlightWork = n.work
+		at.Reported = n.reported
+		at.ReportAge = now.Sub(n.trueAt)
+		at.Suspects = n.suspects
+		at.CachedBlocks = n.cache.Match(j.request.Prefix)
 	}
 }
 
@@ -149,9 +216,8 @@
 }
 
 // enter makes the slot of an attempt of j at the candidate.
-func (l *lanes) enter(s server, at *bamboostep.Candidate, j *job, now time.Time) *slot {
-	n := l.lane(at.VM)
-	p := &slot{lanes: l, lane: n, server: s, vm: at.VM, resident: at.Resident,
+func (l *lanes) enter(n *lane, at *bamboostep.Candidate, j *job, now time.Time) *slot {
+	p := &slot{lanes: l, lane: n, server: n.server, vm: at.VM, resident: at.Resident,
 		queue: dispatch.QueueTokens(at), offered: now, left: j.work, suspect: j.verdict.Alone}
 	n.inFlight++
 	n.work += j.work
--- /dev/null
+++ b/entry/callers_route_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// stillServer is a backend server whose report is ready made.
+type stillServer struct {
+	fakeServer
+	report bamboostep.Report
+	at     time.Time
+}
+
+func (s *stillServer) Report() (bamboostep.Report, time.Time) { return s.report, s.at }
+
+type stillFleet struct {
+	fakeFleet
+	list []server
+}
+
+func (f *stillFleet) Servers(string) []server { return f.list }
+
+// newStillFleet returns n backend servers that hold 40 models and adapters each.
+func newStillFleet(n int) *stillFleet {
+	f := &stillFleet{fakeFleet: *newTestFleet(0, nil, nil)}
+	for i := range n {
+		s := &stillServer{fakeServer: fakeServer{vm: bamboostep.VM{Name: fmt.Sprint("vm-", i)}}, at: time.Now()}
+		s.report = bamboostep.Report{Ready: true, Incarnation: 1, Sequence: 1, EngineLoad: float64(i * 91 % 900)}
+		for k := range 40 {
+			s.report.Replicas = append(s.report.Replicas, bamboostep.Replica{Name: fmt.Sprint("other-", k), State: bamboostep.ReplicaResident})
+		}
+		s.report.Replicas[7].Name = "base"
+		f.list = append(f.list, s)
+	}
+	return f
+}
+
+func chooseOnce(c *callers, j *job, tb testing.TB) {
+	p := c.choose(j)
+	if p == nil {
+		tb.Fatal("no backend server was chosen")
+	}
+	p.leave()
+}
+
+func TestChooseAllocatesNothingThatGrows(t *testing.T) {
+	allocs := make(map[int]float64)
+	for _, n := range []int{10, 200} {
+		c := newTestCallers(newStillFleet(n), nil)
+		c.once.Do(c.init)
+		j := &job{place: "engines", model: "base", work: 100}
+		chooseOnce(c, j, t)
+		allocs[n] = testing.AllocsPerRun(100, func() { chooseOnce(c, j, t) })
+	}
+	if got, want := allocs[200], allocs[10]; got > want {
+		t.Errorf("a choice among 200 allocates %v times, among 10 %v times", got, want)
+	}
+}
+
+// BenchmarkChoose200 is the whole decision: listing the candidates, scoring them
+// and entering the attempt.
+func BenchmarkChoose200(b *testing.B) {
+	c := newTestCallers(newStillFleet(200), nil)
+	c.once.Do(c.init)
+	j := &job{place: "engines", model: "base", work: 100, request: bamboostep.Request{Prefix: []uint64{1, 2, 3, 4}}}
+	b.ReportAllocs()
+	for b.Loop() {
+		chooseOnce(c, j, b)
+	}
+}
--- a/entry/suspects_property_test.go
+++ b/entry/suspects_property_test.go
@@ -263,7 +263,9 @@
 			all.Wait()
 			time.Sleep(restart + time.Minute)
 			for _, a := range f.agents {
+				a.mu.Lock()
 				crashes += a.crashes
+				a.mu.Unlock()
 			}
 		})
 		want := 2
