--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/timeline"
@@ -144,6 +147,31 @@
 	}
 }
 
+// A caller that stops sending in the middle of its body is answered, and one that
+// sends all of it may wait longer for the answer.
+func TestSlowBodyIsGivenUp(t *testing.T) {
+	const bodyTime = 50 * time.Millisecond
+	app := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+		<-time.After(2 * bodyTime)
+		return yield(bamboostep.Answer{Attempt: o.Attempt, Data: []byte("late"), Last: true})
+	}
+	c := newTestCallers(newTestFleet(1, nil, app), nil)
+	c.Limits.BodyTime = bodyTime
+	s := startCallers(t, c)
+	for body, want := range map[string]string{"abc": "body_unreadable", "abcdefghij": "late"} {
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /checks HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\nConnection: close\r\n\r\n%s", body)
+		got, err := io.ReadAll(conn)
+		if err != nil || !strings.Contains(string(got), want) {
+			t.Errorf("after body %q got %q, %v, want %q", body, got, err, want)
+		}
+	}
+}
+
 func TestServiceIsPassedOnIntact(t *testing.T) {
 	app := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
 		q := o.Request
