--- a/entry/entry.go
+++ b/entry/entry.go
@@ -42,6 +42,7 @@
 	}
 	placers = map[string]func() bamboostep.Placer{
 		"demand": func() bamboostep.Placer { return &stock.Placer{} },
+		"static": func() bamboostep.Placer { return &stock.Static{} },
 	}
 )
 
