Agent: streams over silent connections, drain grace, smaller window

Cause: hard cases of the protocol were not brought about with sockets; an agent that had nothing to do ended its drain at once, so that an offer on its way met a closed connection and its outcome was unknown.

Change: a drain lasts at least 1 s, in which offers are refused as not run, and waits for orders under way; unacknowledged output per attempt is bounded to 256 KiB; the table is swept twice a second; acknowledged attempts are forgotten after their start-by time. Tests with a relay: connections that fall silent in the middle of an answer, an offer that arrives after its cancel, an agent that restarts.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -35,12 +35,12 @@
 	s.metrics.started.Inc()
 	s.noteAttempt("attempt_started", offer)
 	incarnation := s.backend.incarnation
-	s.running.Go(func() {
+	go func() {
 		defer cancel()
 		p := &producer{server: s, attempt: offer.Attempt}
 		err := s.serve(ctx, offer, p.yield)
 		s.finish(ctx, offer, p, incarnation, err)
-	})
+	}()
 }
 
 func (s *Server) serve(ctx context.Context, offer bamboostep.Offer, yield func(bamboostep.Answer) error) error {
@@ -111,6 +111,8 @@
 	switch {
 	case ctx.Err() != nil:
 		f.Code = codeCancelled
+	case f.Code == codeBackendDown:
+		s.setUp(false)
 	case f.Code == codeBackendBroke:
 		f.Crashed = s.crashed(offer, incarnation)
 	}
--- a/backend/handlers.go
+++ b/backend/handlers.go
@@ -41,6 +41,9 @@
 	if code := s.refusalCode(); code != "" {
 		return false, code
 	}
+	if (s.Engine == nil) != (offer.Request.Service != "") {
+		return false, codeWrongKind
+	}
 	if s.Engine == nil || s.resident(offer.Request) {
 		return false, ""
 	}
--- a/backend/orders.go
+++ b/backend/orders.go
@@ -30,7 +30,7 @@
 	if m.Decode(&order) != nil {
 		return
 	}
-	s.running.Go(func() {
+	go func() {
 		err := s.order(order)
 		result := bamboostep.OrderResult{Fence: order.Fence, Code: orderCode(err)}
 		if err != nil {
@@ -38,13 +38,13 @@
 		}
 		s.metrics.countOrder(order.Kind, result.Code)
 		_ = m.Reply(result)
-	})
+	}()
 }
 
 // order carries out an order of the placer and returns how it ended.
 func (s *Server) order(order bamboostep.Order) error {
-	if s.Engine == nil {
-		return &stock.NotReadyError{VM: s.VM.Name, Issue: "no engine runs beside this agent"}
+	if issue := s.orderIssue(); issue != "" {
+		return &stock.NotReadyError{VM: s.VM.Name, Issue: issue}
 	}
 	if isLoad(order.Kind) && s.acceptable(order) {
 		s.makeRoom(order)
@@ -65,6 +65,18 @@
 	}
 }
 
+func (s *Server) orderIssue() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.Engine == nil:
+		return "no engine runs beside this agent"
+	case s.stopping:
+		return "the agent is stopping"
+	}
+	return ""
+}
+
 // acceptable reports whether an order is neither too old nor known already.
 func (s *Server) acceptable(order bamboostep.Order) bool {
 	s.mu.Lock()
@@ -99,6 +111,8 @@
 
 // execute sends an order for which memory is reserved.
 func (s *Server) execute(order bamboostep.Order) error {
+	s.countOrders(1)
+	defer s.countOrders(-1)
 	s.noteOrder("order_sent", order, "")
 	err := s.awaitIdle(order)
 	if err == nil {
@@ -114,6 +128,12 @@
 	return err
 }
 
+func (s *Server) countOrders(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders += n
+}
+
 func (s *Server) sendOrder(order bamboostep.Order) error {
 	limit := s.OrderTimeout
 	if limit == 0 {
@@ -214,7 +234,7 @@
 	if loading {
 		return
 	}
-	s.running.Go(func() { s.loadAdapter(offer.Load) })
+	go s.loadAdapter(offer.Load)
 }
 
 func (s *Server) loadAdapter(order bamboostep.Order) {
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -28,7 +28,7 @@
 	reconnectLimit = 3 * time.Second // how long a stream waits for another connection
 	cancelLimit    = 5 * time.Second // how long a cancelled offer waits to learn whether it ran
 	ackEvery       = 64 << 10        // bytes
-	windowBytes    = 1 << 20         // output that an agent keeps unacknowledged for one attempt
+	windowBytes    = 256 << 10       // output that an agent keeps unacknowledged for one attempt
 )
 
 // The codes of failures that both ends use.
@@ -46,6 +46,7 @@
 	codeAgentNew     = "agent_restarted"
 	codeBackendDown  = "backend_down"
 	codeBackendBroke = "backend_broke_off"
+	codeWrongKind    = "wrong_kind"
 )
 
 // helloBody tells an agent what its entry knows: the highest revision, and the
--- a/backend/schedule.go
+++ b/backend/schedule.go
@@ -81,9 +81,18 @@
 	return acts
 }
 
-// tick refuses what waited too long, stops what nobody reads, and forgets what
-// may be forgotten.
+// tick refuses what waited too long and, now and then, sweeps the table.
 func (t *table) tick(now int64) []action {
+	var acts []action
+	if now-t.sweptAt >= sweepEvery {
+		t.sweptAt = now
+		acts = t.sweep(now)
+	}
+	return append(acts, t.schedule(now)...)
+}
+
+// sweep stops what nobody reads and forgets what may be forgotten.
+func (t *table) sweep(now int64) []action {
 	var acts []action
 	for id, r := range t.records {
 		switch {
@@ -97,7 +106,7 @@
 			}
 		}
 	}
-	return append(acts, t.schedule(now)...)
+	return acts
 }
 
 func (t *table) isOrphan(now int64, r *record) bool {
@@ -108,7 +117,7 @@
 	if r.offer.StartBy > now || !attemptChart.Final(r.state) {
 		return false
 	}
-	return r.state != stateEnded || now-r.endedAt > keepEnded
+	return r.state != stateEnded || r.out.gone || now-r.endedAt > keepEnded
 }
 
 func (t *table) forget(id bamboostep.AttemptID, r *record) {
--- a/backend/server.go
+++ b/backend/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 
 	defaultOrderTimeout = 2 * time.Minute
 	defaultDrainTimeout = 30 * time.Second
+	minDrain            = 1 * time.Second // by then every entry has heard that the agent is leaving
 )
 
 // Prober is an optional capability of an Application: it says whether the
@@ -55,7 +57,7 @@
 	launches map[bamboostep.AttemptID]launched
 	loads    map[string][]bamboostep.AttemptID // attempts that wait for an adapter
 	loadTurn sync.Mutex                        // one adapter load at a time
-	running  sync.WaitGroup                    // attempts and orders
+	orders   int                               // that run
 
 	drained  bool // an operator's drain mark
 	stopping bool
@@ -185,19 +187,26 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	began := time.Now()
 	every(ctx, drainPoll, func(context.Context) {
-		if s.idle() {
+		if time.Since(began) >= minDrain && s.idle() {
 			cancel()
 		}
 	})
-	s.note("drain_ended", "")
+	s.note("drain_ended", fmt.Sprintf("%d attempts cut off", s.unfinished()))
 }
 
-// idle reports whether nothing runs and every answer has been fetched.
+func (s *Server) unfinished() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.table.active)
+}
+
+// idle reports whether no attempt or order runs and every answer has been fetched.
 func (s *Server) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.table.unfetched()
+	return s.orders == 0 && !s.table.unfetched()
 }
 
 // Ready returns why the agent takes no offers, or nil.
--- /dev/null
+++ b/backend/server_test.go
@@ -0,0 +1,367 @@
+package backend_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/backend"
+	"github.com/bamboostep/bamboostep/daemon"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+const testDeadline = 15 * time.Second
+
+// gatedEngine holds one model and writes one word for each token put in gate.
+type gatedEngine struct {
+	gate chan string
+
+	mu     sync.Mutex
+	starts int
+}
+
+func (e *gatedEngine) Generate(ctx context.Context, offer bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+	e.mu.Lock()
+	e.starts++
+	e.mu.Unlock()
+	for {
+		select {
+		case word := <-e.gate:
+			if err := yield(bamboostep.Answer{Data: []byte(word), Tokens: 1, Last: word == "."}); err != nil || word == "." {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *gatedEngine) Do(context.Context, bamboostep.Order) error { return nil }
+
+func (e *gatedEngine) State(context.Context) (bamboostep.EngineState, error) {
+	return bamboostep.EngineState{
+		Incarnation: "one",
+		Replicas:    []bamboostep.Replica{{Name: "m", MiB: 1, State: bamboostep.ReplicaResident}},
+	}, nil
+}
+
+func (e *gatedEngine) started() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.starts
+}
+
+func startServer(t *testing.T, address string, e bamboostep.Engine) (listening string, stop func()) {
+	t.Helper()
+	nl, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := &timeline.Clock{Wall: daemon.SystemClock{}}
+	node := &wire.Node{Hello: wire.Hello{Name: "vm-1", Role: "agent", Incarnation: uint64(time.Now().UnixNano())}, Clock: clock}
+	s := &backend.Server{
+		Node:        node,
+		VM:          bamboostep.VM{Name: "vm-1"},
+		Engine:      e,
+		MemoryMiB:   100,
+		Concurrency: 4,
+		Queue:       4,
+		Recorder:    &timeline.Recorder{Process: "vm-1", Clock: clock},
+	}
+	mux := &wire.Mux{}
+	s.Register(mux)
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &wire.Listener{Node: node, Net: nl, Handler: mux, Up: s.Up, Down: s.Down}
+	var all sync.WaitGroup
+	all.Go(func() { l.Run(ctx) })
+	go s.Run(ctx)
+	stop = func() { cancel(); all.Wait() }
+	t.Cleanup(stop)
+	return nl.Addr().String(), stop
+}
+
+func startClient(t *testing.T, address string) *backend.Client {
+	t.Helper()
+	ready := make(chan struct{}, 1)
+	c := &backend.Client{
+		Node: &wire.Node{Hello: wire.Hello{Name: "entry", Role: "entry"}, Clock: &timeline.Clock{Wall: daemon.SystemClock{}}},
+		VM:   bamboostep.VM{Name: "vm-1", Address: address},
+		OnReport: func(r bamboostep.Report) {
+			if r.Ready {
+				select {
+				case ready <- struct{}{}:
+				default:
+				}
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	select {
+	case <-ready:
+	case <-time.After(testDeadline):
+		t.Fatal("the agent did not become ready")
+	}
+	return c
+}
+
+// relay passes bytes on between entries and an agent. While it is silent, the
+// connections of then stay open and pass on nothing; new ones work.
+type relay struct {
+	target string
+
+	mu    sync.Mutex
+	pipes []*pipe
+}
+
+type pipe struct {
+	mu     sync.Mutex
+	silent bool
+	sent   []byte // all that the entry wrote
+}
+
+func startRelay(t *testing.T, target string) (*relay, string) {
+	t.Helper()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nl.Close() })
+	r := &relay{target: target}
+	go func() {
+		for {
+			near, err := nl.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				near.Close()
+				continue
+			}
+			p := &pipe{}
+			r.mu.Lock()
+			r.pipes = append(r.pipes, p)
+			r.mu.Unlock()
+			go p.pass(near, far, true)
+			go p.pass(far, near, false)
+		}
+	}()
+	return r, nl.Addr().String()
+}
+
+func (p *pipe) pass(from, to net.Conn, fromEntry bool) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		p.mu.Lock()
+		silent := p.silent
+		if fromEntry {
+			p.sent = append(p.sent, buf[:n]...)
+		}
+		p.mu.Unlock()
+		if err != nil {
+			if !silent {
+				to.Close()
+			}
+			return
+		}
+		if !silent {
+			to.Write(buf[:n])
+		}
+	}
+}
+
+func (r *relay) fallSilent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pipes {
+		p.mu.Lock()
+		p.silent = true
+		p.mu.Unlock()
+	}
+}
+
+// silentGot reports whether a silent connection has taken in the text.
+func (r *relay) silentGot(text string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pipes {
+		p.mu.Lock()
+		got := p.silent && bytes.Contains(p.sent, []byte(text))
+		p.mu.Unlock()
+		if got {
+			return true
+		}
+	}
+	return false
+}
+
+// replay hands the agent all that the first connection took in, late, over a
+// connection that it still reads, and returns its answer up to the given text.
+func (r *relay) replay(t *testing.T, until string) string {
+	t.Helper()
+	nc, err := net.Dial("tcp", r.target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	r.pipes[0].mu.Lock()
+	nc.Write(r.pipes[0].sent)
+	r.pipes[0].mu.Unlock()
+	nc.SetReadDeadline(time.Now().Add(testDeadline))
+	var got []byte
+	buf := make([]byte, 4096)
+	for !bytes.Contains(got, []byte(until)) {
+		n, err := nc.Read(buf)
+		if err != nil {
+			t.Fatalf("no %q came: %v", until, err)
+		}
+		got = append(got, buf[:n]...)
+	}
+	return string(got)
+}
+
+// answer collects what an offer yields.
+type answer struct {
+	mu   sync.Mutex
+	text strings.Builder
+	err  chan error
+}
+
+func offer(ctx context.Context, c *backend.Client, id bamboostep.AttemptID) *answer {
+	a := &answer{err: make(chan error, 1)}
+	o := bamboostep.Offer{Attempt: id, Request: bamboostep.Request{Model: "m"}}
+	go func() {
+		a.err <- c.Offer(ctx, o, 10*time.Second, func(p bamboostep.Answer) error {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.text.Write(p.Data)
+			return nil
+		})
+	}()
+	return a
+}
+
+func (a *answer) got() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.text.String()
+}
+
+// wait returns how the offer ended; its outcome is "" when the answer was whole.
+func (a *answer) wait(t *testing.T) bamboostep.Failure {
+	t.Helper()
+	select {
+	case err := <-a.err:
+		var failed *bamboostep.FailedError
+		if err != nil && !errors.As(err, &failed) {
+			t.Fatalf("got error %v, want *FailedError", err)
+		}
+		if failed == nil {
+			return bamboostep.Failure{}
+		}
+		return failed.Failure
+	case <-time.After(testDeadline):
+		t.Fatal("the offer did not end")
+	}
+	return bamboostep.Failure{}
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(testDeadline)
+	for !ok() {
+		if time.Now().After(deadline) {
+			t.Fatalf("in vain: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Connections fall silent in the middle of answers, though they stay open. The
+// answers go on over new ones within three seconds, whole.
+func TestAnswerSurvivesSilentConnection(t *testing.T) {
+	e := &gatedEngine{gate: make(chan string, 100)}
+	address, _ := startServer(t, "127.0.0.1:0", e)
+	r, through := startRelay(t, address)
+	c := startClient(t, through)
+
+	a := offer(context.Background(), c, "1")
+	e.gate <- "one "
+	until(t, "first word arrives", func() bool { return a.got() == "one " })
+	r.fallSilent()
+	began := time.Now()
+	for i := range 50 {
+		e.gate <- fmt.Sprint(i, " ")
+	}
+	until(t, "the answer goes on", func() bool { return len(a.got()) > len("one ") })
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("went on after %v, want within 3s", took)
+	}
+	e.gate <- "."
+	var want strings.Builder
+	want.WriteString("one ")
+	for i := range 50 {
+		fmt.Fprint(&want, i, " ")
+	}
+	want.WriteString(".")
+	if f := a.wait(t); f.Outcome != "" || a.got() != want.String() {
+		t.Errorf("got %q (%+v), want %q", a.got(), f, &want)
+	}
+}
+
+// An offer lingers on a silent connection until its cancel has come by another.
+// The entry says "not run", and the offer that arrives then starts nothing.
+func TestOfferDelayedPastItsCancel(t *testing.T) {
+	e := &gatedEngine{}
+	address, _ := startServer(t, "127.0.0.1:0", e)
+	r, through := startRelay(t, address)
+	c := startClient(t, through)
+
+	r.fallSilent()
+	ctx, cancel := context.WithCancel(context.Background())
+	a := offer(ctx, c, "1")
+	until(t, "the relay holds the offer", func() bool { return r.silentGot("backend.offer") })
+	cancel()
+	if f := a.wait(t); f.Outcome != bamboostep.NotRun {
+		t.Errorf("got outcome %+v, want not_run", f)
+	}
+	if got := r.replay(t, "backend.failure"); !strings.Contains(got, "not_run") {
+		t.Errorf("the late offer got the answer %q, want not_run", got)
+	}
+	if got := e.started(); got != 0 {
+		t.Errorf("the engine started %d attempts, want none", got)
+	}
+}
+
+// A new process under the agent's address knows nothing of the attempts: they
+// ran if part of the answer came, and nobody knows otherwise.
+func TestAgentRestart(t *testing.T) {
+	e := &gatedEngine{gate: make(chan string, 10)}
+	address, stop := startServer(t, "127.0.0.1:0", e)
+	c := startClient(t, address)
+
+	begun := offer(context.Background(), c, "1")
+	e.gate <- "one "
+	until(t, "first word arrives", func() bool { return begun.got() != "" })
+	silent := offer(context.Background(), c, "2")
+	until(t, "both attempts start", func() bool { return e.started() == 2 })
+	stop()
+	startServer(t, address, &gatedEngine{})
+	if f := begun.wait(t); f.Outcome != bamboostep.Ran {
+		t.Errorf("answer begun: got %+v, want outcome ran", f)
+	}
+	if f := silent.wait(t); f.Outcome != bamboostep.Unknown {
+		t.Errorf("no answer yet: got %+v, want outcome unknown", f)
+	}
+}
--- a/backend/table.go
+++ b/backend/table.go
@@ -43,7 +43,8 @@
 // Spans on the agent's clock, microseconds.
 const (
 	keepEnded   = int64(30_000_000) // an ended attempt's output, unless acknowledged
-	orphanAfter = int64(5_000_000)  // without a connection, a started attempt has no reader
+	sweepEvery  = int64(500_000)
+	orphanAfter = int64(5_000_000) // without a connection, a started attempt has no reader
 )
 
 // maxRecords bounds the table when no limit is set.
@@ -99,6 +100,7 @@
 	arrivals  uint64
 	forgotten int64
 	closed    int64
+	sweptAt   int64
 	dropped   uint64 // repeated offers and events that no state lists
 }
 
