Agent: tests of a dying engine and of calls that may not be repeated

Cause: net/http repeats a GET, and a POST with an Idempotency-Key, by itself when a kept-alive connection ends before the answer; a call that may not be repeated would run twice.

Change: tests for it, for an engine that dies under two requests, and for requests and long answers passed on unchanged. An order that the engine says it failed is no longer taken for lost. An unload waits only for the attempts that ran when it came, so that another resident version cannot keep it waiting for good.

--- a/agent/engine.go
+++ b/agent/engine.go
@@ -172,7 +172,10 @@
 	case http.StatusNotFound:
 		return told(bamboostep.NotRun, "not_resident", body.Message)
 	}
-	return fmt.Errorf("order %q answered with %s: %s", order.Name, resp.Status, body.Message)
+	if body.Code != "" {
+		return told(bamboostep.NotRun, body.Code, body.Message)
+	}
+	return fmt.Errorf("order for %q answered with %s", order.Name, resp.Status)
 }
 
 // State implements bamboostep.Engine.
--- /dev/null
+++ b/agent/failure_test.go
@@ -0,0 +1,176 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// An engine dies under two requests: both are named as suspects, neither is said
+// not to have run, and the agent takes no work until an engine is back.
+func TestEngineDies(t *testing.T) {
+	e := &fakeEngine{gate: make(chan struct{}), replicas: []bamboostep.Replica{{Name: "m", MiB: 10, State: bamboostep.ReplicaResident}}}
+	s := httptest.NewServer(e.handler())
+	a := startAgent(t, bamboostep.EnginePlace, s.URL)
+	failures := make(chan error, 2)
+	for i := range 2 {
+		offer := offerOf(fmt.Sprint(i), bamboostep.Request{Model: "m", Fingerprint: uint64(7 + i)})
+		go func() {
+			_, err := a.ask(context.Background(), offer)
+			failures <- err
+		}()
+	}
+	a.await(t, func(r bamboostep.Report) bool { return r.Running == 2 })
+	s.Listener.Close()
+	s.CloseClientConnections()
+	for range 2 {
+		if f := failureOf(t, <-failures); f.Outcome == bamboostep.NotRun || !f.Crashed {
+			t.Errorf("got failure %+v, want crashed and not not_run", f)
+		}
+	}
+	var sum uint64
+	deadline := time.After(testDeadline)
+	for n := 0; n < 2; {
+		select {
+		case suspects := <-a.suspects:
+			for _, one := range suspects {
+				sum += one.Fingerprint
+				n++
+			}
+		case <-deadline:
+			t.Fatalf("got %d suspects, want 2", n)
+		}
+	}
+	if sum != 7+8 {
+		t.Errorf("got fingerprints that add up to %d, want 7 and 8", sum)
+	}
+	_, err := a.ask(context.Background(), offerOf("9", bamboostep.Request{Model: "m"}))
+	if f := failureOf(t, err); f.Outcome != bamboostep.NotRun {
+		t.Errorf("with no engine: got outcome %s, want not_run", f.Outcome)
+	}
+
+	nl, err := net.Listen("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	again := &http.Server{Handler: (&fakeEngine{replicas: e.replicas}).handler()}
+	go again.Serve(nl)
+	defer again.Close()
+	a.await(t, func(r bamboostep.Report) bool { return r.Ready })
+	if got, err := a.ask(context.Background(), offerOf("10", bamboostep.Request{Model: "m"})); err != nil || got != "m 0 1 2" {
+		t.Errorf("with a new engine: got answer %q (%v)", got, err)
+	}
+}
+
+// dropServer answers the first request on a connection, and cuts the connection
+// at the next one after reading it: the case in which net/http repeats requests.
+func dropServer(t *testing.T, served *atomic.Int64) string {
+	t.Helper()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nl.Close() })
+	go func() {
+		for {
+			nc, err := nl.Accept()
+			if err != nil {
+				return
+			}
+			go serveThenDrop(nc, served)
+		}
+	}()
+	return "http://" + nl.Addr().String()
+}
+
+func serveThenDrop(nc net.Conn, served *atomic.Int64) {
+	defer nc.Close()
+	r := bufio.NewReader(nc)
+	for first := true; ; first = false {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, req.Body)
+		served.Add(1)
+		if !first || req.Header.Get("X-Drop") != "" {
+			return
+		}
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// However the application breaks off, it gets each attempt's request once.
+func TestApplicationGetsEachAttemptOnce(t *testing.T) {
+	var served atomic.Int64
+	a := startAgent(t, bamboostep.ApplicationPlace, dropServer(t, &served))
+	for i := range 4 {
+		r := bamboostep.Request{Service: "s", Method: "GET", Path: "/orders", Header: map[string][]string{"Idempotency-Key": {"k"}}}
+		if i == 3 {
+			r.Method = "POST"
+			r.Header["X-Drop"] = []string{"1"}
+		}
+		_, err := a.ask(context.Background(), offerOf(fmt.Sprint(i), r))
+		if i < 3 && err != nil {
+			t.Errorf("request %d failed: %v", i, err)
+		}
+		if i == 3 && failureOf(t, err).Outcome != bamboostep.Unknown {
+			t.Errorf("request that broke off: got %v, want outcome unknown", err)
+		}
+	}
+	if got, want := served.Load(), int64(4); got != want {
+		t.Errorf("the application served %d requests, want %d", got, want)
+	}
+}
+
+// An application sees the caller's request, and the caller its answer, byte for
+// byte, also where the answer is long and of unknown length.
+func TestApplicationSeesTheRequest(t *testing.T) {
+	long := make([]byte, 3<<20)
+	for i := range long {
+		long[i] = byte(i * i >> 7)
+	}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		got := fmt.Sprintf("%s %s %s %v %v %s", r.Method, r.RequestURI, r.Host, r.Header["X-Shop"], r.Header["Keep-Alive"], body)
+		if want := "PUT /a%2Fb?x=1&y example.org [1 2] [] body"; got != want {
+			t.Errorf("got request %q, want %q", got, want)
+		}
+		if r.Header.Get(requestHeader) != "r1" {
+			t.Errorf("got header %s %q, want r1", requestHeader, r.Header.Get(requestHeader))
+		}
+		w.Header()["X-Answer"] = []string{"a", "b"}
+		w.WriteHeader(http.StatusTeapot)
+		w.Write(long)
+	}))
+	defer s.Close()
+	a := startAgent(t, bamboostep.ApplicationPlace, s.URL)
+	offer := offerOf("1", bamboostep.Request{
+		Service: "s", Method: "PUT", Path: "/a%2Fb?x=1&y", Body: []byte("body"),
+		Header: map[string][]string{"X-Shop": {"1", "2"}, "Host": {"example.org"}, "Connection": {"Keep-Alive"}, "Keep-Alive": {"5"}},
+	})
+	var got []byte
+	var first bamboostep.Answer
+	err := a.client.Offer(context.Background(), offer, time.Second, func(p bamboostep.Answer) error {
+		if p.Status != 0 {
+			first = p
+		}
+		got = append(got, p.Data...)
+		return nil
+	})
+	if err != nil || string(got) != string(long) {
+		t.Errorf("got %d bytes (%v), want the %d that were sent", len(got), err, len(long))
+	}
+	if first.Status != http.StatusTeapot || fmt.Sprint(first.Header["X-Answer"]) != "[a b]" {
+		t.Errorf("got status %d and headers %v", first.Status, first.Header)
+	}
+}
--- a/backend/orders.go
+++ b/backend/orders.go
@@ -144,23 +144,23 @@
 	return s.Engine.Do(ctx, order)
 }
 
-// awaitIdle waits until no attempt runs on what is to be unloaded. New ones do
-// not start, because it is no longer resident.
+// awaitIdle waits until the attempts that run on what is to be unloaded have
+// ended. No others start meanwhile, unless another version is resident.
 func (s *Server) awaitIdle(order bamboostep.Order) error {
 	if isLoad(order.Kind) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), unloadWait)
 	defer cancel()
-	stop := context.AfterFunc(ctx, s.changed.Broadcast)
-	defer stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.table.runs(order.Name) {
-		if ctx.Err() != nil {
-			return &busyError{order.Name}
+	for _, id := range s.table.runningOn(order.Name) {
+		for s.table.active[id] != nil {
+			if ctx.Err() != nil {
+				return &busyError{order.Name}
+			}
+			s.changed.Wait()
 		}
-		s.changed.Wait()
 	}
 	return nil
 }
@@ -255,8 +255,6 @@
 	defer s.loadTurn.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), roomWait)
 	defer cancel()
-	stop := context.AfterFunc(ctx, s.changed.Broadcast)
-	defer stop()
 	for {
 		s.makeRoom(order)
 		err := s.ownOrder(order)
@@ -268,6 +266,7 @@
 	}
 }
 
+// awaitChange waits for an event; a tick is one.
 func (s *Server) awaitChange() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/backend/table.go
+++ b/backend/table.go
@@ -420,17 +420,18 @@
 			return true
 		}
 	}
-	return t.runs(name)
+	return len(t.runningOn(name)) > 0
 }
 
-// runs reports whether a running attempt names the model or adapter.
-func (t *table) runs(name string) bool {
-	for _, r := range t.active {
+// runningOn returns the running attempts that name the model or adapter.
+func (t *table) runningOn(name string) []bamboostep.AttemptID {
+	var ids []bamboostep.AttemptID
+	for id, r := range t.active {
 		if names(r.offer.Request, name) {
-			return true
+			ids = append(ids, id)
 		}
 	}
-	return false
+	return ids
 }
 
 func names(r bamboostep.Request, name string) bool { return r.Model == name || r.Adapter == name }
