Agent: stop test holds the answer beyond the least time of a drain

Cause: in a trial on a scratch copy without the wait for running attempts the test still passed, because the answer ended within the first second.

Change: the answer is held for 1.5 s after the stop. Without the wait the test now fails; with it it passes.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -270,6 +270,11 @@
 	if f := failureOf(t, err); f.Outcome != bamboostep.NotRun {
 		t.Errorf("new request during the stop: got outcome %s, want not_run", f.Outcome)
 	}
+	select {
+	case <-a.done:
+		t.Error("the agent ended while an answer was running")
+	case <-time.After(3 * time.Second / 2): // beyond the least time of a drain
+	}
 	close(gate)
 	if err := <-answered; err != nil || got.String() != "m 0 1 2" {
 		t.Errorf("got answer %q (%v), want it whole", &got, err)
