Agent: reports carry what is new, at a bounded rate

Cause: a report named all its fields and cost 374 bytes with its replicas unchanged and 8209 bytes with one of 100 changed, to each entry, five times a second; at 380 entries that alone is over the budget for control many times.

Change: the first report on a connection is whole, the following ones carry what is new, as an array without names. The rate to all entries together is bounded to 100 reports a second, but for changes; up to 20 entries get one every 200 ms. The list of replicas is kept until it changes. A tombstone no longer keeps its offer.

--- a/backend/client.go
+++ b/backend/client.go
@@ -25,11 +25,11 @@
 	OnUp      func()                     // may be nil
 	OnDown    func()                     // may be nil
 
-	mu       sync.Mutex
-	conn     *wire.Conn
-	inboxes  map[bamboostep.AttemptID]*inbox
-	hello    helloBody // what the agent is told on every new connection
-	replicas []bamboostep.Replica
+	mu      sync.Mutex
+	conn    *wire.Conn
+	inboxes map[bamboostep.AttemptID]*inbox
+	hello   helloBody          // what the agent is told on every new connection
+	report  *bamboostep.Report // last on this connection, or nil
 }
 
 // Run keeps the connection up until ctx ends.
@@ -38,6 +38,7 @@
 	mux.On(kindAnswer, c.handleAnswer)
 	mux.On(kindFailure, c.handleFailure)
 	mux.On(kindReport, c.handleReport)
+	mux.On(kindLoad, c.handleLoad)
 	mux.On(kindSuspects, c.handleSuspects)
 	link := &wire.Link{Node: c.Node, Address: c.VM.Address, Handler: mux, Up: c.setUp, Down: c.setDown}
 	return link.Run(ctx)
@@ -55,7 +56,7 @@
 func (c *Client) setUp(conn *wire.Conn) {
 	c.mu.Lock()
 	c.conn = conn
-	c.replicas = nil
+	c.report = nil
 	hello := c.hello
 	all := c.allInboxes()
 	c.mu.Unlock()
@@ -125,16 +126,28 @@
 }
 
 func (c *Client) handleReport(m *wire.Message) {
-	var body reportBody
+	var r bamboostep.Report
+	if m.Decode(&r) == nil {
+		c.noteReport(r)
+	}
+}
+
+func (c *Client) handleLoad(m *wire.Message) {
+	var body loadBody
 	if m.Decode(&body) != nil {
 		return
 	}
-	r := body.Report
 	c.mu.Lock()
-	if body.SameReplicas {
-		r.Replicas = c.replicas
+	last := c.report
+	c.mu.Unlock()
+	if last != nil {
+		c.noteReport(body.onto(*last))
 	}
-	c.replicas = r.Replicas
+}
+
+func (c *Client) noteReport(r bamboostep.Report) {
+	c.mu.Lock()
+	c.report = &r
 	if c.hello.Fence.Less(r.Fence) {
 		c.hello.Fence = r.Fence
 	}
--- a/backend/property_test.go
+++ b/backend/property_test.go
@@ -71,7 +71,7 @@
 	for _, a := range acts {
 		switch a.kind {
 		case actionStart:
-			w.start(a.offer)
+			w.start(*a.offer)
 		case actionStop:
 			delete(w.running, a.attempt)
 			w.perform(w.table.ended(w.now, a.attempt, &bamboostep.Failure{Attempt: a.attempt, Outcome: bamboostep.Unknown}))
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -6,7 +6,7 @@
 	"github.com/bamboostep/bamboostep"
 )
 
-// The kinds of message. All but the last three go from an entry to an agent.
+// The kinds of message. Those before answer go from an entry to an agent.
 const (
 	kindHello    = "backend.hello"
 	kindOffer    = "backend.offer"
@@ -20,6 +20,7 @@
 	kindAnswer   = "backend.answer"
 	kindFailure  = "backend.failure"
 	kindReport   = "backend.report"
+	kindLoad     = "backend.load"
 	kindSuspects = "backend.suspects"
 )
 
@@ -79,11 +80,4 @@
 	Leaving bool `msgpack:"leaving"`
 }
 
-// reportBody is a report whose replicas are left out when the connection carried
-// the same ones before.
-type reportBody struct {
-	Report       bamboostep.Report `msgpack:"report"`
-	SameReplicas bool              `msgpack:"same_replicas"`
-}
-
 func failed(f bamboostep.Failure) error { return &bamboostep.FailedError{Failure: f} }
--- a/backend/report.go
+++ b/backend/report.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
 )
 
 const (
-	reportInterval = 200 * time.Millisecond
-	minReportGap   = 20 * time.Millisecond // between two reports upon changes
-	maxDropped     = 256                   // dropped cache blocks that one report names
+	minReportInterval = 200 * time.Millisecond
+	maxReportRate     = 100                   // reports a second to all entries together, but for changes
+	minReportGap      = 20 * time.Millisecond // between two reports upon changes
+	maxDropped        = 256                   // dropped cache blocks that one report names
 )
 
 // look asks the engine or application how it is.
@@ -84,7 +84,7 @@
 func (s *Server) pauseReports(ctx context.Context) {
 	gap := time.NewTimer(minReportGap)
 	defer gap.Stop()
-	rest := time.NewTimer(reportInterval)
+	rest := time.NewTimer(s.reportInterval())
 	defer rest.Stop()
 	select {
 	case <-ctx.Done():
@@ -98,6 +98,14 @@
 	}
 }
 
+// reportInterval grows with the number of entries, so that what an agent spends
+// on reports does not.
+func (s *Server) reportInterval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(minReportInterval, time.Duration(len(s.conns))*time.Second/maxReportRate)
+}
+
 func (s *Server) sendReports() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,16 +117,15 @@
 	}
 }
 
-// sendReport leaves the replicas out when the entry has them.
+// sendReport sends the whole report first and then what is new in it.
 func (p *peer) sendReport(r bamboostep.Report) {
-	body := reportBody{Report: r}
-	if !p.fresh && slices.Equal(p.replicas, r.Replicas) {
-		body.SameReplicas = true
-		body.Report.Replicas = nil
+	last := p.last
+	p.last = &r
+	if last == nil || !sameVM(*last, r) {
+		_ = p.conn.Send(kindReport, r)
+		return
 	}
-	p.replicas = r.Replicas
-	p.fresh = false
-	_ = p.conn.Send(kindReport, body)
+	_ = p.conn.Send(kindLoad, newLoadBody(*last, r))
 }
 
 func (s *Server) currentReport() bamboostep.Report {
--- a/backend/schedule.go
+++ b/backend/schedule.go
@@ -20,7 +20,7 @@
 	var acts []action
 	alone := t.aloneRuns()
 	for _, r := range slices.Clone(t.queued) {
-		if r.offer.StartBy <= now {
+		if r.startBy <= now {
 			acts = append(acts, t.refuse(r, codeTooLate)...)
 			continue
 		}
@@ -40,7 +40,7 @@
 		}
 		t.apply(r, eventStart)
 		alone = r.offer.Alone
-		acts = append(acts, action{kind: actionStart, conn: r.conn, attempt: r.offer.Attempt, offer: r.offer})
+		acts = append(acts, action{kind: actionStart, conn: r.conn, attempt: r.id, offer: r.offer})
 	}
 	return acts
 }
@@ -114,7 +114,7 @@
 }
 
 func (t *table) forgettable(now int64, r *record) bool {
-	if r.offer.StartBy > now || !attemptChart.Final(r.state) {
+	if r.startBy > now || !attemptChart.Final(r.state) {
 		return false
 	}
 	return r.state != stateEnded || r.out.gone || now-r.endedAt > keepEnded
@@ -122,7 +122,7 @@
 
 func (t *table) forget(id bamboostep.AttemptID, r *record) {
 	if r.state == stateEnded {
-		t.forgotten = max(t.forgotten, r.offer.StartBy)
+		t.forgotten = max(t.forgotten, r.startBy)
 	}
 	delete(t.records, id)
 }
@@ -131,7 +131,30 @@
 func (t *table) started() []bamboostep.Offer {
 	var offers []bamboostep.Offer
 	for _, r := range t.active {
-		offers = append(offers, r.offer)
+		offers = append(offers, *r.offer)
 	}
 	return offers
 }
+
+// uses reports whether a waiting or running attempt names the model or adapter.
+func (t *table) uses(name string) bool {
+	for _, r := range t.queued {
+		if names(r.offer.Request, name) {
+			return true
+		}
+	}
+	return len(t.runningOn(name)) > 0
+}
+
+// runningOn returns the running attempts that name the model or adapter.
+func (t *table) runningOn(name string) []bamboostep.AttemptID {
+	var ids []bamboostep.AttemptID
+	for id, r := range t.active {
+		if names(r.offer.Request, name) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func names(r bamboostep.Request, name string) bool { return r.Model == name || r.Adapter == name }
--- a/backend/server.go
+++ b/backend/server.go
@@ -80,9 +80,8 @@
 
 // peer is one connected entry.
 type peer struct {
-	conn     *wire.Conn
-	replicas []bamboostep.Replica // last sent
-	fresh    bool                 // nothing was sent yet
+	conn *wire.Conn
+	last *bamboostep.Report // last sent, or nil
 }
 
 // Register registers the message kinds of an agent.
@@ -122,7 +121,7 @@
 	s.mu.Lock()
 	s.lastConn++
 	s.ids[conn] = s.lastConn
-	s.conns[s.lastConn] = &peer{conn: conn, fresh: true}
+	s.conns[s.lastConn] = &peer{conn: conn}
 	s.mu.Unlock()
 	s.report()
 }
@@ -246,7 +245,7 @@
 	for _, a := range acts {
 		switch a.kind {
 		case actionStart:
-			s.launch(a.offer)
+			s.launch(*a.offer)
 		case actionStop:
 			s.stopAttempt(a.attempt)
 		case actionAnswer:
--- a/backend/table.go
+++ b/backend/table.go
@@ -50,21 +50,6 @@
 // maxRecords bounds the table when no limit is set.
 const maxRecords = 1 << 16
 
-// record is what the table knows about one attempt ID.
-type record struct {
-	offer   bamboostep.Offer
-	state   chart.State
-	arrival uint64
-	held    bool   // waits for its adapter to be loaded
-	conn    uint64 // connection that carries the answer; 0 while there is none
-	lostAt  int64  // when the last connection ended
-	endedAt int64
-	out     output
-	failure bamboostep.Failure // when refused, cancelled, or ended without a whole answer
-	failed  bool
-	orphan  bool // nobody will read the answer
-}
-
 type actionKind int
 
 const (
@@ -78,7 +63,7 @@
 type action struct {
 	kind    actionKind
 	conn    uint64
-	offer   bamboostep.Offer   // of actionStart
+	offer   *bamboostep.Offer  // of actionStart
 	answer  bamboostep.Answer  // of actionAnswer
 	failure bamboostep.Failure // of actionFailure
 	attempt bamboostep.AttemptID
@@ -129,10 +114,10 @@
 		t.queued = slices.Insert(t.queued, at, r)
 	}
 	if next == stateStarted {
-		t.active[r.offer.Attempt] = r
+		t.active[r.id] = r
 	}
 	if attemptChart.Final(next) {
-		delete(t.active, r.offer.Attempt)
+		delete(t.active, r.id)
 	}
 }
 
@@ -142,7 +127,7 @@
 		t.active = make(map[bamboostep.AttemptID]*record)
 	}
 	t.arrivals++
-	r := &record{offer: offer, state: attemptChart.Initial(), arrival: t.arrivals, conn: conn}
+	r := &record{id: offer.Attempt, startBy: offer.StartBy, offer: &offer, state: attemptChart.Initial(), arrival: t.arrivals, conn: conn}
 	t.records[offer.Attempt] = r
 	return r
 }
@@ -191,30 +176,18 @@
 	return []action{failureAction(conn, r.failure)}
 }
 
-func refusal(conn uint64, offer bamboostep.Offer, code string) action {
-	return failureAction(conn, notRun(offer.Attempt, code))
-}
-
-func notRun(id bamboostep.AttemptID, code string) bamboostep.Failure {
-	return bamboostep.Failure{Attempt: id, Outcome: bamboostep.NotRun, Code: code, Message: "the attempt was not started: " + code}
-}
-
-func failureAction(conn uint64, f bamboostep.Failure) action {
-	return action{kind: actionFailure, conn: conn, failure: f, attempt: f.Attempt}
-}
-
 func (t *table) refuse(r *record, code string) []action {
 	if !t.apply(r, eventRefuse) {
 		return nil
 	}
-	return t.bury(r, notRun(r.offer.Attempt, code))
+	return t.bury(r, notRun(r.id, code))
 }
 
 // bury makes r a tombstone that never ran.
 func (t *table) bury(r *record, f bamboostep.Failure) []action {
 	r.failure = f
 	r.failed = true
-	r.offer = bamboostep.Offer{Attempt: r.offer.Attempt, StartBy: r.offer.StartBy}
+	r.offer = nil
 	if r.conn == 0 {
 		return nil
 	}
@@ -275,17 +248,6 @@
 	return bamboostep.NotRun
 }
 
-// outcome says whether r ran, for an attempt that has started.
-func (r *record) outcome() bamboostep.Outcome {
-	if r.failed {
-		return r.failure.Outcome
-	}
-	if r.out.end > 0 || r.state == stateEnded {
-		return bamboostep.Ran
-	}
-	return bamboostep.Unknown
-}
-
 // resumed binds an attempt to another connection and sends its answer from
 // offset on. An ID that is not known gets a tombstone, because its offer may
 // still be on its way.
@@ -321,18 +283,6 @@
 	return forgotten(id)
 }
 
-func forgotten(id bamboostep.AttemptID) bamboostep.Failure {
-	return bamboostep.Failure{Attempt: id, Outcome: bamboostep.Unknown, Code: codeForgotten, Message: "the attempt is no longer known"}
-}
-
-func (r *record) answers() []action {
-	acts := make([]action, 0, len(r.out.pieces))
-	for _, a := range r.out.pieces {
-		acts = append(acts, action{kind: actionAnswer, conn: r.conn, answer: a, attempt: a.Attempt})
-	}
-	return acts
-}
-
 // acked drops output that the entry has.
 func (t *table) acked(id bamboostep.AttemptID, offset int64, whole bool) {
 	r := t.get(id)
@@ -379,7 +329,7 @@
 		return nil
 	}
 	r.endedAt = now
-	r.offer = bamboostep.Offer{Attempt: id, StartBy: r.offer.StartBy}
+	r.offer = nil
 	var acts []action
 	if failure != nil {
 		r.failure = *failure
@@ -413,29 +363,6 @@
 	return acts
 }
 
-// uses reports whether a waiting or running attempt names the model or adapter.
-func (t *table) uses(name string) bool {
-	for _, r := range t.queued {
-		if names(r.offer.Request, name) {
-			return true
-		}
-	}
-	return len(t.runningOn(name)) > 0
-}
-
-// runningOn returns the running attempts that name the model or adapter.
-func (t *table) runningOn(name string) []bamboostep.AttemptID {
-	var ids []bamboostep.AttemptID
-	for id, r := range t.active {
-		if names(r.offer.Request, name) {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
-func names(r bamboostep.Request, name string) bool { return r.Model == name || r.Adapter == name }
-
 // unfetched reports whether an entry has not yet got the whole answer of an
 // attempt that is running or has ended.
 func (t *table) unfetched() bool {
--- a/stock/memory.go
+++ b/stock/memory.go
@@ -40,8 +40,9 @@
 	highest  bamboostep.Fence
 	engine   bamboostep.EngineState // last observed
 	observed bool
-	spanFrom time.Duration // start of the unbroken span of observations
-	spanTo   time.Duration // last observation of the span
+	listed   []bamboostep.Replica // result of Replicas, nil after a change
+	spanFrom time.Duration        // start of the unbroken span of observations
+	spanTo   time.Duration        // last observation of the span
 }
 
 // DefaultSettle is the settling time of a Memory that sets none.
@@ -286,6 +287,7 @@
 	}
 	h.since = now
 	m.holdings[h.key()] = h
+	m.listed = nil
 }
 
 func (h *holding) key() replicaKey { return replicaKey{h.replica.Name, h.replica.Version} }
@@ -298,6 +300,7 @@
 	}
 	h.state = next
 	h.since = now
+	m.listed = nil
 	if next == stateGone {
 		delete(m.holdings, h.key())
 		m.removed[h.key()] = now
--- a/stock/reconcile.go
+++ b/stock/reconcile.go
@@ -55,7 +55,7 @@
 // from before the agent's start.
 func (m *Memory) adopt(asked time.Duration, key replicaKey, r bamboostep.Replica) {
 	if h := m.holdings[key]; h != nil {
-		h.replica.MiB = max(h.replica.MiB, r.MiB)
+		m.grow(h, r.MiB)
 		return
 	}
 	if gone, ok := m.removed[key]; ok && asked <= gone {
@@ -68,6 +68,14 @@
 	m.hold(asked, h)
 }
 
+// grow takes the engine's word where a replica is larger than its order said.
+func (m *Memory) grow(h *holding, mib int64) {
+	if mib > h.replica.MiB {
+		h.replica.MiB = mib
+		m.listed = nil
+	}
+}
+
 func (m *Memory) reconcile(asked time.Duration, h *holding, r bamboostep.Replica, listed bool) {
 	if asked <= h.since {
 		return
@@ -213,8 +221,16 @@
 // HeldMiB returns what the engine itself last reported to hold.
 func (m *Memory) HeldMiB() int64 { return m.engine.HeldMiB }
 
-// Replicas returns all replicas in order of name and version.
+// Replicas returns all replicas in order of name and version. The caller must
+// not change them.
 func (m *Memory) Replicas() []bamboostep.Replica {
+	if m.listed == nil {
+		m.listed = m.list()
+	}
+	return m.listed
+}
+
+func (m *Memory) list() []bamboostep.Replica {
 	rs := make([]bamboostep.Replica, 0, len(m.holdings))
 	for _, key := range slices.SortedFunc(maps.Keys(m.holdings), compareKeys) {
 		h := m.holdings[key]
