Memory account: an agent that was ready stays ready

Cause: while an engine restarts it answers nothing, which broke the span of observations, so that for 2 s after its return no lost copy could be loaded.

--- a/stock/memory.go
+++ b/stock/memory.go
@@ -41,8 +41,9 @@
 	engine   bamboostep.EngineState // last observed
 	observed bool
 	listed   []bamboostep.Replica // result of Replicas, nil after a change
-	spanFrom time.Duration        // start of the unbroken span of observations
-	spanTo   time.Duration        // last observation of the span
+	ready    bool
+	spanFrom time.Duration // start of the unbroken span of observations
+	spanTo   time.Duration // last observation of the span
 }
 
 // DefaultSettle is the settling time of a Memory that sets none.
--- a/stock/reconcile.go
+++ b/stock/reconcile.go
@@ -42,6 +42,7 @@
 		m.spanFrom = asked
 	}
 	m.spanTo = asked
+	m.ready = m.ready || m.spanTo-m.spanFrom >= m.settle()
 }
 
 func (m *Memory) settle() time.Duration {
@@ -124,11 +125,9 @@
 	r.apply("refuse")
 }
 
-// Ready reports whether the engine's state has been observed for long enough to
-// reserve memory.
-func (m *Memory) Ready() bool {
-	return m.observed && m.spanTo-m.spanFrom >= m.settle()
-}
+// Ready reports whether memory may be reserved: the engine's state has once been
+// observed for the settling time. What the agent sent since its start it knows.
+func (m *Memory) Ready() bool { return m.ready }
 
 // Observed reports whether the engine's state is known at all.
 func (m *Memory) Observed() bool { return m.observed }
