--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -31,18 +31,22 @@
 	w.xy = w.xy*waitKeptShare + tokens*y
 }
 
-// Predict returns the expected wait behind work of so many tokens, and false as
-// long as too little was seen.
-func (w *Wait) Predict(tokens float64) (time.Duration, bool) {
+// Predict returns the expected wait behind work of so many tokens, the part of it
+// that the work before it makes, and false as long as too little was seen. Only
+// that part is a reason to refuse: the rest would be no shorter later on, and a
+// refusal for it would last for good, since nothing new is seen while everything
+// is refused.
+func (w *Wait) Predict(tokens float64) (wait, queued time.Duration, known bool) {
 	if w.n < waitLeast {
-		return 0, false
+		return 0, 0, false
 	}
 	slope := 0.0
 	if width := w.xx - w.x*w.x/w.n; width > waitLeastWidth*w.n {
 		slope = max((w.xy-w.x*w.y/w.n)/width, 0)
 	}
 	base := max((w.y-slope*w.x)/w.n, 0)
-	return time.Duration((base + slope*tokens) * float64(time.Second)), true
+	queued = time.Duration(slope * tokens * float64(time.Second))
+	return queued + time.Duration(base*float64(time.Second)), queued, true
 }
 
 // Admission refuses a request at once where its answer would be too late to be of
--- a/entry/callers_admit.go
+++ b/entry/callers_admit.go
@@ -29,11 +29,11 @@
 	if !j.course.Fresh() {
 		return nil
 	}
-	wait, known := x.predictWait(j.place, p.queue)
+	wait, queued, known := x.predictWait(j.place, p.queue)
 	if !known {
 		return nil
 	}
-	after, ok := x.Admission.Admit(x.class, wait, j.startTarget)
+	after, ok := x.Admission.Admit(x.class, queued, j.startTarget)
 	if ok {
 		return nil
 	}
@@ -57,12 +57,12 @@
 	w.Observe(tokens, wait)
 }
 
-func (c *callers) predictWait(place string, tokens float64) (time.Duration, bool) {
+func (c *callers) predictWait(place string, tokens float64) (wait, queued time.Duration, known bool) {
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
 	w := c.lanes.waits[place]
 	if w == nil {
-		return 0, false
+		return 0, 0, false
 	}
 	return w.Predict(tokens)
 }
