--- a/ledger/core.go
+++ b/ledger/core.go
@@ -150,6 +150,7 @@
 	announced   map[string]announcement
 
 	incoming incomingSnapshot
+	keep     uint64 // entries kept behind a snapshot
 	out      actions
 }
 
@@ -168,6 +169,7 @@
 		commit:      st.Snapshot.Index,
 		handedOut:   st.Snapshot.Index,
 		announced:   make(map[string]announcement),
+		keep:        keptEntries,
 	}
 	c.log = restoreLog(st)
 	c.stable = c.log.lastIndex()
--- a/ledger/election.go
+++ b/ledger/election.go
@@ -12,7 +12,7 @@
 		return
 	}
 	c.leader = ""
-	if !c.members.voter(c.disk) {
+	if !c.mayCampaign() {
 		c.resetElection()
 		return
 	}
@@ -26,6 +26,16 @@
 	c.askVotes(message{Kind: messagePreVote, Term: c.term + 1})
 }
 
+// mayCampaign reports whether c may lead. A voter whose removal is in its log but
+// may not be committed still may: it can be the only one that has the newest
+// entries, and the others then cannot win without it.
+func (c *core) mayCampaign() bool {
+	if c.members.voter(c.disk) {
+		return true
+	}
+	return c.membersIndex > c.commit && c.committedMembers().voter(c.disk)
+}
+
 // campaign raises the term and asks for votes. Upon elect_now the voters grant
 // theirs although they still hear from the leader, since it asked for this.
 func (c *core) campaign(why chart.Event) {
--- a/ledger/record.go
+++ b/ledger/record.go
@@ -25,7 +25,7 @@
 	Header *fileHeader // first record of each file
 	Ballot *ballot
 	Entry  *entry // replaces the entries from its index on
-	Base   bool   // ends what was written before the file got its name
+	Base   bool   // ends what was written before the file got its name; must stay the last field, see zeroTail
 }
 
 // fileHeader begins a log file.
@@ -102,14 +102,13 @@
 	return frame{payload: payload, next: offset + recordHeaderBytes + length}
 }
 
-const minZeroTail = 8 // bytes
-
 // zeroTail reports whether rest is zero from somewhere inside its first n bytes
-// to its end.
+// to its end. A whole record never ends so: its last byte is an encoded bool,
+// which is not zero.
 func zeroTail(rest []byte, n int) bool {
 	i := len(rest)
 	for i > 0 && rest[i-1] == 0 {
 		i--
 	}
-	return i < n && len(rest)-i >= minZeroTail
+	return i < n && i < len(rest)
 }
--- a/ledger/replication.go
+++ b/ledger/replication.go
@@ -204,7 +204,9 @@
 	}
 	c.countRound()
 	c.maybeCommit()
-	c.sendMore(s)
+	if c.role == roleLeader {
+		c.sendMore(s)
+	}
 }
 
 // noteRound notes a follower's answer to a round.
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -37,7 +37,7 @@
 func (c *core) compact(s snapshot) []entry {
 	c.snap = s
 	keep := s.Index
-	for bytes := 0; keep > c.log.baseIndex && s.Index-keep < keptEntries; keep-- {
+	for bytes := 0; keep > c.log.baseIndex && s.Index-keep < c.keep; keep-- {
 		bytes += c.log.at(keep).size()
 		if bytes > keptBytes {
 			break
