Bounds on what is in flight, and a voter that comes back

Cause: a follower could be sent 4096 entries of any size without an answer, more than a connection queues, and waiting commands were bounded by number alone. Current said that a voter was current at the start of the process.

Change: 64 messages and 4 MiB in flight for a follower, 16 MiB of waiting commands; Current is zero before the first proof.

--- a/ledger/core.go
+++ b/ledger/core.go
@@ -33,10 +33,11 @@
 	quorumTimeout      = 600 * time.Millisecond // a leader that no quorum followed for so long steps down
 	announceInterval   = 100 * time.Millisecond
 
-	maxAppendBytes  = 1 << 20   // entries in one message
-	maxInFlight     = 4096      // entries sent and not acknowledged, per follower
-	snapshotBytes   = 256 << 10 // data in one snapshot chunk
-	caughtUpEntries = 64        // a learner that lags no more becomes a voter
+	maxAppendBytes    = 1 << 20   // entries in one message
+	maxFlightMessages = 64        // sent and not acknowledged, per follower
+	maxFlightBytes    = 4 << 20   // and their size
+	snapshotBytes     = 256 << 10 // data in one snapshot chunk
+	caughtUpEntries   = 64        // a learner that lags no more becomes a voter
 )
 
 //go:embed role.toml
@@ -136,7 +137,7 @@
 	leader      string
 	leaderHeard time.Duration
 	heardOnce   bool          // leaderHeard is set
-	currentAt   time.Duration // when c last had all that the leader had committed
+	currentAt   time.Duration // when c last had all that the leader had committed; 0 for never
 
 	votes     map[diskID]bool
 	progress  map[diskID]*progress
--- a/ledger/replication.go
+++ b/ledger/replication.go
@@ -19,9 +19,45 @@
 	waiting  bool   // a probe is out
 	round    uint64 // last round it answered
 	heard    time.Duration
+	flight   []flight
 	snapshot *outgoingSnapshot
 }
 
+// flight is a message that a follower has not acknowledged.
+type flight struct {
+	last  uint64 // its last entry
+	bytes int
+}
+
+// hasRoom reports whether more entries may be sent before an acknowledgement.
+func (p *progress) hasRoom() bool {
+	bytes := 0
+	for _, f := range p.flight {
+		bytes += f.bytes
+	}
+	return len(p.flight) < maxFlightMessages && bytes < maxFlightBytes
+}
+
+// depart notes that entries were sent.
+func (p *progress) depart(entries []entry) {
+	if len(entries) == 0 {
+		return
+	}
+	f := flight{last: entries[len(entries)-1].Index}
+	for _, e := range entries {
+		f.bytes += e.size()
+	}
+	p.flight = append(p.flight, f)
+	p.next = f.last + 1
+}
+
+// arrive forgets the messages that were acknowledged.
+func (p *progress) arrive() {
+	for len(p.flight) > 0 && p.flight[0].last <= p.match {
+		p.flight = p.flight[1:]
+	}
+}
+
 // syncProgress follows the membership.
 func (c *core) syncProgress() {
 	for _, s := range c.members.Seats {
@@ -96,7 +132,7 @@
 
 func (c *core) sendMore(s seat) {
 	p := c.progress[s.Disk]
-	for !p.probing && p.snapshot == nil && p.next <= c.log.lastIndex() && p.next-p.match <= maxInFlight {
+	for !p.probing && p.snapshot == nil && p.next <= c.log.lastIndex() && p.hasRoom() {
 		c.sendAppend(s)
 	}
 }
@@ -115,13 +151,13 @@
 	prev := p.next - 1
 	term, _ := c.log.term(prev)
 	m := message{Kind: messageAppend, Index: prev, LogTerm: term, Commit: c.commit, Round: c.round}
-	if p.next-p.match <= maxInFlight {
+	if p.hasRoom() {
 		m.Entries = c.log.from(p.next, maxAppendBytes)
 	}
 	if p.probing {
 		p.waiting = true
 	} else {
-		p.next += uint64(len(m.Entries))
+		p.depart(m.Entries)
 	}
 	c.out.Early = append(c.out.Early, c.addressed(m, s))
 }
@@ -200,6 +236,7 @@
 	} else if m.Index+1 < p.next || p.probing {
 		p.next = max(p.match, min(m.Index, p.next-1)) + 1
 		p.probing = true
+		p.flight = nil
 		c.sendAppend(s)
 	}
 	c.countRound()
@@ -219,6 +256,7 @@
 	p.match = max(p.match, min(match, c.log.lastIndex()))
 	p.next = max(p.next, p.match+1)
 	p.probing = false
+	p.arrive()
 	if p.snapshot != nil && p.match >= p.snapshot.Index {
 		p.snapshot = nil
 	}
--- a/ledger/serve.go
+++ b/ledger/serve.go
@@ -146,7 +146,7 @@
 	var encoded [][]byte
 	var taken []request
 	for _, r := range batch {
-		if len(v.pending)+len(taken) >= maxPending {
+		if len(v.pending)+len(taken) >= maxPending || v.waiting > pendingBytes {
 			r.done(proposeReply{Code: codeBusy})
 			continue
 		}
@@ -166,7 +166,8 @@
 			r.done(v.notLeader())
 			continue
 		}
-		v.pending[first+uint64(i)] = pendingCommand{v.core.term, r.done}
+		v.pending[first+uint64(i)] = pendingCommand{v.core.term, len(encoded[i]), r.done}
+		v.waiting += len(encoded[i])
 	}
 }
 
@@ -191,6 +192,7 @@
 		return
 	}
 	delete(v.pending, e.Index)
+	v.waiting -= p.size
 	if p.term != e.Term {
 		p.done(proposeReply{Code: codeDropped})
 		return
@@ -199,10 +201,11 @@
 }
 
 func (v *Voter) dropPending(code callCode) {
-	for index, p := range v.pending {
-		delete(v.pending, index)
+	for _, p := range v.pending {
 		p.done(proposeReply{Code: code})
 	}
+	clear(v.pending)
+	v.waiting = 0
 }
 
 func (v *Voter) serveBarrier(r request) {
--- a/ledger/voter.go
+++ b/ledger/voter.go
@@ -19,8 +19,9 @@
 const (
 	inboxSize    = 1024 // messages that wait for the loop; more are dropped, as a network would
 	requestsSize = 4096
-	batchSize    = 512  // inputs taken before one save
-	maxPending   = 8192 // commands that wait for their commit
+	batchSize    = 512      // inputs taken before one save
+	maxPending   = 4096     // commands that wait for their commit
+	pendingBytes = 16 << 20 // and their size
 )
 
 // Voter is one voter of the ledger. Set the exported fields before Register.
@@ -57,6 +58,7 @@
 	started time.Time
 
 	pending   map[uint64]pendingCommand
+	waiting   int // bytes of pending
 	barriers  map[uint64]func(proposeReply)
 	lastRead  uint64
 	clockBase time.Duration // ledger time at clockAt
@@ -96,6 +98,7 @@
 
 type pendingCommand struct {
 	term uint64
+	size int // bytes
 	done func(proposeReply)
 }
 
@@ -325,12 +328,14 @@
 		term:     v.core.term,
 		self:     leads,
 		quorumAt: v.started.Add(at),
-		current:  v.started.Add(v.core.currentAt),
 		members:  v.core.members,
 		disk:     v.core.disk,
 	}
-	if leads {
+	switch {
+	case leads:
 		s.current = s.quorumAt
+	case v.core.currentAt > 0:
+		s.current = v.started.Add(v.core.currentAt)
 	}
 	v.status.Store(s)
 	if !leads {
