Entries restart from the set that they had in force

Cause: an entry with a data folder started empty and then applied what its ledger knew first; without a quorum it did not open its callers' port. Also, the proof of being current was read after the state that it is to prove, so a state could be proven by a later moment. Ruled out: keeping the feed's file in the ledger's own folder: the ledger removes files there that it does not know. Change: the data folder holds feed.set beside the folder ledger; the proof is read before the state. The feed no longer logs what the entry logs.

--- a/catalog/feed_conn.go
+++ b/catalog/feed_conn.go
@@ -226,7 +226,6 @@
 	f.keep(sets[len(sets)-1])
 	f.push()
 	for _, s := range sets {
-		f.Recorder.Record(timeline.Event{Kind: "revision_applied", Revision: s.Revision()})
 		if f.Changed != nil {
 			f.Changed(s)
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +33,9 @@
 	adminCloseTimeout   = 2 * time.Second
 	listReadTimeout     = 2 * time.Second
 	proveInterval       = time.Second
+
+	ledgerFolder = "ledger"   // below the data folder
+	feedFile     = "feed.set" // in the data folder
 )
 
 // routers and placers are the choices that the settings name.
@@ -101,10 +106,11 @@
 	e.feed = &catalog.Feed{Node: e.node, Recorder: e.recorder, Registry: e.registry, Changed: e.noteSet}
 	e.feed.Register(e.mux)
 	if e.cfg.DataDir != "" {
+		e.feed.File = filepath.Join(e.cfg.DataDir, feedFile)
 		e.voter = &ledger.Voter{
 			Name:     e.cfg.Name,
 			Members:  e.cfg.voters(),
-			Dir:      e.cfg.DataDir,
+			Dir:      filepath.Join(e.cfg.DataDir, ledgerFolder),
 			Node:     e.node,
 			Recorder: e.recorder,
 			Registry: e.registry,
@@ -225,9 +231,11 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+			// The proof is read first: a state read after it is at least as new.
+			at := e.client.Current()
 			if s := e.client.State(); s != nil {
 				_, revision := s.Set()
-				e.feed.Prove(revision, e.client.Current())
+				e.feed.Prove(revision, at)
 			}
 		}
 	}
@@ -261,6 +269,9 @@
 // requests finish, and only then do the connections to agents and other entries
 // end.
 func (e *entry) Run(ctx context.Context) error {
+	if err := e.restore(); err != nil {
+		return err
+	}
 	wireListener, err := net.Listen("tcp", e.cfg.Listen)
 	if err != nil {
 		return err
@@ -283,6 +294,24 @@
 	return g.Wait()
 }
 
+// restore takes the set that was in force before a restart. A damaged file is
+// passed over, since the ledger has the set too.
+func (e *entry) restore() error {
+	if e.cfg.DataDir == "" {
+		return nil
+	}
+	if err := os.MkdirAll(e.cfg.DataDir, 0o700); err != nil {
+		return err
+	}
+	err := e.feed.Restore()
+	var damaged *catalog.FileError
+	if errors.As(err, &damaged) {
+		e.log.Error("feed_file_damaged", "error", err)
+		return nil
+	}
+	return err
+}
+
 // stopped returns err unless it only says that the context ended.
 func stopped(err error) error {
 	if err == context.Canceled {
