Publishes always name an author

Cause: where USER is not set, a publish had an empty author, and whoever came second was told that "" had been first. Ruled out: refusing to publish without an author. Change: the user's name from the system's own list by default. Conclusion: a conflict names somebody.

--- a/bamboostep/publish.go
+++ b/bamboostep/publish.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"os"
+	"os/user"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -61,13 +62,25 @@
 	if err := writeState(dir, state); err != nil {
 		return none, err
 	}
-	revision, err := client.Publish(ctx, state.PendingID, based, cmd.String("author"), set)
+	revision, err := client.Publish(ctx, state.PendingID, based, author(cmd), set)
 	if err != nil {
 		return none, settle(dir, state, err)
 	}
 	return revision, writeState(dir, folderState{Revision: revision.Number})
 }
 
+// author returns who publishes, so that whoever comes second is told.
+func author(cmd *cli.Command) string {
+	if name := cmd.String("author"); name != "" {
+		return name
+	}
+	u, err := user.Current()
+	if err != nil {
+		return "unknown"
+	}
+	return u.Username
+}
+
 // settle notes how a publish failed: one whose outcome is unknown stays pending.
 func settle(dir string, state folderState, err error) error {
 	var unreachable *operator.UnreachableError
