Status tells copies that answer from those that do not

Cause: after its engine was killed, a VM was shown as not_ready, yet its copies still counted: "2/2" for a model with one copy left. Ruled out: leaving such copies out; an operator wants to see where they were. Change: a copy says whether its VM is ready; only ready ones count, the others are shown as "(not ready)". Conclusion: the count is what callers can reach.

--- a/bamboostep/script_test.go
+++ b/bamboostep/script_test.go
@@ -131,7 +131,11 @@
 	s.Revision = set.Revision()
 	for _, m := range set.Objects().Models {
 		s.Models = append(s.Models, operator.ModelStatus{Kind: catalog.KindModel, Name: m.Name, Place: m.Place, Wanted: m.MinCopies,
-			Copies: []operator.CopyStatus{{VM: "vm-1", State: bamboostep.ReplicaResident}, {VM: "vm-2", State: bamboostep.ReplicaLoading}}})
+			Copies: []operator.CopyStatus{
+				{VM: "vm-1", State: bamboostep.ReplicaResident, Ready: true},
+				{VM: "vm-2", State: bamboostep.ReplicaLoading, Ready: true},
+				{VM: "vm-3", State: bamboostep.ReplicaResident},
+			}})
 	}
 	return s
 }
--- a/bamboostep/status.go
+++ b/bamboostep/status.go
@@ -78,15 +78,22 @@
 func where(m operator.ModelStatus) string {
 	var copies []string
 	for _, c := range m.Copies {
-		text := c.VM
-		if c.State != bamboostep.ReplicaResident {
-			text += " (" + string(c.State) + ")"
-		}
-		copies = append(copies, text)
+		copies = append(copies, c.VM+copyNote(c))
 	}
 	return strings.Join(copies, ", ")
 }
 
+// copyNote says why a copy answers no new requests, if so.
+func copyNote(c operator.CopyStatus) string {
+	switch {
+	case c.State != bamboostep.ReplicaResident:
+		return " (" + string(c.State) + ")"
+	case !c.Ready:
+		return " (not ready)"
+	}
+	return ""
+}
+
 func drainCommand() *cli.Command {
 	return &cli.Command{
 		Name:         "drain",
--- a/entry/status.go
+++ b/entry/status.go
@@ -101,7 +101,7 @@
 		}
 		r, _ := m.server.Report()
 		for _, replica := range r.Replicas {
-			copies[replica.Name] = append(copies[replica.Name], copyStatus(m.VM, replica))
+			copies[replica.Name] = append(copies[replica.Name], copyStatus(m.VM, replica, r.Ready && m.TakesWork()))
 		}
 	}
 	var out []operator.ModelStatus
@@ -119,6 +119,6 @@
 	return out
 }
 
-func copyStatus(vm bamboostep.VM, r bamboostep.Replica) operator.CopyStatus {
-	return operator.CopyStatus{VM: vm.Name, FailureDomain: vm.FailureDomain, Version: r.Version, State: r.State}
+func copyStatus(vm bamboostep.VM, r bamboostep.Replica, ready bool) operator.CopyStatus {
+	return operator.CopyStatus{VM: vm.Name, FailureDomain: vm.FailureDomain, Version: r.Version, State: r.State, Ready: ready}
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -57,7 +57,7 @@
 func (m ModelStatus) Resident() int {
 	n := 0
 	for _, c := range m.Copies {
-		if c.State == bamboostep.ReplicaResident {
+		if c.Ready && c.State == bamboostep.ReplicaResident {
 			n++
 		}
 	}
@@ -70,6 +70,7 @@
 	FailureDomain string                  `json:"failure_domain"`
 	Version       string                  `json:"version"`
 	State         bamboostep.ReplicaState `json:"state"`
+	Ready         bool                    `json:"ready"` // the VM answers and takes new work
 }
 
 // VMState is how an entry sees a VM.
