Agent: settle_time setting, failures name their request

Cause: how long an engine may take to begin an order that it has been sent differs between engines, and the settling time of memory must be over it. Failures in the time line could not be found by their request.

Shown by: go test -race in backend and agent, green.

--- a/agent/config.go
+++ b/agent/config.go
@@ -11,6 +11,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/settings"
+	"github.com/bamboostep/bamboostep/stock"
 )
 
 // config is the agent's settings file.
@@ -26,6 +27,7 @@
 	Concurrency   int                  `toml:"concurrency"`
 	Queue         int                  `toml:"queue"`
 	DrainTimeout  settings.Duration    `toml:"drain_timeout"`
+	SettleTime    settings.Duration    `toml:"settle_time"`
 	TLS           tlsConfig            `toml:"tls"`
 }
 
@@ -40,6 +42,7 @@
 		Concurrency:  32,
 		Queue:        64,
 		DrainTimeout: settings.Duration{Duration: 30 * time.Second},
+		SettleTime:   settings.Duration{Duration: stock.DefaultSettle},
 	}
 }
 
@@ -62,6 +65,7 @@
 	wrong(c.Concurrency <= 0, "concurrency", "must be over 0")
 	wrong(c.Queue < 0, "queue", "must not be negative")
 	wrong(c.DrainTimeout.Duration <= 0, "drain_timeout", "must be over 0")
+	wrong(c.SettleTime.Duration < time.Second, "settle_time", "must be 1s or more")
 	wrong(c.TLS.partial(), "tls", "needs all of cert, key and ca, or none")
 	return problems
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -87,6 +87,7 @@
 		Concurrency:  cfg.Concurrency,
 		Queue:        cfg.Queue,
 		DrainTimeout: cfg.DrainTimeout.Duration,
+		Settle:       cfg.SettleTime.Duration,
 	}
 	if cfg.Kind == bamboostep.EnginePlace {
 		s.Engine = newEngine(cfg.BackendURL, cfg.Name, cfg.Concurrency)
--- a/backend/record.go
+++ b/backend/record.go
@@ -9,6 +9,8 @@
 type record struct {
 	id      bamboostep.AttemptID
 	startBy int64
+	request bamboostep.RequestID
+	target  string            // service, adapter or model
 	offer   *bamboostep.Offer // nil once the attempt has ended
 	state   chart.State
 	arrival uint64
@@ -42,7 +44,18 @@
 }
 
 func refusal(conn uint64, offer bamboostep.Offer, code string) action {
-	return failureAction(conn, notRun(offer.Attempt, code))
+	a := failureAction(conn, notRun(offer.Attempt, code))
+	a.request = offer.Request.ID
+	a.target = target(offer.Request)
+	return a
+}
+
+// failureAction returns the action that tells the entry how r ended.
+func (r *record) failureAction() action {
+	a := failureAction(r.conn, r.failure)
+	a.request = r.request
+	a.target = r.target
+	return a
 }
 
 func notRun(id bamboostep.AttemptID, code string) bamboostep.Failure {
--- a/backend/server.go
+++ b/backend/server.go
@@ -251,7 +251,7 @@
 		case actionAnswer:
 			s.send(a.conn, kindAnswer, a.answer)
 		case actionFailure:
-			s.noteFailure(a.failure)
+			s.noteFailure(a)
 			s.send(a.conn, kindFailure, a.failure)
 		}
 	}
@@ -268,11 +268,14 @@
 	s.Recorder.Record(timeline.Event{Kind: kind, VM: s.VM.Name, Detail: detail})
 }
 
-func (s *Server) noteFailure(f bamboostep.Failure) {
+func (s *Server) noteFailure(a action) {
+	f := a.failure
 	s.metrics.countFailure(f)
 	s.Recorder.Record(timeline.Event{
 		Kind:    "attempt_failed",
+		Request: a.request,
 		Attempt: f.Attempt,
+		Model:   a.target,
 		VM:      s.VM.Name,
 		Detail:  f.Code + " " + string(f.Outcome),
 	})
--- a/backend/table.go
+++ b/backend/table.go
@@ -67,6 +67,8 @@
 	answer  bamboostep.Answer  // of actionAnswer
 	failure bamboostep.Failure // of actionFailure
 	attempt bamboostep.AttemptID
+	request bamboostep.RequestID // of actionFailure, if known
+	target  string               // of actionFailure, if known
 }
 
 // table is the agent's table of attempts. It is pure: the time, microseconds on
@@ -127,7 +129,16 @@
 		t.active = make(map[bamboostep.AttemptID]*record)
 	}
 	t.arrivals++
-	r := &record{id: offer.Attempt, startBy: offer.StartBy, offer: &offer, state: attemptChart.Initial(), arrival: t.arrivals, conn: conn}
+	r := &record{
+		id:      offer.Attempt,
+		startBy: offer.StartBy,
+		request: offer.Request.ID,
+		target:  target(offer.Request),
+		offer:   &offer,
+		state:   attemptChart.Initial(),
+		arrival: t.arrivals,
+		conn:    conn,
+	}
 	t.records[offer.Attempt] = r
 	return r
 }
@@ -191,7 +202,7 @@
 	if r.conn == 0 {
 		return nil
 	}
-	return []action{failureAction(r.conn, f)}
+	return []action{r.failureAction()}
 }
 
 // release lets a held attempt start; a nonempty code refuses it instead.
@@ -335,7 +346,7 @@
 		r.failure = *failure
 		r.failed = true
 		if r.conn != 0 && !r.orphan {
-			acts = append(acts, failureAction(r.conn, r.failure))
+			acts = append(acts, r.failureAction())
 		}
 	}
 	if r.orphan {
