Agent: test of an order that outlives its agent

Cause: the rule that a restarted agent reserves nothing before its engine's state has settled was proved on the pure account only.

Change: a test with sockets: the agent ends between an order and its answer, the engine begins the order after the successor has started, and a new leader's order would then pass the memory; the successor refuses it, and an order of the deposed leader too.

--- a/backend/server_test.go
+++ b/backend/server_test.go
@@ -365,3 +365,72 @@
 		t.Errorf("no answer yet: got %+v, want outcome unknown", f)
 	}
 }
+
+// lateEngine checks neither memory nor fences, and begins the order for "late"
+// only when it is released.
+type lateEngine struct {
+	gatedEngine
+	release chan struct{}
+	arrived chan struct{}
+
+	mu       sync.Mutex
+	replicas []bamboostep.Replica
+}
+
+func (e *lateEngine) Do(_ context.Context, o bamboostep.Order) error {
+	if o.Name == "late" {
+		close(e.arrived)
+		<-e.release
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.replicas = append(e.replicas, bamboostep.Replica{Name: o.Name, MiB: o.MiB, State: bamboostep.ReplicaResident})
+	return nil
+}
+
+func (e *lateEngine) State(context.Context) (bamboostep.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return bamboostep.EngineState{Incarnation: "one", Replicas: e.replicas}, nil
+}
+
+// An agent dies between an order and its answer, and its successor knows nothing
+// of the order, which the engine begins later. The successor reserves nothing
+// until it has seen the order's effect, and obeys no older leader.
+func TestOrderOutlivesItsAgent(t *testing.T) {
+	e := &lateEngine{release: make(chan struct{}), arrived: make(chan struct{})}
+	address, stop := startServer(t, "127.0.0.1:0", e)
+	c := startClient(t, address)
+	order := func(term uint64, name string) (string, error) {
+		o := bamboostep.Order{Fence: bamboostep.Fence{Term: term, Sequence: 1}, Kind: bamboostep.LoadModel, Name: name, MiB: 60}
+		result, err := c.Order(context.Background(), o)
+		return result.Code, err
+	}
+	load := func(term uint64, name string) (code string) {
+		until(t, "the agent answers the order", func() bool {
+			var err error
+			code, err = order(term, name)
+			return err == nil
+		})
+		return code
+	}
+	go func() {
+		for code, err := order(1, "late"); err == nil && code == "not_ready"; {
+			code, err = order(1, "late")
+		}
+	}()
+	<-e.arrived
+	stop()
+	startServer(t, address, e)
+	if got, want := load(2, "other"), "not_ready"; got != want {
+		t.Fatalf("order to the successor: got code %q, want %q", got, want)
+	}
+	close(e.release)
+	until(t, "the successor takes orders", func() bool { return load(2, "other") != "not_ready" })
+	if got, want := load(2, "other"), "no_memory"; got != want {
+		t.Errorf("order beyond the memory: got code %q, want %q", got, want)
+	}
+	if got, want := load(1, "other"), "fenced"; got != want {
+		t.Errorf("order of a deposed leader: got code %q, want %q", got, want)
+	}
+}
