--- a/scenario/cluster/process.go
+++ b/scenario/cluster/process.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// PID returns the ID of the process, or 0 before it was started.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 // Running reports whether the process was started and has not ended.
 func (p *Process) Running() bool {
 	p.mu.Lock()
