Agent: benchmark of connected entries

Cause: the capacity page needs what an entry costs an agent.

Change: a benchmark with 1, 40 and 380 connected entries, 100 replicas, no requests.

--- a/backend/bench_test.go
+++ b/backend/bench_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -145,6 +146,47 @@
 	b.ReportMetric(float64(cpuTime(b)-began)/float64(b.N), "cpu-ns/report")
 }
 
+// BenchmarkConnectedEntries measures an agent with 100 replicas and no requests,
+// by the number of connected entries: the bytes that the agent writes a second,
+// and the processor time and memory of both ends together.
+func BenchmarkConnectedEntries(b *testing.B) {
+	for _, n := range []int{1, 40, 380} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) { benchmarkEntries(b, n) })
+	}
+}
+
+func benchmarkEntries(b *testing.B, n int) {
+	memory := heapBytes()
+	s, c, registry := connect(b, 100, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.Run(ctx)
+	for range n - 1 {
+		other := &Client{Node: c.Node, VM: c.VM}
+		go other.Run(ctx)
+	}
+	for s.peers() < n {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(time.Second) // the whole reports at the start are over
+	memory = heapBytes() - memory
+	before, cpu, began := sentBytes(b, registry), cpuTime(b), time.Now()
+	for b.Loop() {
+		time.Sleep(time.Second)
+	}
+	span := time.Since(began).Seconds()
+	b.ReportMetric((sentBytes(b, registry)-before)/span, "bytes/s")
+	b.ReportMetric(float64((cpuTime(b)-cpu).Microseconds())/span, "cpu-us/s")
+	b.ReportMetric(memory/float64(n), "heap-bytes/entry")
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
 // BenchmarkOffer measures a whole attempt with a one-word answer, client and
 // server in one process, over TCP on loopback.
 func BenchmarkOffer(b *testing.B) {
