Agent: tokens travel as arrays, engine connections are used again

Cause: a token cost 115 bytes on the wire with a one-letter attempt ID, mostly names of fields; the connection of each generated answer was closed because its end was not read, so that a busy agent would run out of ports.

Change: an answer travels as an array without names; the end of an engine's answer is read. An offer over the frame's bound is refused as request_too_large. A refused offer no longer loads its adapter.

--- a/agent/engine.go
+++ b/agent/engine.go
@@ -29,7 +29,10 @@
 	_ bamboostep.Exporter = (*engine)(nil)
 )
 
-const maxKVBytes = 64 << 20 // one attempt's exported KV cache
+const (
+	maxKVBytes = 64 << 20 // one attempt's exported KV cache
+	maxTail    = 4 << 10  // bytes read after the end of an answer
+)
 
 func newEngine(base, vm string, concurrency int) *engine {
 	client := &http.Client{Transport: &http.Transport{
@@ -95,7 +98,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
 	}
-	return readTokens(json.NewDecoder(resp.Body), yield)
+	if err := readTokens(json.NewDecoder(resp.Body), yield); err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxTail)) // lets the connection be used again
+	return nil
 }
 
 func (e *engine) request(ctx context.Context, s *sling.Sling) (*http.Request, error) {
--- a/backend/bench_test.go
+++ b/backend/bench_test.go
@@ -19,9 +19,17 @@
 )
 
 // stubEngine holds replicas and nothing else.
-type stubEngine struct{ state bamboostep.EngineState }
+type stubEngine struct {
+	state  bamboostep.EngineState
+	tokens int // of an answer, before its last
+}
 
 func (e *stubEngine) Generate(_ context.Context, _ bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+	for range e.tokens {
+		if err := yield(bamboostep.Answer{Data: []byte("word"), Tokens: 1}); err != nil {
+			return err
+		}
+	}
 	return yield(bamboostep.Answer{Data: []byte("word"), Tokens: 1, Last: true})
 }
 
@@ -49,7 +57,7 @@
 	s := &Server{
 		Node:        node,
 		VM:          bamboostep.VM{Name: "taller-lm-1", Place: "taller-lm", FailureDomain: "uy-sur-a"},
-		Engine:      &stubEngine{bamboostep.EngineState{Incarnation: "one", Replicas: stubReplicas(replicas)}},
+		Engine:      &stubEngine{state: bamboostep.EngineState{Incarnation: "one", Replicas: stubReplicas(replicas)}},
 		MemoryMiB:   80000,
 		Concurrency: 32,
 		Queue:       64,
@@ -203,6 +211,20 @@
 	}
 }
 
+// BenchmarkToken measures one token of a long answer, both ends in one process.
+func BenchmarkToken(b *testing.B) {
+	s, c, registry := connect(b, 10, nil)
+	s.Engine = &stubEngine{tokens: b.N}
+	before, began := sentBytes(b, registry), cpuTime(b)
+	b.ResetTimer()
+	offer := bamboostep.Offer{Attempt: "1", Request: bamboostep.Request{Model: "m", Body: []byte("{}")}}
+	if err := c.Offer(context.Background(), offer, time.Second, func(bamboostep.Answer) error { return nil }); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric((sentBytes(b, registry)-before)/float64(b.N), "bytes/token")
+	b.ReportMetric(float64(cpuTime(b)-began)/float64(b.N), "cpu-ns/token")
+}
+
 // BenchmarkTable measures one attempt in a table that remembers many others.
 func BenchmarkTable(b *testing.B) {
 	t := &table{concurrency: 32, queue: 64}
--- a/backend/client.go
+++ b/backend/client.go
@@ -97,16 +97,16 @@
 }
 
 func (c *Client) handleAnswer(m *wire.Message) {
-	var a bamboostep.Answer
-	if m.Decode(&a) != nil {
+	var body answerBody
+	if m.Decode(&body) != nil {
 		return
 	}
-	in := c.inbox(a.Attempt)
+	in := c.inbox(body.Attempt)
 	if in == nil {
 		c.countDropped()
 		return
 	}
-	in.put(event{answer: &a})
+	in.put(event{answer: body.answer()})
 }
 
 func (c *Client) handleFailure(m *wire.Message) {
--- a/backend/handlers.go
+++ b/backend/handlers.go
@@ -30,7 +30,7 @@
 	held, code := s.admit(offer)
 	acts := s.table.offered(s.now(), s.ids[m.Conn()], offer, held, code)
 	s.perform(acts)
-	if held {
+	if r := s.table.get(offer.Attempt); held && r != nil && r.state == stateWaiting {
 		s.wantAdapter(offer)
 	}
 }
--- a/backend/offer.go
+++ b/backend/offer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
@@ -58,13 +59,22 @@
 	defer c.dropInbox(offer.Attempt)
 	c.record("offer_sent", offer, "")
 	if err := conn.Send(kindOffer, offer); err != nil {
-		return failed(notRun(offer.Attempt, codeNoConnection))
+		return failed(notRun(offer.Attempt, sendCode(err)))
 	}
 	err := o.run(ctx)
 	c.recordEnd(offer, err)
 	return err
 }
 
+// sendCode returns why an offer could not be sent.
+func sendCode(err error) string {
+	var tooLarge *wire.FrameError
+	if errors.As(err, &tooLarge) {
+		return codeTooLarge
+	}
+	return codeNoConnection
+}
+
 func (c *Client) recordEnd(offer bamboostep.Offer, err error) {
 	f, isFailure := outcomeOf(err)
 	switch {
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -48,6 +48,7 @@
 	codeBackendDown  = "backend_down"
 	codeBackendBroke = "backend_broke_off"
 	codeWrongKind    = "wrong_kind"
+	codeTooLarge     = "request_too_large"
 )
 
 // helloBody tells an agent what its entry knows: the highest revision, and the
@@ -81,3 +82,45 @@
 }
 
 func failed(f bamboostep.Failure) error { return &bamboostep.FailedError{Failure: f} }
+
+// answerBody is a bamboostep.Answer on the wire. One is sent for each token, so
+// it goes as an array without names.
+type answerBody struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Attempt bamboostep.AttemptID
+	Offset  int64
+	Status  int
+	Header  map[string][]string
+	Data    []byte
+	Tokens  int
+	Last    bool
+	Finish  string
+}
+
+func newAnswerBody(a bamboostep.Answer) *answerBody {
+	return &answerBody{
+		Attempt: a.Attempt,
+		Offset:  a.Offset,
+		Status:  a.Status,
+		Header:  a.Header,
+		Data:    a.Data,
+		Tokens:  a.Tokens,
+		Last:    a.Last,
+		Finish:  a.Finish,
+	}
+}
+
+func (b *answerBody) answer() *bamboostep.Answer {
+	return &bamboostep.Answer{
+		Attempt: b.Attempt,
+		Offset:  b.Offset,
+		Status:  b.Status,
+		Header:  b.Header,
+		Data:    b.Data,
+		Tokens:  b.Tokens,
+		Last:    b.Last,
+		Finish:  b.Finish,
+	}
+}
--- a/backend/server.go
+++ b/backend/server.go
@@ -249,7 +249,7 @@
 		case actionStop:
 			s.stopAttempt(a.attempt)
 		case actionAnswer:
-			s.send(a.conn, kindAnswer, a.answer)
+			s.send(a.conn, kindAnswer, newAnswerBody(a.answer))
 		case actionFailure:
 			s.noteFailure(a)
 			s.send(a.conn, kindFailure, a.failure)
