Disk, claim and membership tests; waiting membership changes

Cause: a removal asked for while a voter was still catching up failed at once with "would have no quorum", and an addition before the new voter was ready likewise.

Change: a refusal that may pass is answered as busy and tried again until the caller's deadline.

Ruled out: retrying in the operator's command, which could not tell which refusals pass.

Conclusion: replacing a voter needs no timing by the operator.

--- a/ledger/change.go
+++ b/ledger/change.go
@@ -22,8 +22,9 @@
 
 // MembershipError says why a change of the membership was refused.
 type MembershipError struct {
-	Member string
-	Issue  string
+	Member    string
+	Issue     string
+	Transient bool // the same change may succeed later
 }
 
 // Error implements error.
@@ -37,7 +38,7 @@
 		if s.Disk == disk {
 			return nil
 		}
-		return &MembershipError{m.Name, "another disk is known under this name; remove it first"}
+		return &MembershipError{Member: m.Name, Issue: "another disk is known under this name; remove it first"}
 	}
 	return c.changeMembers(m.Name, c.members.With(seat{Member: m, Disk: disk, Learner: true}))
 }
@@ -50,7 +51,7 @@
 	}
 	rest := c.members.Without(name)
 	if !s.Learner && c.following(rest) < rest.quorum() {
-		return &MembershipError{name, "the voters that remain would have no quorum now"}
+		return &MembershipError{name, "the voters that remain would have no quorum now", true}
 	}
 	return c.changeMembers(name, rest)
 }
@@ -87,16 +88,16 @@
 
 func (c *core) changeMembers(name string, m membership) error {
 	if c.role != roleLeader {
-		return &MembershipError{name, "this voter does not lead"}
+		return &MembershipError{name, "this voter does not lead", true}
 	}
 	if c.membersIndex > c.commit {
-		return &MembershipError{name, "another change is under way"}
+		return &MembershipError{name, "another change is under way", true}
 	}
 	if term, ok := c.log.term(c.commit); !ok || term != c.term {
-		return &MembershipError{name, "the leader has not committed in its term yet"}
+		return &MembershipError{name, "the leader has not committed in its term yet", true}
 	}
 	if len(m.voters()) == 0 {
-		return &MembershipError{name, "no voter would remain"}
+		return &MembershipError{Member: name, Issue: "no voter would remain"}
 	}
 	c.appendOwn(entryMembership, m.encode())
 	c.members, c.membersIndex = m, c.log.lastIndex()
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -171,13 +171,15 @@
 	return nil
 }
 
-// AddVoter adds a member, or replaces its address, and returns once it has caught
-// up and votes. To replace a voter, add the new one first.
+// AddVoter adds a member and returns once it has caught up and votes; it waits
+// while the change is not possible yet. To replace a voter that still works, add
+// the new one first. A name whose disk was lost must be removed before.
 func (c *Client) AddVoter(ctx context.Context, m Member) error {
 	return c.change(ctx, "add a voter", changeCall{Add: true, Member: m})
 }
 
-// RemoveVoter removes a member and returns once that is committed.
+// RemoveVoter removes a member and returns once that is committed; it waits while
+// the voters that remain would have no quorum.
 func (c *Client) RemoveVoter(ctx context.Context, m Member) error {
 	return c.change(ctx, "remove a voter", changeCall{Member: m})
 }
@@ -191,7 +193,7 @@
 		case err != nil:
 			return err
 		case r.Code == codeRefused:
-			return &MembershipError{call.Member.Name, r.Detail}
+			return &MembershipError{Member: call.Member.Name, Issue: r.Detail}
 		case r.Joined || (!call.Add && r.Settled):
 			return nil
 		}
@@ -250,7 +252,7 @@
 			return r, nil
 		case err == nil:
 			known = known && r.Code.certain()
-			cause = fmt.Errorf("voter answered %q", r.Code)
+			cause = fmt.Errorf("voter answered %q %s", r.Code, r.Detail)
 			c.redirect(r)
 		default:
 			known = known && errors.Is(err, errNoConnection)
--- /dev/null
+++ b/ledger/member_test.go
@@ -0,0 +1,166 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+// A voter that lost its disk is refused under its old name: it counts in no
+// quorum, so with one more voter down nothing is committed. Removed and added
+// anew it catches up and may then stand in for another that fails.
+func TestVoterWithLostDiskIsReplaced(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.startAll()
+	mustPublish(t, c.running["a"].client, publication("p1", 0))
+	lost := c.other(c.leader())
+	name := lost.voter.Name
+	c.stop(name)
+	if err := os.RemoveAll(filepath.Join(c.root, name)); err != nil {
+		t.Fatal(err)
+	}
+	lost = c.start(c.member(name))
+	c.eventually("refusal of the empty disk", func() bool { return recorded(lost.voter.Recorder, "ledger_disk_refused") })
+
+	leader := c.leader()
+	third := c.third(leader, name)
+	c.stop(third)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	_, err := c.running[leader].client.Publish(ctx, publication("p2", 1))
+	cancel()
+	var unavailable *bamboostep.UnavailableError
+	if !errors.As(err, &unavailable) {
+		t.Fatalf("published with one voter and an empty disk: got error %v, want *UnavailableError", err)
+	}
+
+	c.start(c.member(third))
+	client := c.running[c.leader()].client
+	ctx, cancel = context.WithTimeout(context.Background(), testDeadline)
+	defer cancel()
+	if err := client.RemoveVoter(ctx, c.member(name)); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.AddVoter(ctx, c.member(name)); err != nil {
+		t.Fatal(err)
+	}
+	c.stop(third)
+	r := mustPublish(t, lost.client, publication("p2", 1))
+	if r.Number != 2 {
+		t.Errorf("got revision %d, want 2", r.Number)
+	}
+	if got := len(lost.voter.State().Members()); got != 3 {
+		t.Errorf("got %d voters, want 3", got)
+	}
+}
+
+// A new voter under a new name takes the place of another, and knows what was
+// published before it came, hundreds of changes later.
+func TestVoterIsAddedAndAnotherRemoved(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.startAll()
+	client := c.running[c.leader()].client
+	for i := range uint64(300) {
+		mustPublish(t, client, publication(fmt.Sprint("p", i), i))
+	}
+	d := c.newMember("d")
+	c.start(d)
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	defer cancel()
+	if err := client.AddVoter(ctx, d); err != nil {
+		t.Fatal(err)
+	}
+	if err := client.RemoveVoter(ctx, c.member("a")); err != nil {
+		t.Fatal(err)
+	}
+	c.stop("a")
+	added := c.running["d"]
+	if err := added.client.Barrier(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, revision := added.voter.State().Set(); revision != 300 {
+		t.Errorf("got revision %d on the new voter, want 300", revision)
+	}
+	c.stop(c.third("d", "a"))
+	if r := mustPublish(t, added.client, publication("p300", 300)); r.Number != 301 {
+		t.Errorf("got revision %d with the new voter in the quorum, want 301", r.Number)
+	}
+}
+
+// Of many entries that claim one name at once, one attempt is granted it, though
+// the leader stops in the middle.
+func TestClaimIsGrantedOnce(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.startAll()
+	leader := c.leader()
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	defer cancel()
+	const names, attempts = 20, 4
+	results := make([]bamboostep.ClaimResult, names*attempts)
+	var all sync.WaitGroup
+	for i := range results {
+		client := c.running[c.members[i%len(c.members)].Name].client
+		if client.Local.Name == leader {
+			client = c.other(leader).client
+		}
+		all.Go(func() {
+			claim := bamboostep.Claim{Name: fmt.Sprint("order-", i/attempts), Attempt: bamboostep.AttemptID(fmt.Sprint(i)), Keep: time.Hour}
+			r, err := client.Claim(ctx, claim)
+			if err != nil {
+				t.Error(err)
+			}
+			results[i] = r
+		})
+	}
+	c.stop(leader)
+	all.Wait()
+	for n := range names {
+		granted := 0
+		for _, r := range results[n*attempts : (n+1)*attempts] {
+			if r.State == bamboostep.ClaimGranted {
+				granted++
+			}
+		}
+		if granted != 1 {
+			t.Errorf("name %d was granted to %d attempts, want 1", n, granted)
+		}
+	}
+}
+
+func (c *cluster) member(name string) ledger.Member {
+	for _, m := range c.members {
+		if m.Name == name {
+			return m
+		}
+	}
+	c.t.Fatalf("no member %q", name)
+	return ledger.Member{}
+}
+
+// third returns a running voter other than two.
+func (c *cluster) third(a, b string) string {
+	for name := range c.running {
+		if name != a && name != b {
+			return name
+		}
+	}
+	c.t.Fatal("no third voter")
+	return ""
+}
+
+func recorded(r *timeline.Recorder, kind string) bool {
+	for _, e := range r.Find(timeline.Query{}) {
+		if e.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
--- a/ledger/serve.go
+++ b/ledger/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -84,7 +85,7 @@
 		defer cancel()
 		disk, err := askIdentity(ctx, v.Node, call.Member)
 		if err != nil {
-			done(proposeReply{Code: codeRefused, Detail: err.Error()})
+			done(proposeReply{Code: codeBusy, Detail: err.Error()})
 			return
 		}
 		change.disk = disk
@@ -243,10 +244,21 @@
 		err = v.core.remove(r.change.member.Name)
 	}
 	if err != nil {
-		r.done(proposeReply{Code: codeRefused, Detail: err.Error()})
+		r.done(changeRefused(err))
 		return
 	}
 	s, in := v.core.members.named(r.change.member.Name)
 	settled := v.core.membersIndex <= v.core.commit
 	r.done(proposeReply{Code: codeDone, Settled: settled, Joined: settled && in && r.change.add && !s.Learner})
 }
+
+func changeRefused(err error) proposeReply {
+	var refused *MembershipError
+	if !errors.As(err, &refused) {
+		return proposeReply{Code: codeRefused, Detail: err.Error()}
+	}
+	if refused.Transient {
+		return proposeReply{Code: codeBusy, Detail: refused.Issue}
+	}
+	return proposeReply{Code: codeRefused, Detail: refused.Issue}
+}
--- a/ledger/wiretype.go
+++ b/ledger/wiretype.go
@@ -19,7 +19,7 @@
 const (
 	codeDone      callCode = "done"
 	codeNotLeader callCode = "not_leader" // nothing was appended; Leader may say who leads
-	codeBusy      callCode = "busy"       // nothing was appended
+	codeBusy      callCode = "busy"       // nothing was appended; the same may be done later
 	codeDropped   callCode = "dropped"    // appended, and then replaced by another entry
 	codeUncertain callCode = "uncertain"  // appended, and this voter lost the lead
 	codeRefused   callCode = "refused"    // a membership change that is not allowed
