Admission by binned waits, per class; router without SlackShare

Cause: the wait for the first piece was predicted by a straight line of the queue. Engines start requests at once until their batch is full, so the line is too high for middling queues and refused what would have been in time. It also mixed the classes, which engines serve in order of importance.

Change: fading mean waits in bins of the queue, one table a place and class. Questions are refused above 0.8 of the target, quotes above 1.0, writes above 20. Every 16th refusal is not made, so that a stale prediction ends. Reports count attempts that wait in the agent. SlackShare is removed: it measured nothing.

--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -28,7 +28,6 @@
 	defaultLoadTokens   = 200  // work that loading an adapter costs
 	suspectTokens       = 1000 // work that a crash suspect holds back, which runs alone
 	defaultSlackTokens  = 64   // two scores this close are equal
-	defaultSlackShare   = 0.15 // share of the best score added to the slack
 	reportFadeTime      = time.Second
 	scoresOnStack       = 512 // candidates scored without allocating
 	defaultAttemptFloor = 8   // tokens of a running attempt that has overrun its estimate
@@ -39,7 +38,6 @@
 	BlockTokens float64 // work saved by one cached prompt block, tokens
 	LoadTokens  float64 // work that loading an adapter costs, tokens
 	SlackTokens float64 // candidates this close to the best are equal, tokens
-	SlackShare  float64 // further slack as a share of the best score
 }
 
 var (
@@ -78,7 +76,6 @@
 	b.BlockTokens = orDefault(b.BlockTokens, defaultBlockTokens)
 	b.LoadTokens = orDefault(b.LoadTokens, defaultLoadTokens)
 	b.SlackTokens = orDefault(b.SlackTokens, defaultSlackTokens)
-	b.SlackShare = orDefault(b.SlackShare, defaultSlackShare)
 	return b
 }
 
@@ -101,7 +98,7 @@
 		scores = append(scores, s)
 		best = min(best, s)
 	}
-	limit := best + b.SlackTokens + b.SlackShare*max(best, 0)
+	limit := best + b.SlackTokens
 	local := pair{rand: random(seed)}
 	all := pair{rand: random(seed)}
 	for i, s := range scores {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -1,48 +1,56 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
 )
 
 // Wait predicts how long a request waits for the first piece of its answer from
-// the work queued before it. It fits a line through what was seen of late, so it
-// needs no figure for the speed of an engine, and follows when that changes. The
-// zero value predicts nothing until it has seen enough.
+// the work queued before it. An engine starts requests at once until its batch is
+// full, so the wait is no straight line of the queue. Wait therefore sorts what it
+// saw into bins by the length of the queue and keeps the fading mean of each. It
+// needs no figure for the speed or the batch of an engine. The zero value predicts
+// nothing until it has seen enough.
 type Wait struct {
-	n, x, y, xx, xy float64 // fading sums
+	bins [waitBins]waitBin
+}
+
+type waitBin struct {
+	n    float64 // observations, at most waitMemory
+	mean float64 // seconds
 }
 
 const (
-	waitMemory     = 200 // observations that a Wait remembers, about
-	waitLeast      = 20  // observations before a Wait predicts
-	waitKeptShare  = 1 - 1.0/waitMemory
-	waitLeastWidth = 1e-9 // spread of the queue below which no slope is fitted
+	waitBins       = 64
+	waitBinTokens  = 32 // width of the first bin
+	waitBinsDouble = 4  // bins in which the queue doubles
+	waitMemory     = 40 // observations that a mean remembers, about
+	waitLeast      = 4  // observations before a bin counts
 )
 
+func waitBinOf(tokens float64) int {
+	i := int(waitBinsDouble * math.Log2(1+max(tokens, 0)/waitBinTokens))
+	return min(i, waitBins-1)
+}
+
 // Observe notes that a request found work of so many tokens before it and waited.
 func (w *Wait) Observe(tokens float64, wait time.Duration) {
-	y := wait.Seconds()
-	w.n = w.n*waitKeptShare + 1
-	w.x = w.x*waitKeptShare + tokens
-	w.y = w.y*waitKeptShare + y
-	w.xx = w.xx*waitKeptShare + tokens*tokens
-	w.xy = w.xy*waitKeptShare + tokens*y
+	b := &w.bins[waitBinOf(tokens)]
+	b.n = min(b.n+1, waitMemory)
+	b.mean += (wait.Seconds() - b.mean) / b.n
 }
 
-// Predict returns the expected wait behind work of so many tokens, and false as
-// long as too little was seen.
+// Predict returns the expected wait behind work of so many tokens: that of the
+// longest queue up to it that was seen often enough, and false if there is none.
 func (w *Wait) Predict(tokens float64) (time.Duration, bool) {
-	if w.n < waitLeast {
-		return 0, false
-	}
-	slope := 0.0
-	if width := w.xx - w.x*w.x/w.n; width > waitLeastWidth*w.n {
-		slope = max((w.xy-w.x*w.y/w.n)/width, 0)
+	for i := waitBinOf(tokens); i >= 0; i-- {
+		if b := &w.bins[i]; b.n >= waitLeast {
+			return time.Duration(b.mean * float64(time.Second)), true
+		}
 	}
-	base := max((w.y-slope*w.x)/w.n, 0)
-	return time.Duration((base + slope*tokens) * float64(time.Second)), true
+	return 0, false
 }
 
 // Admission refuses a request at once where its answer would be too late to be of
@@ -55,8 +63,8 @@
 }
 
 const (
-	defaultQuestionWait = 1.5
-	defaultQuoteWait    = 4
+	defaultQuestionWait = 0.8
+	defaultQuoteWait    = 1.0
 	defaultWriteWait    = 20
 	leastRetryAfter     = time.Second
 )
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -134,6 +134,8 @@
 	demand  demandTable
 	lanes   lanes
 	picks   atomic.Uint64
+
+	lateRefusals atomic.Uint64 // made or due, for being late
 }
 
 var _ http.Handler = (*callers)(nil)
--- a/entry/callers_admit.go
+++ b/entry/callers_admit.go
@@ -14,6 +14,12 @@
 // This file admits requests. A request is refused before its first offer when the
 // backend server chosen for it would answer too late; the refusal says when to
 // come back.
+//
+// What is refused teaches nothing, so a prediction that was true once could stand
+// for ever. Every probeEvery-th refusal is therefore not made, and a request that
+// finds no queue at all is never refused.
+
+const probeEvery = 16
 
 // runAdmitted counts a request for a declared target and runs it.
 func (x *exchange) runAdmitted(ctx context.Context, j *job, yield func(bamboostep.Answer) error) *bamboostep.RefusedError {
@@ -26,15 +32,15 @@
 
 // refuseLate refuses a request whose answer would be too late.
 func (x *exchange) refuseLate(j *job, p *slot) *bamboostep.RefusedError {
-	if !j.course.Fresh() {
+	if !j.course.Fresh() || p.queue == 0 {
 		return nil
 	}
-	wait, known := x.predictWait(j.place, p.queue)
+	wait, known := x.predictWait(waitKey{j.place, x.class}, p.queue)
 	if !known {
 		return nil
 	}
 	after, ok := x.Admission.Admit(x.class, wait, j.startTarget)
-	if ok {
+	if ok || x.lateRefusals.Add(1)%probeEvery == 0 {
 		return nil
 	}
 	x.demand.missed(x.target, x.Clock.Now())
@@ -42,25 +48,32 @@
 		fmt.Sprintf("the answer would begin in %v, and its target is %v", wait.Round(time.Millisecond), j.startTarget))
 }
 
-// learnWait notes how long a request waited at a place.
-func (c *callers) learnWait(place string, tokens float64, wait time.Duration) {
+// waitKey names what requests wait alike for: backend servers start the more
+// important classes first.
+type waitKey struct {
+	place string
+	class bamboostep.Class
+}
+
+// learnWait notes how long a request waited behind work of so many tokens.
+func (c *callers) learnWait(key waitKey, tokens float64, wait time.Duration) {
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
 	if c.lanes.waits == nil {
-		c.lanes.waits = make(map[string]*dispatch.Wait)
+		c.lanes.waits = make(map[waitKey]*dispatch.Wait)
 	}
-	w := c.lanes.waits[place]
+	w := c.lanes.waits[key]
 	if w == nil {
 		w = &dispatch.Wait{}
-		c.lanes.waits[place] = w
+		c.lanes.waits[key] = w
 	}
 	w.Observe(tokens, wait)
 }
 
-func (c *callers) predictWait(place string, tokens float64) (time.Duration, bool) {
+func (c *callers) predictWait(key waitKey, tokens float64) (time.Duration, bool) {
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
-	w := c.lanes.waits[place]
+	w := c.lanes.waits[key]
 	if w == nil {
 		return 0, false
 	}
--- a/entry/callers_attempt.go
+++ b/entry/callers_attempt.go
@@ -150,7 +150,7 @@
 		a.demand.missed(a.target, now)
 	}
 	if a.slot.resident && !a.job.verdict.Alone {
-		a.learnWait(a.job.place, a.slot.queue, now.Sub(a.slot.offered))
+		a.learnWait(waitKey{a.job.place, a.class}, a.slot.queue, now.Sub(a.slot.offered))
 	}
 }
 
--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -24,10 +24,10 @@
 type lanes struct {
 	mu         sync.Mutex
 	byVM       map[string]*lane
-	views      map[string]*view          // by place
-	candidates []bamboostep.Candidate    // reused by every choice
-	chosen     []*lane                   // the same, index by index
-	waits      map[string]*dispatch.Wait // by place
+	views      map[string]*view       // by place
+	candidates []bamboostep.Candidate // reused by every choice
+	chosen     []*lane                // the same, index by index
+	waits      map[waitKey]*dispatch.Wait
 }
 
 // lane is one backend server.
@@ -116,7 +116,7 @@
 	n.server = s
 	n.vm = s.VM()
 	n.ready = ready
-	n.reported = r.EngineLoad
+	n.reported = r.EngineLoad + float64(r.Waiting)*defaultAnswerTokens
 	n.trueAt = at.Add(-r.LoadAge)
 	n.reportID = id
 	n.candidate = bamboostep.Candidate{VM: n.vm.Name, FailureDomain: n.vm.FailureDomain, Local: n.vm.FailureDomain == ownDomain}
