Merge main: refuse for the queue alone, by bins

Both sides changed the prediction of waits. The binned means are kept, with main's rule that only the part of the wait that the queue makes is judged: what it has over the shortest mean of any bin. Main's test TestWaitBlamesTheQueueAlone is kept as it is.

--- a/backend/table.go
+++ b/backend/table.go
@@ -43,7 +43,8 @@
 // Spans on the agent's clock, microseconds.
 const (
 	keepEnded   = int64(30_000_000) // an ended attempt's output, unless acknowledged
-	orphanAfter = int64(5_000_000)  // without a connection, a started attempt has no reader
+	sweepEvery  = int64(500_000)
+	orphanAfter = int64(5_000_000) // without a connection, a started attempt has no reader
 )
 
 // maxRecords bounds the table when no limit is set.
@@ -99,6 +100,7 @@
 	arrivals  uint64
 	forgotten int64
 	closed    int64
+	sweptAt   int64
 	dropped   uint64 // repeated offers and events that no state lists
 }
 
@@ -159,6 +161,9 @@
 	if r := t.get(offer.Attempt); r != nil {
 		return t.repeated(r, conn)
 	}
+	if offer.StartBy <= t.forgotten {
+		return []action{failureAction(conn, forgotten(offer.Attempt))}
+	}
 	if offer.StartBy <= now {
 		return []action{refusal(conn, offer, codeTooLate)}
 	}
@@ -289,11 +294,15 @@
 	if r == nil {
 		return []action{failureAction(conn, t.unknownFailure(now, id, startBy))}
 	}
-	r.conn = conn
 	if r.state == stateRefused || r.state == stateCancelled {
 		return []action{failureAction(conn, r.failure)}
 	}
-	if r.orphan || r.out.gone || offset < r.out.base {
+	if conn < r.conn || (offset < r.out.base && !r.out.gone) {
+		t.dropped++ // overtaken by a later connection or acknowledgement
+		return nil
+	}
+	r.conn = conn
+	if r.out.gone {
 		f := bamboostep.Failure{Attempt: id, Outcome: r.outcome(), Code: codeForgotten, Message: "the answer is no longer kept"}
 		return []action{failureAction(conn, f)}
 	}
@@ -309,6 +318,10 @@
 	if t.cancelUnknown(now, id, startBy) == bamboostep.NotRun {
 		return notRun(id, codeNeverArrived)
 	}
+	return forgotten(id)
+}
+
+func forgotten(id bamboostep.AttemptID) bamboostep.Failure {
 	return bamboostep.Failure{Attempt: id, Outcome: bamboostep.Unknown, Code: codeForgotten, Message: "the attempt is no longer known"}
 }
 
@@ -407,17 +420,18 @@
 			return true
 		}
 	}
-	return t.runs(name)
+	return len(t.runningOn(name)) > 0
 }
 
-// runs reports whether a running attempt names the model or adapter.
-func (t *table) runs(name string) bool {
-	for _, r := range t.active {
+// runningOn returns the running attempts that name the model or adapter.
+func (t *table) runningOn(name string) []bamboostep.AttemptID {
+	var ids []bamboostep.AttemptID
+	for id, r := range t.active {
 		if names(r.offer.Request, name) {
-			return true
+			ids = append(ids, id)
 		}
 	}
-	return false
+	return ids
 }
 
 func names(r bamboostep.Request, name string) bool { return r.Model == name || r.Adapter == name }
--- a/dispatch/policy_test.go
+++ b/dispatch/policy_test.go
@@ -33,7 +33,7 @@
 // its batch is full, and follows when that changes.
 func ExampleWait() {
 	var w dispatch.Wait
-	_, known := w.Predict(100)
+	_, _, known := w.Predict(100)
 	fmt.Println("known", known)
 	for _, full := range []time.Duration{time.Second, 3 * time.Second} {
 		for range 200 {
@@ -42,7 +42,7 @@
 		}
 		fmt.Print("wait")
 		for _, tokens := range []float64{100, 400, 2000, 9000} {
-			wait, _ := w.Predict(tokens)
+			wait, _, _ := w.Predict(tokens)
 			fmt.Print(" ", wait.Round(10*time.Millisecond))
 		}
 		fmt.Println()
@@ -53,6 +53,22 @@
 	// wait 20ms 20ms 2.99s 2.99s
 }
 
+// Long waits that no queue explains, as while a lost copy is loaded, are no reason
+// to refuse what finds no work before it.
+func TestWaitBlamesTheQueueAlone(t *testing.T) {
+	var w dispatch.Wait
+	for i := range 100 {
+		w.Observe(float64(i%3), 2*time.Second)
+	}
+	wait, queued, known := w.Predict(0)
+	if !known || wait < time.Second {
+		t.Errorf("got wait %v, known %v, want about 2s", wait, known)
+	}
+	if got, want := queued, time.Duration(0); got != want {
+		t.Errorf("got %v of the wait from an empty queue, want %v", got, want)
+	}
+}
+
 // However requests and retries arrive, no more retries are allowed than the
 // budget says.
 func TestBudgetBoundsRetries(t *testing.T) {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -43,16 +43,28 @@
 }
 
 // Predict returns the expected wait behind work of so many tokens: that of the
-// longest queue up to it that was seen often enough, and false if there is none.
-func (w *Wait) Predict(tokens float64) (time.Duration, bool) {
+// longest queue up to it that was seen often enough. Queued is the part of it that
+// the queue makes: what it has over the shortest wait of any queue. Only that part
+// is a reason to refuse, since a place that keeps everyone waiting, as while a lost
+// copy is loaded, is not helped by refusals. Known is false while too little was
+// seen.
+func (w *Wait) Predict(tokens float64) (wait, queued time.Duration, known bool) {
+	shortest := math.Inf(1)
+	for i := range w.bins {
+		if b := &w.bins[i]; b.n >= waitLeast {
+			shortest = min(shortest, b.mean)
+		}
+	}
 	for i := waitBinOf(tokens); i >= 0; i-- {
 		if b := &w.bins[i]; b.n >= waitLeast {
-			return time.Duration(b.mean * float64(time.Second)), true
+			return seconds(b.mean), seconds(b.mean - shortest), true
 		}
 	}
-	return 0, false
+	return 0, 0, false
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // Admission refuses a request at once where its answer would be too late to be of
 // use. Classes differ in how late that is: when there is too much to do, questions
 // are refused first, then quotes, and writes last.
--- a/entry/callers_admit.go
+++ b/entry/callers_admit.go
@@ -35,11 +35,11 @@
 	if !j.course.Fresh() || p.queue == 0 {
 		return nil
 	}
-	wait, known := x.predictWait(waitKey{j.place, x.class}, p.queue)
+	wait, queued, known := x.predictWait(waitKey{j.place, x.class}, p.queue)
 	if !known {
 		return nil
 	}
-	after, ok := x.Admission.Admit(x.class, wait, j.startTarget)
+	after, ok := x.Admission.Admit(x.class, queued, j.startTarget)
 	if ok || x.lateRefusals.Add(1)%probeEvery == 0 {
 		return nil
 	}
@@ -70,12 +70,12 @@
 	w.Observe(tokens, wait)
 }
 
-func (c *callers) predictWait(key waitKey, tokens float64) (time.Duration, bool) {
+func (c *callers) predictWait(key waitKey, tokens float64) (wait, queued time.Duration, known bool) {
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
 	w := c.lanes.waits[key]
 	if w == nil {
-		return 0, false
+		return 0, 0, false
 	}
 	return w.Predict(tokens)
 }
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -183,6 +183,7 @@
 	}
 	c := newTestCallers(newTestFleet(1, engine, nil), nil)
 	for range 10 {
+		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 0, 10*time.Millisecond)
 		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 100, 5*time.Second)
 	}
 	s := startCallers(t, c)
