Suspects: entries tell each other only whom they refuse

Cause: an entry's single notes and the agents' whole batches reach other entries by the same message. A single note that came before its batch looked like a crash with one member and could have convicted an innocent.

Change: a note with more than one crash is a verdict of another entry; all others are batches. Entries share a suspect only once they refuse it. A model's answer that pauses for 2.5 s (5 s before) is resumed elsewhere, so that a silent connection is left within 3 s.

Ruled out: a second method for notes of other entries; the receiving side does not know where a message began.

--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -29,8 +29,8 @@
 // which may cost one backend server more but no innocent answer.
 //
 // Agents name all attempts of a crash at once (Note), and that is what convicts.
-// Single notes, of this entry's own attempts or from other entries, stand in for
-// a batch that did not arrive.
+// A single note of this entry's own attempt stands in for a batch that did not
+// arrive. Entries tell each other which requests they refuse.
 //
 // When its refusal has run out, a request is suspected as after its first crash,
 // so one that never improves costs one backend server in each period, and each
@@ -105,7 +105,7 @@
 }
 
 // Note takes in all the requests that were running when a backend server crashed,
-// as its agent tells them.
+// as its agent tells them, or what another entry's Crashed returned.
 func (s *Suspects) Note(now time.Time, batch []bamboostep.Suspect) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -113,6 +113,10 @@
 	if len(batch) == 0 {
 		return
 	}
+	if batch[0].Crashes > 1 {
+		s.learn(now, batch)
+		return
+	}
 	c := s.crashOf(batch)
 	if c == nil {
 		c = s.newCrash(now, batch[0].VM)
@@ -123,6 +127,16 @@
 	s.convict(now, c)
 }
 
+// learn takes in the requests that another entry refuses.
+func (s *Suspects) learn(now time.Time, list []bamboostep.Suspect) {
+	for _, n := range list {
+		s.add(now, s.lastCrash(now, n.VM), n)
+		if p := s.byPrint[n.Fingerprint]; p.state != suspectRefused {
+			s.refuse(now, n.Fingerprint, p)
+		}
+	}
+}
+
 // crashOf returns the crash that one of the attempts is known from, or nil.
 func (s *Suspects) crashOf(batch []bamboostep.Suspect) *crash {
 	for _, n := range batch {
@@ -134,9 +148,10 @@
 }
 
 // Crashed takes in this entry's own attempt, which was offered at a known time,
-// alone or not, and whose backend server has crashed. It returns what other
-// entries should Learn.
-func (s *Suspects) Crashed(now time.Time, n bamboostep.Suspect, offered time.Time, alone bool) bamboostep.Suspect {
+// alone or not, and whose backend server has crashed. The agent has named it
+// before, unless that was lost. It reports whether the request is refused now;
+// then the other entries should Note what it returns.
+func (s *Suspects) Crashed(now time.Time, n bamboostep.Suspect, offered time.Time, alone bool) (bamboostep.Suspect, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.crashOf([]bamboostep.Suspect{n}) == nil {
@@ -149,29 +164,13 @@
 			s.convict(now, c)
 		}
 	}
-	n.Crashes = 1
-	if s.byPrint[n.Fingerprint].state == suspectRefused {
-		n.Crashes = 2
-	}
-	return n
-}
-
-// Learn takes in what another entry's Crashed returned. Only the other entry's
-// verdict counts, because single notes do not say who else was there.
-func (s *Suspects) Learn(now time.Time, list []bamboostep.Suspect) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.forget(now)
-	for _, n := range list {
-		p := s.byPrint[n.Fingerprint]
-		if p == nil || p.attempts[n.Attempt] == nil {
-			s.add(now, s.lastCrash(now, n.VM), n)
-			p = s.byPrint[n.Fingerprint]
-		}
-		if n.Crashes > 1 && p.state != suspectRefused {
-			s.refuse(now, n.Fingerprint, p)
-		}
+	p := s.byPrint[n.Fingerprint]
+	n.Crashes = len(p.crashes)
+	if p.state != suspectRefused {
+		return n, false
 	}
+	n.Crashes = max(n.Crashes, 2)
+	return n, true
 }
 
 // Passed notes that a suspect got further than where it was at the crash.
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -70,14 +70,11 @@
 const (
 	defaultBodyBytes      = 1 << 20
 	defaultBodyTime       = 30 * time.Second
-	defaultHeaderTime     = 10 * time.Second
-	defaultKeepAlive      = 2 * time.Minute
-	maxHeaderBytes        = 64 << 10
 	defaultBufferBytes    = 256 << 10
 	defaultRecordBytes    = 1 << 20
 	defaultDeadlineFactor = 30
 	defaultMinDeadline    = 10 * time.Second
-	defaultStallTime      = 5 * time.Second
+	defaultStallTime      = 2500 * time.Millisecond
 	defaultAnswerTime     = 5 * time.Minute
 	defaultNoServerWait   = 3 * time.Second
 	defaultHeldWait       = 2 * time.Second
@@ -140,17 +137,6 @@
 
 var _ http.Handler = (*callers)(nil)
 
-// newCallersServer returns the HTTP server for callers. It has no limit on the
-// time of a whole answer, which streams may exceed; the handler bounds each write.
-func newCallersServer(h http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: defaultHeaderTime,
-		IdleTimeout:       defaultKeepAlive,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
 func (c *callers) init() {
 	c.Limits = c.Limits.withDefaults()
 	c.budget = &dispatch.Budget{}
@@ -164,18 +150,12 @@
 }
 
 // NoteSuspects takes in all the requests that were running when a backend server
-// crashed, as its agent tells them.
+// crashed, as its agent tells them, or what another entry's ShareSuspects sent.
 func (c *callers) NoteSuspects(list []bamboostep.Suspect) {
 	c.once.Do(c.init)
 	c.Suspects.Note(c.Clock.Now(), list)
 }
 
-// LearnSuspects takes in what another entry's ShareSuspects sent.
-func (c *callers) LearnSuspects(list []bamboostep.Suspect) {
-	c.once.Do(c.init)
-	c.Suspects.Learn(c.Clock.Now(), list)
-}
-
 // ServeHTTP implements http.Handler.
 func (c *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.once.Do(c.init)
--- a/entry/callers_run.go
+++ b/entry/callers_run.go
@@ -114,9 +114,9 @@
 // noteCrash suspects a request whose backend server crashed while it ran.
 func (x *exchange) noteCrash(j *job, p *slot, f bamboostep.Failure) {
 	s := bamboostep.Suspect{Fingerprint: j.request.Fingerprint, Attempt: f.Attempt, VM: p.vm}
-	s = x.Suspects.Crashed(x.Clock.Now(), s, p.offered, j.verdict.Alone)
+	s, refused := x.Suspects.Crashed(x.Clock.Now(), s, p.offered, j.verdict.Alone)
 	x.note(timeline.Event{Kind: "crash_suspected", Attempt: f.Attempt, VM: p.vm, Detail: fmt.Sprintf("crashes %d", s.Crashes)})
-	if x.ShareSuspects != nil {
+	if refused && x.ShareSuspects != nil {
 		x.ShareSuspects([]bamboostep.Suspect{s})
 	}
 }
