Record the arrival of a request before its claim

Cause: the time line of an order began with its claim, since the arrival was recorded when the claim had been granted; a refused claim left no arrival. Change: the arrival is recorded as soon as the target is known.

--- a/entry/callers_admit.go
+++ b/entry/callers_admit.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -21,13 +20,12 @@
 
 const probeEvery = 16
 
-// runAdmitted counts a request for a declared target and runs it.
-func (x *exchange) runAdmitted(ctx context.Context, j *job, yield func(bamboostep.Answer) error) *bamboostep.RefusedError {
+// received counts a request for a declared target.
+func (x *exchange) received(j *job) {
 	now := x.Clock.Now()
 	x.budget.Request(now)
 	x.demand.asked(x.target, now, j.work)
 	x.note(timeline.Event{Kind: "request_received", Detail: string(x.class)})
-	return x.run(ctx, j, yield)
 }
 
 // refuseLate refuses a request whose answer would be too late.
--- a/entry/callers_service.go
+++ b/entry/callers_service.go
@@ -30,12 +30,13 @@
 	x.target = s.Name
 	x.class = s.Class
 	j := x.serviceJob(s)
+	x.received(j)
 	if !s.Idempotent {
 		x.serveClaimed(s, j)
 		return
 	}
 	a := &serviceAnswer{exchange: x}
-	a.end(x.runAdmitted(x.r.Context(), j, a.piece))
+	a.end(x.run(x.r.Context(), j, a.piece))
 }
 
 func (x *exchange) serviceJob(s bamboostep.Service) *job {
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -140,8 +140,8 @@
 	}
 	a := &chatAnswer{exchange: x, style: s, query: &q, model: x.target, created: x.started.Unix(),
 		usage: usage{PromptTokens: len(s.prompt(&q)) / bytesPerToken}}
-	refused = x.runAdmitted(x.r.Context(), j, a.piece)
-	a.end(refused)
+	x.received(j)
+	a.end(x.run(x.r.Context(), j, a.piece))
 }
 
 // modelJob makes the job of a request to a model or adapter.
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -63,7 +63,7 @@
 		return
 	}
 	var held heldAnswer
-	refused = x.runAdmitted(ctx, j, func(p bamboostep.Answer) error {
+	refused = x.run(ctx, j, func(p bamboostep.Answer) error {
 		held.add(p)
 		return nil
 	})
