Experiment over the real programs, with baselines

The scenario module's cluster takes the place and deployment to start, and can do without relays. Place has models_at_once, since loads_at_once of 16 and 24 is the store's limit for adapters and a model loads at full speed with 1 or 2 others only. Entries may be set to the baseline placers.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,7 +41,9 @@
 		"round_robin": func() bamboostep.Router { return &dispatch.RoundRobin{} },
 	}
 	placers = map[string]func() bamboostep.Placer{
-		"demand": func() bamboostep.Placer { return &stock.Placer{} },
+		"demand":    func() bamboostep.Placer { return &stock.Placer{} },
+		"on_demand": func() bamboostep.Placer { return stock.OnDemand{} },
+		"static":    func() bamboostep.Placer { return &stock.Static{} },
 	}
 )
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -30,7 +30,7 @@
 	DataDir       string            `toml:"data_dir"`       // set on a voter of the ledger
 	OperatorToken string            `toml:"operator_token"` // bearer token that operators send; empty for none
 	Router        string            `toml:"router"`         // score, least_load or round_robin
-	Placer        string            `toml:"placer"`         // how models are placed: demand
+	Placer        string            `toml:"placer"`         // how models are placed: demand, on_demand or static
 	MaxBodyBytes  int64             `toml:"max_body_bytes"` // bound on a caller's body
 	DrainDelay    settings.Duration `toml:"drain_delay"`    // how long a planned stop goes on accepting, readiness off, until the balancer has noticed
 	DrainTimeout  settings.Duration `toml:"drain_timeout"`  // how long a planned stop waits for running requests
--- a/object.go
+++ b/object.go
@@ -42,9 +42,10 @@
 	Workers        int       `toml:"workers" msgpack:"workers" json:"workers"`          // VMs expected in the pool
 	MemoryMiB      int64     `toml:"memory_mib" msgpack:"memory_mib" json:"memory_mib"` // accelerator memory of one VM, MiB
 	FailureDomains []string  `toml:"failure_domains" msgpack:"failure_domains" json:"failure_domains"`
-	FencesOrders   bool      `toml:"fences_orders" msgpack:"fences_orders" json:"fences_orders"` // engines refuse an old fencing number
-	LoadsAtOnce    int       `toml:"loads_at_once" msgpack:"loads_at_once" json:"loads_at_once"` // loads in flight from the store before it slows
-	MoveWeight     float64   `toml:"move_weight" msgpack:"move_weight" json:"move_weight"`       // cost of one move, in requests within target
+	FencesOrders   bool      `toml:"fences_orders" msgpack:"fences_orders" json:"fences_orders"`    // engines refuse an old fencing number
+	LoadsAtOnce    int       `toml:"loads_at_once" msgpack:"loads_at_once" json:"loads_at_once"`    // loads in flight from the store before it slows
+	ModelsAtOnce   int       `toml:"models_at_once" msgpack:"models_at_once" json:"models_at_once"` // of these, models that load at full speed together; as many as loads_at_once if 0
+	MoveWeight     float64   `toml:"move_weight" msgpack:"move_weight" json:"move_weight"`          // cost of one move, in requests within target
 }
 
 // WithWorkers returns p with the number of expected VMs set to n.
--- a/scenario/cluster/cluster.go
+++ b/scenario/cluster/cluster.go
@@ -24,26 +24,31 @@
 )
 
 const (
-	engineMemoryMiB = 16000
-	startTimeout    = 20 * time.Second
-	pollInterval    = 20 * time.Millisecond
-	enginePlace     = "taller"
-	servicePlace    = "libro"
+	startTimeout      = 20 * time.Second
+	pollInterval      = 20 * time.Millisecond
+	servicePlace      = "libro"
+	defaultDeployment = "campanas"
 )
 
-var failureDomains = []string{"uy-sur-a", "uy-sur-b", "uy-sur-c"}
+var (
+	failureDomains = []string{"uy-sur-a", "uy-sur-b", "uy-sur-c"}
+	smallPlace     = bamboostep.Place{Name: "taller", MemoryMiB: 16000, FailureDomains: failureDomains}
+)
 
 // Cluster is a deployment under test. Set the exported fields before Start.
 type Cluster struct {
-	Bin         string   // folder of the built programs
-	Dir         string   // folder for settings, data and logs
-	Entries     int      // all of them voters, in failure domains in turn
-	Engines     int      // model engines, each with an agent
-	Services    int      // application services, each with an agent
-	EngineArgs  []string // more arguments for every engine
-	ServiceArgs []string // more arguments for every service
-	EntryLines  []string // more lines at the head of every entry's settings
-	AgentLines  []string // more lines at the head of every agent's settings
+	Bin         string           // folder of the built programs
+	Dir         string           // folder for settings, data and logs
+	Entries     int              // all of them voters, in failure domains in turn
+	Engines     int              // model engines, each with an agent
+	Services    int              // application services, each with an agent
+	EngineArgs  []string         // more arguments for every engine
+	ServiceArgs []string         // more arguments for every service
+	EntryLines  []string         // more lines at the head of every entry's settings
+	AgentLines  []string         // more lines at the head of every agent's settings
+	Deployment  string           // whose store to stand in for; campanas if empty
+	EnginePlace bamboostep.Place // of the engines; a small one if it has no name
+	Direct      bool             // without relays, so that nothing can be cut
 
 	ctx       context.Context
 	processes map[string]*Process
@@ -81,6 +86,12 @@
 // processes are ended by Stop.
 func (c *Cluster) Start(ctx context.Context) error {
 	c.ctx = ctx
+	if c.EnginePlace.Name == "" {
+		c.EnginePlace = smallPlace
+	}
+	if c.Deployment == "" {
+		c.Deployment = defaultDeployment
+	}
 	c.processes = make(map[string]*Process)
 	c.relays = make(map[string]*relay.Relay)
 	c.sources = make(map[string]string)
@@ -113,14 +124,14 @@
 		return err
 	}
 	c.storeURL = "http://" + address
-	c.add("store", "standin", "store", "--listen", address, "--deployment", "campanas")
+	c.add("store", "standin", "store", "--listen", address, "--deployment", c.Deployment)
 	return nil
 }
 
 func (c *Cluster) addBackends() error {
 	for i := range c.Engines {
-		args := append([]string{"--store", c.storeURL, "--memory_mib", fmt.Sprint(engineMemoryMiB)}, c.EngineArgs...)
-		if err := c.addBackend("engine", enginePlace, i, args); err != nil {
+		args := append([]string{"--store", c.storeURL, "--memory_mib", fmt.Sprint(c.EnginePlace.MemoryMiB)}, c.EngineArgs...)
+		if err := c.addBackend("engine", c.EnginePlace.Name, i, args); err != nil {
 			return err
 		}
 	}
@@ -158,7 +169,8 @@
 	}
 	c.sources[name] = source
 	c.admins[name] = addresses[1]
-	domain := failureDomains[i%len(failureDomains)]
+	domains := c.EnginePlace.FailureDomains
+	domain := domains[i%len(domains)]
 	if kind == "service" {
 		kind = "application"
 	}
@@ -172,7 +184,7 @@
 		fmt.Sprintf("backend_url = %q", "http://"+backend),
 	)
 	if kind == "engine" {
-		lines = append(lines, fmt.Sprintf("memory_mib = %d", engineMemoryMiB))
+		lines = append(lines, fmt.Sprintf("memory_mib = %d", c.EnginePlace.MemoryMiB))
 	}
 	front, err := c.addRelay(name, addresses[0])
 	if err != nil {
@@ -281,6 +293,9 @@
 }
 
 func (c *Cluster) addRelay(name, target string) (string, error) {
+	if c.Direct {
+		return target, nil
+	}
 	nl, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -50,6 +50,7 @@
 	peak     int64
 	highest  bamboostep.Fence
 	orders   int
+	models   int // orders for models among these
 	started  int
 	waiting  []*sequence
 	running  []*sequence
--- a/standin/engine/order.go
+++ b/standin/engine/order.go
@@ -57,7 +57,7 @@
 // do carries out an order and returns how it failed, or nil.
 func (e *Engine) do(o bamboostep.Order) *listen.Failure {
 	time.Sleep(e.OrderDelay)
-	if f := e.checkFence(o.Fence); f != nil {
+	if f := e.checkFence(o); f != nil {
 		return f
 	}
 	switch o.Kind {
@@ -69,10 +69,15 @@
 	return &listen.Failure{Code: codeBad, Message: fmt.Sprintf("order kind %q is unknown", o.Kind)}
 }
 
-func (e *Engine) checkFence(f bamboostep.Fence) *listen.Failure {
+// checkFence counts an order and refuses it if it is fenced.
+func (e *Engine) checkFence(o bamboostep.Order) *listen.Failure {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders++
+	if o.Kind == bamboostep.LoadModel || o.Kind == bamboostep.UnloadModel {
+		e.models++
+	}
+	f := o.Fence
 	if e.FencesOrders && f.Less(e.highest) {
 		err := &bamboostep.FencedError{Order: f, Highest: e.highest}
 		return &listen.Failure{Code: codeFenced, Message: err.Error()}
--- a/standin/load/result.go
+++ b/standin/load/result.go
@@ -85,6 +85,13 @@
 	return r.outcomes[o]
 }
 
+// Outcomes returns the outcomes that came about, sorted.
+func (r *Result) Outcomes() []Outcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.outcomes))
+}
+
 // Total returns how many requests were sent.
 func (r *Result) Total() int {
 	r.mu.Lock()
--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/bamboostep/bamboostep/standin/engine"
+	"github.com/bamboostep/bamboostep/standin/experiment"
 	"github.com/bamboostep/bamboostep/standin/load"
 	"github.com/bamboostep/bamboostep/standin/platform"
 	"github.com/bamboostep/bamboostep/standin/service"
@@ -27,6 +28,7 @@
 			store.Command(),
 			platform.Command(),
 			load.Command(),
+			experiment.Command(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
--- a/stock/view.go
+++ b/stock/view.go
@@ -129,12 +129,20 @@
 		}
 	}
 	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.name, b.name) })
-	v.loads = max(1, p.LoadsAtOnce) - max(loading, fleet.InFlight)
-	v.unloads = unloadsPerLoad * max(1, p.LoadsAtOnce)
+	v.loads = modelsAtOnce(p) - max(loading, fleet.InFlight)
+	v.unloads = unloadsPerLoad * modelsAtOnce(p)
 	v.spreadLoad()
 	return v
 }
 
+// modelsAtOnce returns how many models may load from the store at one time.
+func modelsAtOnce(p bamboostep.Place) int {
+	if p.ModelsAtOnce > 0 {
+		return p.ModelsAtOnce
+	}
+	return max(1, p.LoadsAtOnce)
+}
+
 func loadsIn(r *bamboostep.Report) int {
 	n := 0
 	for _, replica := range r.Replicas {
