Free memory is filled with copies; systems are measured side by side

Change: the placer uses free memory for one more copy of the models with the fewest, leaving up to a 16th of a worker for adapters.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -123,13 +123,14 @@
 	PeakMiB   int64 `json:"peak_mib"`
 	HeldMiB   int64 `json:"held_mib"`
 	MemoryMiB int64 `json:"memory_mib"`
-	Started   int   `json:"started"`
+	Started   int   `json:"started"` // sequences that began to run
 	Running   int   `json:"running"`
 	Orders    int   `json:"orders"`
+	Models    int   `json:"models"` // orders for models among these
 }
 
 func (e *Engine) stats() stats {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return stats{e.peak, e.held, e.MemoryMiB, e.started, len(e.running), e.orders}
+	return stats{e.peak, e.held, e.MemoryMiB, e.started, len(e.running), e.orders, e.models}
 }
--- a/standin/experiment/command.go
+++ b/standin/experiment/command.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bamboostep/bamboostep/daemon"
 )
@@ -55,14 +56,15 @@
 	var runs []Run
 	for _, fault := range faults(cmd.String("fault")) {
 		for i := range cmd.Int("seeds") {
-			for _, s := range chosenSystems(cmd.StringSlice("system")) {
-				run, err := measure(ctx, cfg, d, s, cmd.Uint64("first_seed")+uint64(i), fault)
-				if err != nil {
-					return err
-				}
+			seed := cmd.Uint64("first_seed") + uint64(i)
+			group, err := measureAll(ctx, cfg, d, chosenSystems(cmd.StringSlice("system")), seed, fault)
+			if err != nil {
+				return err
+			}
+			for _, run := range group {
 				printRun(w, run)
-				runs = append(runs, run)
 			}
+			runs = append(runs, group...)
 		}
 	}
 	printComparison(w, runs)
@@ -72,6 +74,22 @@
 	return nil
 }
 
+// measureAll runs the systems side by side, so that they have the same machine to
+// themselves at the same time.
+func measureAll(ctx context.Context, cfg Config, d *deployment, systems []System, seed uint64, fault bool) ([]Run, error) {
+	runs := make([]Run, len(systems))
+	g, ctx := errgroup.WithContext(ctx)
+	for i, s := range systems {
+		g.Go(func() error {
+			run, err := measure(ctx, cfg, d, s, seed, fault)
+			runs[i] = run
+			return err
+		})
+	}
+	err := g.Wait()
+	return runs, err
+}
+
 func faults(choice string) []bool {
 	switch choice {
 	case "without":
--- a/stock/placer.go
+++ b/stock/placer.go
@@ -10,8 +10,8 @@
 
 // The placer looks at all reports once a round and orders a few moves, the most
 // needed first: models that no VM holds, then copies below the declared number,
-// then changes of version, then copies for models whose requests come late, then a
-// second copy in another failure domain where memory is free. Rounds are
+// then changes of version, then copies for models whose requests come late, then
+// more copies where memory is free. Rounds are
 // short and each starts from the reports alone, so a move that failed or was lost
 // needs no repair: the next round sees what is missing.
 //
@@ -30,8 +30,9 @@
 )
 
 const (
-	unloadsPerLoad = 4 // unloads of models a round, for each load that the store bears at once
-	spareCopies    = 2 // copies in different failure domains, where memory is free
+	unloadsPerLoad = 4  // unloads of models a round, for each load that the store bears at once
+	spareCopies    = 2  // copies in different failure domains, where memory is free
+	adapterShare   = 16 // a 16th of a worker's memory is left for adapters at most
 )
 
 // Placer is the placement policy. Its state is only the memory of what it did of
@@ -80,7 +81,7 @@
 		return
 	}
 	p.followDemand(now, v)
-	v.addSpares()
+	v.fill(adaptersMiB(v, fleet))
 }
 
 // withdraw unloads what is not declared any more.
@@ -184,18 +185,49 @@
 	return n
 }
 
-// addSpares gives models with one copy a second in another failure domain, where
-// memory is free.
-func (v *view) addSpares() {
+// fill uses free memory for more copies, so that a shift of demand finds them there
+// already: first a second copy in another failure domain, then one more of the model
+// that has the fewest for what is asked of it. Some memory is left for adapters.
+func (v *view) fill(adaptersMiB int64) {
+	for v.loads > 0 {
+		m, w := v.bestFill(min(adaptersMiB, v.place.MemoryMiB/adapterShare))
+		if m == nil {
+			return
+		}
+		v.addLoad(m, w, reasonSpare)
+	}
+}
+
+// adaptersMiB returns the memory of all adapters of the place.
+func adaptersMiB(v *view, fleet bamboostep.Fleet) int64 {
+	n := int64(0)
+	for _, a := range fleet.Adapters {
+		if v.named[a.Model] != nil {
+			n += a.WeightsMiB
+		}
+	}
+	return n
+}
+
+func (v *view) bestFill(keepMiB int64) (best *model, at *worker) {
 	for _, m := range v.models {
-		if m.present() >= spareCopies || v.loads <= 0 {
+		if best != nil && !m.needsMore(best) {
 			continue
 		}
-		w := v.bestWorker(m, func(w *worker) bool { return w.free >= m.size && !m.inDomain(w.domain) })
+		w := v.bestWorker(m, func(w *worker) bool { return w.free-keepMiB >= m.size })
 		if w != nil {
-			v.addLoad(m, w, reasonSpare)
+			best, at = m, w
 		}
 	}
+	return best, at
+}
+
+// needsMore reports whether m should have one more copy before o does.
+func (m *model) needsMore(o *model) bool {
+	if x, y := m.present() < spareCopies, o.present() < spareCopies; x != y {
+		return x
+	}
+	return m.present() < o.present()
 }
 
 // add orders one more copy of m, or makes room for it. It returns false if
