Operators replace voters

Cause: the ledger could change its voters, but no operator could ask for it, so a lost disk could never be made good. Ruled out: changing voters by the entries' settings; those are read at the start and may differ between entries, while a membership must be one.

--- a/bamboostep/main.go
+++ b/bamboostep/main.go
@@ -48,6 +48,7 @@
 			statusCommand(),
 			drainCommand(),
 			timelineCommand(),
+			voterCommand(),
 		},
 		OnUsageError:    usageError,
 		ExitErrHandler:  func(context.Context, *cli.Command, error) {},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -397,6 +397,7 @@
 		Revisions: e.revisions,
 		Status:    e.status,
 		Timeline:  e.timeline,
+		Voters:    e.client,
 		Token:     e.cfg.OperatorToken,
 	})
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: e.log.StandardLog()}
--- a/entry/status.go
+++ b/entry/status.go
@@ -25,11 +25,9 @@
 		Term:     term,
 		Entries:  e.entryStatus(),
 	}
-	for _, p := range e.cfg.Peers {
-		if p.Voter {
-			reachable := p.Name == e.cfg.Name || e.peers.Reachable(p.Name)
-			s.Voters = append(s.Voters, operator.VoterStatus{Name: p.Name, Reachable: reachable})
-		}
+	for _, m := range e.client.State().Members() {
+		reachable := m.Name == e.cfg.Name || e.peers.Reachable(m.Name)
+		s.Voters = append(s.Voters, operator.VoterStatus{Name: m.Name, Reachable: reachable})
 	}
 	members := e.servers.Members()
 	drained := e.drains()
--- a/operator/client.go
+++ b/operator/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -76,6 +77,18 @@
 	return c.do(ctx, func(s *sling.Sling) *sling.Sling { return s.Post(pathDrain).BodyJSON(body) }, &doneBody{})
 }
 
+// AddVoter adds a voter to the ledger and returns once it votes.
+func (c *Client) AddVoter(ctx context.Context, m ledger.Member) error {
+	body := voterBody{true, m}
+	return c.do(ctx, func(s *sling.Sling) *sling.Sling { return s.Post(pathVoters).BodyJSON(body) }, &doneBody{})
+}
+
+// RemoveVoter takes a voter out of the ledger.
+func (c *Client) RemoveVoter(ctx context.Context, name string) error {
+	body := voterBody{false, ledger.Member{Name: name}}
+	return c.do(ctx, func(s *sling.Sling) *sling.Sling { return s.Post(pathVoters).BodyJSON(body) }, &doneBody{})
+}
+
 // Timeline returns the events that q selects, over all processes.
 func (c *Client) Timeline(ctx context.Context, q timeline.Query) ([]timeline.Event, error) {
 	var events []timeline.Event
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -26,12 +26,21 @@
 	Revisions func() []bamboostep.Revision
 	Status    func() Status
 	Timeline  func(ctx context.Context, q timeline.Query) []timeline.Event
+	Voters    Voters // nil if the entry cannot change them
 	Token     string // bearer token that operators must send; none is asked for if empty
 
 	once sync.Once
 	mux  http.ServeMux
 }
 
+// Voters changes who votes in the ledger. *ledger.Client is one.
+type Voters interface {
+	AddVoter(ctx context.Context, m ledger.Member) error
+	RemoveVoter(ctx context.Context, m ledger.Member) error
+}
+
+var _ Voters = (*ledger.Client)(nil)
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.once.Do(h.register)
@@ -48,6 +57,9 @@
 	h.mux.HandleFunc("POST "+pathPublish, h.servePublish)
 	h.mux.HandleFunc("GET "+pathStatus, h.serveStatus)
 	h.mux.HandleFunc("POST "+pathDrain, h.serveDrain)
+	if h.Voters != nil {
+		h.mux.HandleFunc("POST "+pathVoters, h.serveVoters)
+	}
 	h.mux.HandleFunc("GET "+pathRevisions, h.serveRevisions)
 	h.mux.HandleFunc("GET "+pathTimeline, h.serveTimeline)
 	h.mux.HandleFunc(pathPrefix, func(w http.ResponseWriter, r *http.Request) {
@@ -175,6 +187,26 @@
 	h.answer(w, doneBody{})
 }
 
+func (h *Handler) serveVoters(w http.ResponseWriter, r *http.Request) {
+	var body voterBody
+	if !h.readBody(w, r, &body) {
+		return
+	}
+	if body.Voter.Name == "" || body.Add && body.Voter.Address == "" {
+		h.refuse(w, http.StatusBadRequest, errorDetail{Code: codeBadRequest, Message: "field \"name\" or \"address\" is missing"})
+		return
+	}
+	change := h.Voters.RemoveVoter
+	if body.Add {
+		change = h.Voters.AddVoter
+	}
+	if err := change(r.Context(), body.Voter); err != nil {
+		h.refuseError(w, err)
+		return
+	}
+	h.answer(w, doneBody{})
+}
+
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, v any) bool {
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	dec.DisallowUnknownFields()
@@ -208,6 +240,7 @@
 	var conflict *ConflictError
 	var unavailable *bamboostep.UnavailableError
 	var refused *ledger.RefusedError
+	var membership *ledger.MembershipError
 	switch {
 	case errors.As(err, &problems):
 		detail.Code, detail.Problems = codeInvalid, problems.Problems
@@ -221,6 +254,9 @@
 	case errors.As(err, &refused):
 		detail.Code = refused.Code
 		return http.StatusUnprocessableEntity, detail
+	case errors.As(err, &membership):
+		detail.Code = codeMembership
+		return http.StatusConflict, detail
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		detail.Code = codeUnavailable
 		return http.StatusServiceUnavailable, detail
--- a/operator/message.go
+++ b/operator/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/ledger"
 )
 
 const (
@@ -14,6 +15,7 @@
 	pathDrain     = pathPrefix + "drain"
 	pathRevisions = pathPrefix + "revisions"
 	pathTimeline  = pathPrefix + "timeline"
+	pathVoters    = pathPrefix + "voters"
 
 	maxBodyBytes = 6 << 20 // a publish must fit one frame between voters
 
@@ -24,6 +26,7 @@
 	codeInvalid      = "invalid"
 	codeUnavailable  = "unavailable"
 	codeInternal     = "internal"
+	codeMembership   = "membership_refused"
 )
 
 type publishBody struct {
@@ -43,6 +46,11 @@
 	Leaving bool   `json:"leaving"`
 }
 
+type voterBody struct {
+	Add   bool          `json:"add"` // or remove
+	Voter ledger.Member `json:"voter"`
+}
+
 type doneBody struct{}
 
 type errorBody struct {
--- a/scenario/cluster/cluster.go
+++ b/scenario/cluster/cluster.go
@@ -312,6 +312,15 @@
 // OperatorsURL returns the base URL that operators of an entry use.
 func (c *Cluster) OperatorsURL(entry string) string { return "http://" + c.operators[entry] }
 
+// EntryAddress returns the address at which the other entries reach an entry.
+func (c *Cluster) EntryAddress(entry string) (string, error) {
+	r := c.relays[entry]
+	if r == nil {
+		return "", &UnknownProcessError{entry}
+	}
+	return r.Address(), nil
+}
+
 // BackendURL returns the base URL of a model engine or application service.
 func (c *Cluster) BackendURL(name string) string { return "http://" + c.backends[name] }
 
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -133,6 +133,7 @@
 	"answering":  command(1, (*scenario).answering),
 	"leader":     command(0, (*scenario).leader),
 	"majority":   command(0, (*scenario).majority),
+	"address":    command(1, (*scenario).address),
 	"peak":       command(0, (*scenario).peak),
 
 	"publish_within":  publishWithin,
@@ -298,6 +299,14 @@
 	return nil
 }
 
+// address puts the address at which the other entries reach an entry into the
+// variable address.
+func (s *scenario) address(ts *testscript.TestScript, args []string) error {
+	address, err := s.cluster.EntryAddress(args[0])
+	ts.Setenv("address", address)
+	return err
+}
+
 func (s *scenario) wipe(ts *testscript.TestScript, args []string) error {
 	return os.RemoveAll(s.cluster.DataDir(args[0]))
 }
