Scenario: operators race hundreds of times while a voter is away

Cause: two operators under equal revision numbers, a resend after the answer, and a process that comes back after hundreds of changes were each shown once only. Ruled out: the command line for each publish; starting it 500 times would measure the test. In each round one publish wins, the other is told by whom, and the winner's sent again through the other entry gets the first answer.

--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -31,6 +31,8 @@
 //	sigkill|start|freeze|thaw P     SIGKILL, start, SIGSTOP, SIGCONT
 //	sigterm P                       SIGTERM, and waits until it has ended well
 //	wipe ENTRY                      deletes the data folder of a stopped entry
+//	race ENTRY ENTRY N              two operators publish from one revision, N times
+//	address ENTRY                   sets $address to where other entries reach it
 //	cut|heal|silence A B            the network between two processes; B may be *
 //	leaving|live VM                 the platform's word on a VM
 //	call NAME ENTRY chat|stream MODEL PROMPT TOKENS
@@ -134,6 +136,7 @@
 	"leader":     command(0, (*scenario).leader),
 	"majority":   command(0, (*scenario).majority),
 	"address":    command(1, (*scenario).address),
+	"race":       command(3, (*scenario).race),
 	"peak":       command(0, (*scenario).peak),
 
 	"publish_within":  publishWithin,
