Status of what is wrong only; refusals of the feed noted once

Cause: with 1,600 VMs status is too long to find what is wrong; and a peer with another set under one revision would have filled the time line with an event a second. Ruled out: a filter for each field.

--- a/bamboostep/status.go
+++ b/bamboostep/status.go
@@ -19,7 +19,7 @@
 	return &cli.Command{
 		Name:         "status",
 		Usage:        "show the copies of each model and the memory of each VM",
-		Flags:        entryFlags(),
+		Flags:        entryFlags(&cli.BoolFlag{Name: "problems", Usage: "only models that lack copies and VMs that are not ready"}),
 		OnUsageError: usageError,
 		Action:       action(status, writeStatus),
 	}
@@ -30,7 +30,11 @@
 	if err != nil {
 		return operator.Status{}, err
 	}
-	return client.Status(ctx)
+	s, err := client.Status(ctx)
+	if cmd.Bool("problems") {
+		s = s.Problems()
+	}
+	return s, err
 }
 
 func writeStatus(w io.Writer, s operator.Status) {
--- a/catalog/feed_conn.go
+++ b/catalog/feed_conn.go
@@ -59,6 +59,7 @@
 	subscribers map[*wire.Conn]time.Time // when each last polled
 	known       map[string]uint64        // revision that each peer is known to have
 	kicks       map[*wire.Conn]chan struct{}
+	refusals    map[string]string // reason last refused, by source
 }
 
 // Register registers the message kinds of the feed. Peers subscribe on the
@@ -67,6 +68,7 @@
 	f.metrics = newFeedMetrics(f.Registry, f)
 	f.subscribers = make(map[*wire.Conn]time.Time)
 	f.known = make(map[string]uint64)
+	f.refusals = make(map[string]string)
 	f.kicks = make(map[*wire.Conn]chan struct{})
 	mux.On(kindPoll, f.handlePoll)
 	mux.On(kindUpdate, f.handleUpdate)
@@ -325,13 +327,27 @@
 	}
 }
 
-// report notes an update that was refused.
+// report notes an update that was refused, once for each source and reason.
 func (f *Feed) report(source string, err error) {
 	if err == nil {
+		f.noteRefusal(source, "")
 		return
 	}
 	f.metrics.countRefused()
-	f.Recorder.Record(timeline.Event{Kind: "update_refused", Detail: source + ": " + err.Error()})
+	if f.noteRefusal(source, err.Error()) {
+		f.Recorder.Record(timeline.Event{Kind: "update_refused", Detail: source + ": " + err.Error()})
+	}
+}
+
+// noteRefusal reports whether a source's last refusal was another one.
+func (f *Feed) noteRefusal(source, reason string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refusals[source] == reason {
+		return false
+	}
+	f.refusals[source] = reason
+	return true
 }
 
 // Following returns the number of peers that the feed may poll.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,6 +32,14 @@
 	VMs      []VMStatus    `json:"vms"`
 }
 
+// Problems returns s with only the models that lack copies and the VMs that are
+// not ready.
+func (s Status) Problems() Status {
+	s.Models = slices.DeleteFunc(slices.Clone(s.Models), func(m ModelStatus) bool { return m.Resident() >= m.Wanted })
+	s.VMs = slices.DeleteFunc(slices.Clone(s.VMs), func(v VMStatus) bool { return v.State == VMReady })
+	return s
+}
+
 // VoterStatus is the state of one voter of the ledger.
 type VoterStatus struct {
 	Name      string `json:"name"`
