One way to start a feed in tests

Cause: the tests and the benchmarks of the feed each had their own. Ruled out: nothing further. Change: the tests of the feed's shell are in the package, and share it. No assertion changed.

--- a/catalog/feed_conn_test.go
+++ b/catalog/feed_conn_test.go
@@ -1,4 +1,4 @@
-package catalog_test
+package catalog
 
 import (
 	"context"
@@ -13,7 +13,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bamboostep/bamboostep"
-	"github.com/bamboostep/bamboostep/catalog"
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/timeline"
 	"github.com/bamboostep/bamboostep/wire"
@@ -21,25 +20,29 @@
 
 const testDeadline = 10 * time.Second
 
-// feedProcess is a feed with its listener.
+// feedProcess is a feed with its listener and the counters of its connections.
 type feedProcess struct {
-	*catalog.Feed
-	mux     *wire.Mux
-	address string
+	*Feed
+	registry *prometheus.Registry
+	mux      *wire.Mux
+	address  string
 }
 
-func startFeed(t *testing.T, ctx context.Context, name string) *feedProcess {
-	t.Helper()
+func startFeed(tb testing.TB, ctx context.Context, name string) *feedProcess {
+	tb.Helper()
 	clock := &timeline.Clock{Wall: daemon.SystemClock{}}
-	p := &feedProcess{mux: new(wire.Mux), Feed: &catalog.Feed{
-		Node:     &wire.Node{Hello: wire.Hello{Name: name, Role: "entry"}, Clock: clock},
+	p := &feedProcess{registry: prometheus.NewRegistry(), mux: new(wire.Mux)}
+	p.Feed = &Feed{
+		Node: &wire.Node{
+			Hello: wire.Hello{Name: name, Role: "entry"}, Clock: clock, Metrics: wire.NewMetrics(p.registry),
+		},
 		Recorder: &timeline.Recorder{Process: name, Clock: clock},
-		Registry: prometheus.NewRegistry(),
-	}}
+		Registry: p.registry,
+	}
 	p.Register(p.mux)
 	nl, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	p.address = nl.Addr().String()
 	l := &wire.Listener{Node: p.Node, Net: nl, Handler: p.mux}
@@ -70,9 +73,9 @@
 	return p.Set() != nil && p.Set().Revision() == revision
 }
 
-func numberedSet(revision uint64) *catalog.Set {
+func numberedSet(revision uint64) *Set {
 	m := bamboostep.Model{Name: "m", MinCopies: int(revision)}
-	return catalog.New(catalog.Objects{Models: []bamboostep.Model{m}}).WithRevision(revision)
+	return New(Objects{Models: []bamboostep.Model{m}}).WithRevision(revision)
 }
 
 // Only a hears of the ledger; c follows b, and b follows a. Revisions and the
@@ -167,7 +170,7 @@
 				t.Fatal(err)
 			}
 			third, err := restart()
-			var bad *catalog.FileError
+			var bad *FileError
 			if !errors.As(err, &bad) || third.Set() != nil {
 				t.Errorf("got set %v, error %v, want none and *FileError", third.Set(), err)
 			}
--- a/catalog/spread_test.go
+++ b/catalog/spread_test.go
@@ -3,37 +3,23 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"testing"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
-	"github.com/bamboostep/bamboostep/daemon"
-	"github.com/bamboostep/bamboostep/timeline"
 	"github.com/bamboostep/bamboostep/wire"
 )
 
-// meshFeed is one feed of a full mesh, with the counters of its connections.
-type meshFeed struct {
-	*Feed
-	registry *prometheus.Registry
-	mux      *wire.Mux
-	address  string
-}
-
 // startMesh starts n feeds, each linked to every other.
-func startMesh(b *testing.B, ctx context.Context, n int) []*meshFeed {
+func startMesh(b *testing.B, ctx context.Context, n int) []*feedProcess {
 	b.Helper()
-	var mesh []*meshFeed
+	var mesh []*feedProcess
 	for i := range n {
-		mesh = append(mesh, startMeshFeed(b, ctx, fmt.Sprintf("feed-%d", i)))
+		mesh = append(mesh, startFeed(b, ctx, fmt.Sprintf("feed-%d", i)))
 	}
 	for _, f := range mesh {
 		for _, peer := range mesh {
 			if f != peer {
-				link := &wire.Link{Node: f.Node, Address: peer.address, Handler: f.mux, Up: f.Subscribe}
-				go link.Run(ctx)
+				f.follow(ctx, peer)
 			}
 		}
 	}
@@ -45,31 +31,9 @@
 	return mesh
 }
 
-func startMeshFeed(b *testing.B, ctx context.Context, name string) *meshFeed {
-	b.Helper()
-	clock := &timeline.Clock{Wall: daemon.SystemClock{}}
-	f := &meshFeed{registry: prometheus.NewRegistry(), mux: new(wire.Mux)}
-	f.Feed = &Feed{
-		Node: &wire.Node{
-			Hello: wire.Hello{Name: name, Role: "entry"}, Clock: clock, Metrics: wire.NewMetrics(f.registry),
-		},
-		Recorder: &timeline.Recorder{Process: name, Clock: clock},
-		Registry: f.registry,
-	}
-	f.Register(f.mux)
-	nl, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	f.address = nl.Addr().String()
-	l := &wire.Listener{Node: f.Node, Net: nl, Handler: f.mux}
-	go l.Run(ctx)
-	return f
-}
-
-func (f *meshFeed) sent(b *testing.B) float64 {
+func (p *feedProcess) sent(b *testing.B) float64 {
 	b.Helper()
-	families, err := f.registry.Gather()
+	families, err := p.registry.Gather()
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -99,7 +63,7 @@
 	}
 }
 
-func spread(mesh []*meshFeed, s *Set) {
+func spread(mesh []*feedProcess, s *Set) {
 	mesh[0].Offer(s)
 	for _, f := range mesh {
 		for f.Set() == nil || f.Set().Revision() < s.Revision() {
