Service paths: only /v1/ is taken, and paths are plain

Cause: paths such as /timeline were refused although entries serve them on the operators' address only; and /orders/../v1 was accepted. Ruled out: nothing further. Change: the only reserved prefix is /v1; a prefix holds no empty, . or .. element. Conclusion: what is refused is what clashes.

--- a/catalog/check.go
+++ b/catalog/check.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math"
+	"path"
 	"slices"
 	"strings"
 	"unicode"
@@ -16,8 +17,8 @@
 	"github.com/bamboostep/bamboostep"
 )
 
-// reservedPrefixes are the paths that an entry serves itself.
-var reservedPrefixes = []string{"/v1", "/operator", "/metrics", "/healthz", "/readyz", "/timeline"}
+// reservedPrefix is what an entry serves callers itself.
+const reservedPrefix = "/v1"
 
 // maxNumber bounds every size, count and time, so that sums cannot overflow.
 const maxNumber = 1 << 30
@@ -291,10 +292,11 @@
 	if strings.ContainsAny(prefix, "?# ") {
 		c.report(e, "path_prefix", "must hold no question mark, hash or space, is %q", prefix)
 	}
-	for _, reserved := range reservedPrefixes {
-		if hasPathPrefix(prefix, reserved) {
-			c.report(e, "path_prefix", "%q clashes with %q, which every entry serves itself", prefix, reserved+"/")
-		}
+	if path.Clean(prefix) != strings.TrimSuffix(prefix, "/") {
+		c.report(e, "path_prefix", "must hold no empty, . or .. element, is %q", prefix)
+	}
+	if hasPathPrefix(prefix, reservedPrefix) {
+		c.report(e, "path_prefix", "%q clashes with %q, which every entry serves itself", prefix, reservedPrefix+"/")
 	}
 }
 
--- a/catalog/load_test.go
+++ b/catalog/load_test.go
@@ -105,6 +105,8 @@
 			`f.toml:21: model "m": field "cache_mib" must be at most 1073741824, is 9223372036854775807`},
 		"clash with an entry's path": {`"/orders"`, `"/v1/orders"`,
 			`f.toml:34: service "s": field "path_prefix" "/v1/orders" clashes with "/v1/", which every entry serves itself`},
+		"path with dots": {`"/orders"`, `"/orders/../v1"`,
+			`f.toml:34: service "s": field "path_prefix" must hold no empty, . or .. element, is "/orders/../v1"`},
 		"clash of services": {"name_field = \"order_id\"", "idempotent = true\n[[service]]\nname = \"t\"\nplace = \"app\"\npath_prefix = \"/orders/\"\nclass = \"quote\"\nidempotent = true",
 			`f.toml:40: service "t": field "path_prefix" "/orders/" clashes with service "s"`},
 		"unnamed write": {"name_field = \"order_id\"", "",
