check names a single file by its name

Cause: "bamboostep check models.toml" reported mistakes in a file named ".". Ruled out: refusing files; checking one is handy while editing. Change: the name of the file itself is reported.

--- a/catalog/load.go
+++ b/catalog/load.go
@@ -38,7 +38,7 @@
 }
 
 // Load reads and checks all TOML files below dir, except those whose name, or
-// whose folder's name, begins with a dot. The error is a *ProblemsError when the
+// whose folder's name, begins with a dot. It also takes a single file. The error is a *ProblemsError when the
 // objects themselves are at fault.
 func Load(dir string) (*Set, error) {
 	files := make(map[string][]byte)
@@ -73,6 +73,9 @@
 		return err
 	}
 	name, err := filepath.Rel(dir, path)
+	if name == "." {
+		name = filepath.Base(path)
+	}
 	files[filepath.ToSlash(name)] = text
 	return err
 }
