Agent: answers that outlast a drain are handed over

Cause: at the end of drain_timeout the process ended with its connections; entries waited 3 s for another connection before they resumed the answers elsewhere.

Change: attempts that outlast the drain are stopped and their entries are told that the VM is leaving; what they have of an answer stays good. The agent then waits up to 1 s for the acknowledgements.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -105,6 +105,7 @@
 	cfg := defaultConfig()
 	cfg.Name, cfg.Place, cfg.FailureDomain = "vm-1", "p", "d"
 	cfg.Kind, cfg.BackendURL, cfg.MemoryMiB = kind, backendURL, 1000
+	cfg.DrainTimeout.Duration = 4 * time.Second
 	nl, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -286,6 +287,27 @@
 	}
 }
 
+// An answer that outlasts the drain is handed over: its entry hears at once that
+// the VM is leaving, and what it has of the answer stays good.
+func TestDrainTimeoutHandsOver(t *testing.T) {
+	gate := make(chan struct{})
+	defer close(gate)
+	e := &fakeEngine{gate: gate, replicas: []bamboostep.Replica{{Name: "m", MiB: 10, State: bamboostep.ReplicaResident}}}
+	a := startAgent(t, bamboostep.EnginePlace, startEngine(t, e).URL)
+	err := a.client.Offer(context.Background(), offerOf("1", bamboostep.Request{Model: "m"}), time.Second, func(bamboostep.Answer) error {
+		a.stop()
+		return nil
+	})
+	if f := failureOf(t, err); f.Code != "leaving" || f.Outcome != bamboostep.Ran {
+		t.Errorf("got failure %+v, want leaving and ran", f)
+	}
+	select {
+	case <-a.done:
+	case <-time.After(testDeadline):
+		t.Error("the agent did not end")
+	}
+}
+
 func TestExampleSettings(t *testing.T) {
 	cfg := defaultConfig()
 	if err := settings.Load("example.toml", &cfg); err != nil {
--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -110,7 +110,7 @@
 	}
 	switch {
 	case ctx.Err() != nil:
-		f.Code = codeCancelled
+		f.Code = s.stopCode()
 	case f.Code == codeBackendDown:
 		s.setUp(false)
 	case f.Code == codeBackendBroke:
@@ -119,6 +119,16 @@
 	return f
 }
 
+// stopCode returns why the agent itself stopped an attempt.
+func (s *Server) stopCode() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return codeLeaving
+	}
+	return codeCancelled
+}
+
 // crashed finds out whether the engine or application has died since the attempt
 // started, and if so names the attempts that were running.
 func (s *Server) crashed(offer bamboostep.Offer, incarnation string) bool {
--- a/backend/server.go
+++ b/backend/server.go
@@ -22,6 +22,7 @@
 
 	defaultOrderTimeout = 2 * time.Minute
 	defaultDrainTimeout = 30 * time.Second
+	handOverLimit       = 1 * time.Second
 	minDrain            = 1 * time.Second // by then every entry has heard that the agent is leaving
 )
 
@@ -184,20 +185,32 @@
 	if limit == 0 {
 		limit = defaultDrainTimeout
 	}
+	began := time.Now()
+	s.awaitDrained(limit, func() bool { return time.Since(began) >= minDrain && s.idle() })
+	n := s.handOver()
+	s.awaitDrained(handOverLimit, s.idle)
+	s.note("drain_ended", fmt.Sprintf("%d attempts handed over", n))
+}
+
+// awaitDrained waits until done, for at most the limit.
+func (s *Server) awaitDrained(limit time.Duration, done func() bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	began := time.Now()
 	every(ctx, drainPoll, func(context.Context) {
-		if time.Since(began) >= minDrain && s.idle() {
+		if done() {
 			cancel()
 		}
 	})
-	s.note("drain_ended", fmt.Sprintf("%d attempts cut off", s.unfinished()))
 }
 
-func (s *Server) unfinished() int {
+// handOver stops the attempts that outlasted the drain. Their entries hear that
+// the VM is leaving, and go on elsewhere with what they have of the answers.
+func (s *Server) handOver() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for id := range s.table.active {
+		s.stopAttempt(id)
+	}
 	return len(s.table.active)
 }
 
