--- a/backend/table.go
+++ b/backend/table.go
@@ -191,11 +191,11 @@
 	if !t.apply(r, eventRefuse) {
 		return nil
 	}
-	return t.bury(r, notRun(r.id, code))
+	return t.makeTombstone(r, notRun(r.id, code))
 }
 
-// bury makes r a tombstone that never ran.
-func (t *table) bury(r *record, f bamboostep.Failure) []action {
+// makeTombstone turns r into the tombstone of an attempt that never ran.
+func (t *table) makeTombstone(r *record, f bamboostep.Failure) []action {
 	r.failure = f
 	r.failed = true
 	r.offer = nil
@@ -238,7 +238,7 @@
 	}
 	t.apply(r, eventCancel)
 	r.conn = 0
-	t.bury(r, notRun(id, codeCancelled))
+	t.makeTombstone(r, notRun(id, codeCancelled))
 	return bamboostep.NotRun, t.schedule(now)
 }
 
@@ -255,7 +255,7 @@
 	}
 	r := t.add(bamboostep.Offer{Attempt: id, StartBy: startBy}, 0)
 	t.apply(r, eventCancel)
-	t.bury(r, notRun(id, codeNeverArrived))
+	t.makeTombstone(r, notRun(id, codeNeverArrived))
 	return bamboostep.NotRun
 }
 
