Give up the answer of an order once the engine's state shows its end

Cause: with every third answer lost, a change of version stood still: the agent waited up to two minutes for each answer, and the replica stayed unloading. Ruled out: the placer (it gave the unload orders at once), fencing (no order was fenced after the change of leader), running attempts (they had ended). Change: the memory account notes since when the engine's own state has shown the end of the order on its way; after the settling time the wait ends, the order counts as lost, and the state settles it. Tests: TestLostAnswerIsGivenUp and the scenario memory. Both copies are counted until the state settles, as before.

--- a/backend/orders.go
+++ b/backend/orders.go
@@ -141,9 +141,26 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	s.mu.Lock()
+	s.unanswered[order] = cancel
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.unanswered, order)
+	}()
 	return s.Engine.Do(ctx, order)
 }
 
+// giveUpAnswers stops waiting for answers that must have been lost. mu is held.
+func (s *Server) giveUpAnswers() {
+	for order, cancel := range s.unanswered {
+		if s.memory.Unanswered(order) {
+			cancel()
+		}
+	}
+}
+
 // awaitIdle waits until the attempts that run on what is to be unloaded have
 // ended. No others start meanwhile, unless another version is resident.
 func (s *Server) awaitIdle(order bamboostep.Order) error {
--- /dev/null
+++ b/backend/orders_test.go
@@ -0,0 +1,102 @@
+package backend_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// muteEngine carries out orders and never answers them.
+type muteEngine struct {
+	gatedEngine
+
+	mu   sync.Mutex
+	held map[string]bamboostep.Replica
+}
+
+func (e *muteEngine) Do(ctx context.Context, order bamboostep.Order) error {
+	e.mu.Lock()
+	if order.Kind == bamboostep.LoadModel {
+		e.held[order.Name] = bamboostep.Replica{Name: order.Name, Version: order.Version, MiB: order.MiB, State: bamboostep.ReplicaResident}
+	} else {
+		delete(e.held, order.Name)
+	}
+	e.mu.Unlock()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (e *muteEngine) State(context.Context) (bamboostep.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := bamboostep.EngineState{Incarnation: "one"}
+	for _, r := range e.held {
+		s.Replicas = append(s.Replicas, r)
+	}
+	return s, nil
+}
+
+// An order whose answer is lost does not hold its replica up for the whole
+// timeout of an order: once the engine's own state has shown its end for a while,
+// the wait is over and the state counts.
+func TestLostAnswerIsGivenUp(t *testing.T) {
+	e := &muteEngine{held: make(map[string]bamboostep.Replica)}
+	address, _ := startServer(t, "127.0.0.1:0", e)
+	c := startClient(t, address)
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	defer cancel()
+
+	for i, kind := range []bamboostep.OrderKind{bamboostep.LoadModel, bamboostep.UnloadModel} {
+		order := bamboostep.Order{Fence: bamboostep.Fence{Term: 1, Sequence: uint64(i + 1)}, Kind: kind, Name: "n", Version: "v", MiB: 10}
+		result, took := giveOrder(t, ctx, c, order)
+		if got, want := result.Code, "lost"; got != want {
+			t.Errorf("%s: got code %q, want %q", kind, got, want)
+		}
+		if took > lostAnswerLimit {
+			t.Errorf("%s: given up after %v, want within %v", kind, took, lostAnswerLimit)
+		}
+		awaitRepeat(t, ctx, c, order)
+	}
+}
+
+// lostAnswerLimit is the settling time of the memory account and some seconds for
+// a busy machine.
+const lostAnswerLimit = 6 * time.Second
+
+// repeater is the part of backend.Client that gives orders.
+type repeater interface {
+	Order(ctx context.Context, order bamboostep.Order) (bamboostep.OrderResult, error)
+}
+
+// giveOrder gives an order, again while the agent is not ready for orders yet, and
+// returns the result and how long it took to come.
+func giveOrder(t *testing.T, ctx context.Context, c repeater, order bamboostep.Order) (bamboostep.OrderResult, time.Duration) {
+	t.Helper()
+	for {
+		began := time.Now()
+		result, err := c.Order(ctx, order)
+		if err != nil {
+			t.Fatalf("%s: %v", order.Kind, err)
+		}
+		if result.Code != "not_ready" {
+			return result, time.Since(began)
+		}
+	}
+}
+
+// awaitRepeat waits until the same order is answered as done.
+func awaitRepeat(t *testing.T, ctx context.Context, c repeater, order bamboostep.Order) {
+	t.Helper()
+	var last bamboostep.OrderResult
+	for ctx.Err() == nil {
+		result, err := c.Order(ctx, order)
+		if err == nil && result.Code == "" {
+			return
+		}
+		last = result
+	}
+	t.Fatalf("%s is never answered as done, last code %q", order.Kind, last.Code)
+}
--- a/backend/report.go
+++ b/backend/report.go
@@ -39,6 +39,7 @@
 	}
 	s.backend.seenAt = asked
 	s.memory.Observe(asked, state)
+	s.giveUpAnswers()
 	s.backend.incarnation = state.Incarnation
 	s.backend.load = state.QueuedTokens
 	s.backend.loadAt = asked - time.Duration(state.AgeMS)*time.Millisecond
--- a/backend/server.go
+++ b/backend/server.go
@@ -59,6 +59,8 @@
 	loadTurn sync.Mutex                        // one adapter load at a time
 	orders   int                               // that run
 
+	unanswered map[bamboostep.Order]context.CancelFunc // given to the engine
+
 	drained  bool // an operator's drain mark
 	stopping bool
 	backend  backendState
@@ -102,6 +104,7 @@
 	s.conns = make(map[uint64]*peer)
 	s.ids = make(map[*wire.Conn]uint64)
 	s.launches = make(map[bamboostep.AttemptID]launched)
+	s.unanswered = make(map[bamboostep.Order]context.CancelFunc)
 	s.loads = make(map[string][]bamboostep.AttemptID)
 	s.kick = make(chan struct{}, 1)
 	s.memory = stock.Memory{VM: s.VM.Name, Limit: s.MemoryMiB, Settle: s.Settle}
--- a/scenario/cluster/standin.go
+++ b/scenario/cluster/standin.go
@@ -36,17 +36,18 @@
 
 // Revision asks an entry which revision it has in force.
 func (c *Cluster) Revision(ctx context.Context, entry string) (uint64, error) {
-	status, err := c.status(ctx, entry)
+	status, err := c.Status(ctx, entry)
 	return status.Revision, err
 }
 
 // Leader asks an entry who leads the ledger.
 func (c *Cluster) Leader(ctx context.Context, entry string) (string, error) {
-	status, err := c.status(ctx, entry)
+	status, err := c.Status(ctx, entry)
 	return status.Leader, err
 }
 
-func (c *Cluster) status(ctx context.Context, entry string) (operator.Status, error) {
+// Status asks an entry for the state of the system.
+func (c *Cluster) Status(ctx context.Context, entry string) (operator.Status, error) {
 	var status operator.Status
 	err := getJSON(ctx, c.OperatorsURL(entry)+"/operator/v1/status", &status)
 	return status, err
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -45,6 +45,7 @@
 //	runs ORDER MAX                  executions of an order, counted by the services
 //	runs_match ORDER NAME...        no answer of not_run counts as a run
 //	revision ENTRY N SPAN           the entry is at revision N or later in time
+//	version MODEL VERSION SPAN      all wanted copies of the model are at the version in time
 //	idle VM SPAN                    from SPAN on, the engine starts nothing new
 //	busy VM SPAN                    the engine starts something new in time
 //	started ORDER SPAN              a service has begun to run the order in time
@@ -137,6 +138,7 @@
 	"majority":   command(0, (*scenario).majority),
 	"address":    command(1, (*scenario).address),
 	"race":       command(3, (*scenario).race),
+	"version":    command(3, (*scenario).version),
 	"peak":       command(0, (*scenario).peak),
 
 	"publish_within":  publishWithin,
--- a/scenario/watch_test.go
+++ b/scenario/watch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/bamboostep/bamboostep/operator"
 	"github.com/bamboostep/bamboostep/scenario/cluster"
 )
 
@@ -196,3 +197,46 @@
 	}
 	return leader, nil
 }
+
+// version waits until the model has as many copies as it wants and all are at the
+// version.
+func (s *scenario) version(ts *testscript.TestScript, args []string) error {
+	span, err := time.ParseDuration(args[2])
+	if err != nil {
+		return err
+	}
+	return cluster.Eventually(span, "version "+args[1], func() error {
+		m, err := s.modelStatus(args[0])
+		if err != nil {
+			return err
+		}
+		for _, c := range m.Copies {
+			if c.Version != args[1] {
+				return fmt.Errorf("%q has version %q on %s", args[0], c.Version, c.VM)
+			}
+		}
+		if got, want := m.Resident(), max(m.Wanted, 1); got < want {
+			return fmt.Errorf("%q has %d resident copies, want %d", args[0], got, want)
+		}
+		return nil
+	})
+}
+
+// modelStatus asks any entry that answers.
+func (s *scenario) modelStatus(name string) (operator.ModelStatus, error) {
+	var last error
+	for _, entry := range s.cluster.EntryNames() {
+		status, err := s.cluster.Status(s.ctx, entry)
+		if err != nil {
+			last = err
+			continue
+		}
+		for _, m := range status.Models {
+			if m.Name == name {
+				return m, nil
+			}
+		}
+		last = fmt.Errorf("%s knows no model %q", entry, name)
+	}
+	return operator.ModelStatus{}, last
+}
--- a/stock/memory.go
+++ b/stock/memory.go
@@ -84,7 +84,8 @@
 	since   time.Duration // when state began
 	used    time.Duration // when an attempt last used it
 	fence   bamboostep.Fence
-	loading bool // the order on its way is a load
+	loading bool          // the order on its way is a load
+	shown   time.Duration // first of the observations in a row that show the order's end; 0 if none
 }
 
 type orderRecord struct {
@@ -318,6 +319,14 @@
 	AnswerLost               // nobody knows
 )
 
+// Unanswered reports whether the engine's own state has shown the end of an order
+// for the settling time without its answer having come. The answer then counts as
+// lost: waiting on would hold the replica up for as long as the sender's timeout.
+func (m *Memory) Unanswered(order bamboostep.Order) bool {
+	h := m.holdings[keyOf(order)]
+	return h != nil && h.shown != 0 && m.spanTo-h.shown >= m.settle()
+}
+
 // Finish takes the end of an order that Begin or BeginOwn let through.
 func (m *Memory) Finish(now time.Duration, order bamboostep.Order, ending Ending, cause error) {
 	m.finishRecord(order, ending, cause)
--- a/stock/reconcile.go
+++ b/stock/reconcile.go
@@ -83,6 +83,7 @@
 	}
 	present := listed && r.State == bamboostep.ReplicaResident
 	moving := listed && !present
+	h.noteShown(asked, present, listed)
 	switch h.state {
 	case resident:
 		if !listed {
@@ -93,6 +94,18 @@
 	}
 }
 
+// noteShown keeps since when the engine's state has shown the end of the order on
+// its way.
+func (h *holding) noteShown(asked time.Duration, present, listed bool) {
+	ended := h.state == loading && present || h.state == unloading && !listed
+	switch {
+	case !ended:
+		h.shown = 0
+	case h.shown == 0:
+		h.shown = asked
+	}
+}
+
 // settleOrder decides what became of an order whose answer was lost. A load that
 // shows as done is done. All else waits for the settling time.
 func (m *Memory) settleOrder(asked time.Duration, h *holding, present, moving bool) {
