Give up an order that the engine's state does not show at work

Cause: an order that was lost on its way to the engine held its replica up for the two minutes of the order's timeout; so far only an order whose end showed in the state was given up.

Change: an order is given up when for the settling time the engine's own state has shown neither its work nor its end, counted from when it was sent. It then counts as lost, and as memory in use until it is settled, for a second settling time.

Ruled out: freeing its memory at once; the engine may still begin it.

--- a/backend/orders.go
+++ b/backend/orders.go
@@ -143,6 +143,7 @@
 	defer cancel()
 	s.mu.Lock()
 	s.unanswered[order] = cancel
+	s.memory.Sent(s.Node.Uptime(), order)
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
--- a/backend/orders_test.go
+++ b/backend/orders_test.go
@@ -9,9 +9,10 @@
 	"github.com/bamboostep/bamboostep"
 )
 
-// muteEngine carries out orders and never answers them.
+// muteEngine carries out orders, unless it loses them, and never answers them.
 type muteEngine struct {
 	gatedEngine
+	loses bool
 
 	mu   sync.Mutex
 	held map[string]bamboostep.Replica
@@ -19,9 +20,11 @@
 
 func (e *muteEngine) Do(ctx context.Context, order bamboostep.Order) error {
 	e.mu.Lock()
-	if order.Kind == bamboostep.LoadModel {
+	switch {
+	case e.loses:
+	case order.Kind == bamboostep.LoadModel:
 		e.held[order.Name] = bamboostep.Replica{Name: order.Name, Version: order.Version, MiB: order.MiB, State: bamboostep.ReplicaResident}
-	} else {
+	default:
 		delete(e.held, order.Name)
 	}
 	e.mu.Unlock()
@@ -62,6 +65,33 @@
 	}
 }
 
+// An order that never reaches the engine is given up as soon, and its memory is
+// free for another one.
+func TestLostOrderIsGivenUp(t *testing.T) {
+	e := &muteEngine{held: make(map[string]bamboostep.Replica), loses: true}
+	address, _ := startServer(t, "127.0.0.1:0", e)
+	c := startClient(t, address)
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	defer cancel()
+
+	order := bamboostep.Order{Fence: bamboostep.Fence{Term: 1, Sequence: 1}, Kind: bamboostep.LoadModel, Name: "n", Version: "v", MiB: 100}
+	result, took := giveOrder(t, ctx, c, order)
+	if result.Code != "lost" || took > lostAnswerLimit {
+		t.Errorf("got code %q after %v, want lost within %v", result.Code, took, lostAnswerLimit)
+	}
+	order.Fence.Sequence, order.Name = 2, "o"
+	if result, _ = giveOrder(t, ctx, c, order); result.Code != "no_memory" {
+		t.Errorf("before it is settled: got code %q, want no_memory", result.Code)
+	}
+	for result.Code == "no_memory" && ctx.Err() == nil {
+		order.Fence.Sequence++
+		result, _ = giveOrder(t, ctx, c, order)
+	}
+	if result.Code != "lost" {
+		t.Errorf("after it is settled: got code %q, want lost, the engine losing this one too", result.Code)
+	}
+}
+
 // lostAnswerLimit is the settling time of the memory account and some seconds for
 // a busy machine.
 const lostAnswerLimit = 6 * time.Second
--- a/stock/memory.go
+++ b/stock/memory.go
@@ -84,8 +84,10 @@
 	since   time.Duration // when state began
 	used    time.Duration // when an attempt last used it
 	fence   bamboostep.Fence
-	loading bool          // the order on its way is a load
-	shown   time.Duration // first of the observations in a row that show the order's end; 0 if none
+	loading bool // the order on its way is a load
+	// quietFrom is the first of the observations in a row that do not show the
+	// order on its way at work; 0 if there is none.
+	quietFrom time.Duration
 }
 
 type orderRecord struct {
@@ -319,12 +321,21 @@
 	AnswerLost               // nobody knows
 )
 
-// Unanswered reports whether the engine's own state has shown the end of an order
-// for the settling time without its answer having come. The answer then counts as
-// lost: waiting on would hold the replica up for as long as the sender's timeout.
+// Sent notes that an order that Begin let through goes out only now.
+func (m *Memory) Sent(now time.Duration, order bamboostep.Order) {
+	if h := m.holdings[keyOf(order)]; h != nil {
+		h.since = now
+		h.quietFrom = 0
+	}
+}
+
+// Unanswered reports whether the engine's own state has not shown an order at
+// work for the settling time, without its answer having come. The order or its
+// answer then counts as lost: waiting on would hold the replica up for as long as
+// the sender's timeout.
 func (m *Memory) Unanswered(order bamboostep.Order) bool {
 	h := m.holdings[keyOf(order)]
-	return h != nil && h.shown != 0 && m.spanTo-h.shown >= m.settle()
+	return h != nil && h.quietFrom != 0 && m.spanTo-max(h.quietFrom, m.spanFrom) >= m.settle()
 }
 
 // Finish takes the end of an order that Begin or BeginOwn let through.
--- a/stock/reconcile.go
+++ b/stock/reconcile.go
@@ -83,7 +83,7 @@
 	}
 	present := listed && r.State == bamboostep.ReplicaResident
 	moving := listed && !present
-	h.noteShown(asked, present, listed)
+	h.noteQuiet(asked, moving)
 	switch h.state {
 	case resident:
 		if !listed {
@@ -94,15 +94,15 @@
 	}
 }
 
-// noteShown keeps since when the engine's state has shown the end of the order on
-// its way.
-func (h *holding) noteShown(asked time.Duration, present, listed bool) {
-	ended := h.state == loading && present || h.state == unloading && !listed
+// noteQuiet keeps since when the engine's state has not shown the order on its
+// way at work: it shows the order's end, or no trace of it.
+func (h *holding) noteQuiet(asked time.Duration, moving bool) {
+	onItsWay := h.state == loading || h.state == unloading
 	switch {
-	case !ended:
-		h.shown = 0
-	case h.shown == 0:
-		h.shown = asked
+	case moving || !onItsWay:
+		h.quietFrom = 0
+	case h.quietFrom == 0:
+		h.quietFrom = asked
 	}
 }
 
