--- a/standin/experiment/deployment.go
+++ b/standin/experiment/deployment.go
@@ -39,8 +39,9 @@
 	requests float64
 }
 
-// requestsPerWorker is the mean rate of requests, for each worker a second.
-const requestsPerWorker = 5.0
+// requestsPerWorker is the mean rate of requests, for each worker a second; at 20
+// tokens each it takes about two thirds of an engine.
+const requestsPerWorker = 6.0
 
 func loadDeployment(name, objects string) (*deployment, error) {
 	set, err := catalog.Load(objects)
@@ -85,7 +86,7 @@
 		Seed:       seed,
 		Duration:   cfg.Duration,
 		Rate:       d.requests * cfg.RateFactor,
-		HotModels:  cfg.HotModels,
+		HotModels:  max(1, len(d.set.Objects().Models)/modelsPerHot),
 		HotFactor:  hotFactor,
 		ShiftEvery: cfg.ShiftEvery,
 		Burst:      burst,
@@ -96,11 +97,12 @@
 }
 
 const (
-	hotFactor  = 10
-	burst      = time.Second
-	burstSwing = 0.5
-	maxTokens  = 32
-	prefixes   = 4
+	modelsPerHot = 13 // one model in so many is hot
+	hotFactor    = 10
+	burst        = time.Second
+	burstSwing   = 0.5
+	maxTokens    = 32
+	prefixes     = 4
 )
 
 // engineArgs are the speeds of one engine: about 5 steps of 30 to 42 ms a token at
--- a/standin/experiment/run.go
+++ b/standin/experiment/run.go
@@ -26,7 +26,6 @@
 	Dir        string // folder for settings, data and logs
 	Duration   time.Duration
 	ShiftEvery time.Duration
-	HotModels  int
 	RateFactor float64 // of the deployment's usual rate
 }
 
--- a/standin/load/schedule.go
+++ b/standin/load/schedule.go
@@ -29,8 +29,8 @@
 	return t.Name
 }
 
-// Plan says which requests to draw. All models ask for the same until a shift;
-// from then on some models are hot, and each shift picks others.
+// Plan says which requests to draw. With shifts, some models are hot from the
+// start, and each shift picks others; without, all are asked for alike.
 type Plan struct {
 	Targets    []Target
 	Seed       uint64
@@ -96,7 +96,6 @@
 	for i := range d.weights {
 		d.weights[i] = 1
 	}
-	d.shiftAt = d.plan.ShiftEvery
 }
 
 // gap returns the time to the next arrival after at.
--- a/stock/baseline.go
+++ b/stock/baseline.go
@@ -12,8 +12,8 @@
 // placer: memory is never passed, the store's loads in flight are bounded, and a
 // last copy never goes.
 
-// Static spreads the models evenly over all workers once and never moves one. A
-// model that no worker holds any more is loaded where there is room for it.
+// Static spreads the models evenly over all workers once they are there, and never
+// moves one. A model that no worker holds any more is loaded where there is room.
 type Static struct {
 	homes map[home]bool
 }
@@ -35,10 +35,12 @@
 // Place implements bamboostep.Placer.
 func (s *Static) Place(_ time.Time, fleet bamboostep.Fleet) []bamboostep.Move {
 	return eachPlace(fleet, func(v *view) {
-		v.restore(func(m *model) bool { return m.present() == 0 })
 		if s.homes == nil && len(v.workers) >= v.place.Workers {
 			s.homes = v.spreadEvenly()
 		}
+		if s.homes == nil {
+			return
+		}
 		for _, w := range v.workers {
 			for _, m := range v.models {
 				if s.homes[home{m.Name, w.name}] && !m.on(w) && w.free >= m.size && v.loads > 0 {
@@ -46,6 +48,7 @@
 				}
 			}
 		}
+		v.restore(func(m *model) bool { return m.present() == 0 })
 	})
 }
 
--- a/stock/demand.go
+++ b/stock/demand.go
@@ -8,7 +8,8 @@
 
 const (
 	demandHorizon  = 60 * time.Second // how long an added copy is assumed to be of use
-	demandCooldown = 4 * time.Second  // between two copies added for one model
+	demandCooldown = 2 * time.Second  // between two copies added for one model
+	loadsPerModel  = 2               // copies of one model that load at one time
 	evictionRatio  = 0.5              // a copy goes only for one that would carry this much more
 )
 
@@ -16,7 +17,7 @@
 // gains more than the declared cost of the moves.
 func (p *Placer) followDemand(now time.Time, v *view) {
 	hot := slices.DeleteFunc(slices.Clone(v.models), func(m *model) bool {
-		return m.gain() <= v.place.MoveWeight || now.Sub(p.added[m.Name]) < demandCooldown || m.resident() < m.present()
+		return m.gain() <= v.place.MoveWeight || now.Sub(p.added[m.Name]) < demandCooldown || m.present()-m.resident() >= loadsPerModel
 	})
 	slices.SortStableFunc(hot, func(a, b *model) int { return cmp.Compare(b.gain(), a.gain()) })
 	for _, m := range hot {
--- a/stock/placer.go
+++ b/stock/placer.go
@@ -32,7 +32,7 @@
 const (
 	unloadsPerLoad = 4  // unloads of models a round, for each load that the store bears at once
 	spareCopies    = 2  // copies in different failure domains, where memory is free
-	adapterShare   = 16 // a 16th of a worker's memory is left for adapters at most
+	adapterShare   = 32 // a 32nd of a worker's memory is left for adapters at most
 )
 
 // Placer is the placement policy. Its state is only the memory of what it did of
