--- a/stock/demand.go
+++ b/stock/demand.go
@@ -9,7 +9,7 @@
 const (
 	demandHorizon  = 60 * time.Second // how long an added copy is assumed to be of use
 	demandCooldown = 2 * time.Second  // between two copies added for one model
-	loadsPerModel  = 2               // copies of one model that load at one time
+	loadsPerModel  = 2                // copies of one model that load at one time
 	evictionRatio  = 0.5              // a copy goes only for one that would carry this much more
 )
 
