--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -6,7 +6,7 @@
 	"github.com/bamboostep/bamboostep"
 )
 
-// The kinds of message. All but the last three go from an entry to an agent.
+// The kinds of message. Those before answer go from an entry to an agent.
 const (
 	kindHello    = "backend.hello"
 	kindOffer    = "backend.offer"
@@ -20,6 +20,7 @@
 	kindAnswer   = "backend.answer"
 	kindFailure  = "backend.failure"
 	kindReport   = "backend.report"
+	kindLoad     = "backend.load"
 	kindSuspects = "backend.suspects"
 )
 
@@ -28,7 +29,7 @@
 	reconnectLimit = 3 * time.Second // how long a stream waits for another connection
 	cancelLimit    = 5 * time.Second // how long a cancelled offer waits to learn whether it ran
 	ackEvery       = 64 << 10        // bytes
-	windowBytes    = 1 << 20         // output that an agent keeps unacknowledged for one attempt
+	windowBytes    = 256 << 10       // output that an agent keeps unacknowledged for one attempt
 )
 
 // The codes of failures that both ends use.
@@ -46,6 +47,7 @@
 	codeAgentNew     = "agent_restarted"
 	codeBackendDown  = "backend_down"
 	codeBackendBroke = "backend_broke_off"
+	codeWrongKind    = "wrong_kind"
 )
 
 // helloBody tells an agent what its entry knows: the highest revision, and the
@@ -78,11 +80,4 @@
 	Leaving bool `msgpack:"leaving"`
 }
 
-// reportBody is a report whose replicas are left out when the connection carried
-// the same ones before.
-type reportBody struct {
-	Report       bamboostep.Report `msgpack:"report"`
-	SameReplicas bool              `msgpack:"same_replicas"`
-}
-
 func failed(f bamboostep.Failure) error { return &bamboostep.FailedError{Failure: f} }
--- a/backend/server.go
+++ b/backend/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 
 	defaultOrderTimeout = 2 * time.Minute
 	defaultDrainTimeout = 30 * time.Second
+	minDrain            = 1 * time.Second // by then every entry has heard that the agent is leaving
 )
 
 // Prober is an optional capability of an Application: it says whether the
@@ -55,7 +57,7 @@
 	launches map[bamboostep.AttemptID]launched
 	loads    map[string][]bamboostep.AttemptID // attempts that wait for an adapter
 	loadTurn sync.Mutex                        // one adapter load at a time
-	running  sync.WaitGroup                    // attempts and orders
+	orders   int                               // that run
 
 	drained  bool // an operator's drain mark
 	stopping bool
@@ -78,9 +80,8 @@
 
 // peer is one connected entry.
 type peer struct {
-	conn     *wire.Conn
-	replicas []bamboostep.Replica // last sent
-	fresh    bool                 // nothing was sent yet
+	conn *wire.Conn
+	last *bamboostep.Report // last sent, or nil
 }
 
 // Register registers the message kinds of an agent.
@@ -120,7 +121,7 @@
 	s.mu.Lock()
 	s.lastConn++
 	s.ids[conn] = s.lastConn
-	s.conns[s.lastConn] = &peer{conn: conn, fresh: true}
+	s.conns[s.lastConn] = &peer{conn: conn}
 	s.mu.Unlock()
 	s.report()
 }
@@ -185,19 +186,26 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	began := time.Now()
 	every(ctx, drainPoll, func(context.Context) {
-		if s.idle() {
+		if time.Since(began) >= minDrain && s.idle() {
 			cancel()
 		}
 	})
-	s.note("drain_ended", "")
+	s.note("drain_ended", fmt.Sprintf("%d attempts cut off", s.unfinished()))
 }
 
-// idle reports whether nothing runs and every answer has been fetched.
+func (s *Server) unfinished() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.table.active)
+}
+
+// idle reports whether no attempt or order runs and every answer has been fetched.
 func (s *Server) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.table.unfetched()
+	return s.orders == 0 && !s.table.unfetched()
 }
 
 // Ready returns why the agent takes no offers, or nil.
@@ -237,13 +245,13 @@
 	for _, a := range acts {
 		switch a.kind {
 		case actionStart:
-			s.launch(a.offer)
+			s.launch(*a.offer)
 		case actionStop:
 			s.stopAttempt(a.attempt)
 		case actionAnswer:
 			s.send(a.conn, kindAnswer, a.answer)
 		case actionFailure:
-			s.noteFailure(a.failure)
+			s.noteFailure(a)
 			s.send(a.conn, kindFailure, a.failure)
 		}
 	}
@@ -260,11 +268,14 @@
 	s.Recorder.Record(timeline.Event{Kind: kind, VM: s.VM.Name, Detail: detail})
 }
 
-func (s *Server) noteFailure(f bamboostep.Failure) {
+func (s *Server) noteFailure(a action) {
+	f := a.failure
 	s.metrics.countFailure(f)
 	s.Recorder.Record(timeline.Event{
 		Kind:    "attempt_failed",
+		Request: a.request,
 		Attempt: f.Attempt,
+		Model:   a.target,
 		VM:      s.VM.Name,
 		Detail:  f.Code + " " + string(f.Outcome),
 	})
--- a/backend/table.go
+++ b/backend/table.go
@@ -43,27 +43,13 @@
 // Spans on the agent's clock, microseconds.
 const (
 	keepEnded   = int64(30_000_000) // an ended attempt's output, unless acknowledged
-	orphanAfter = int64(5_000_000)  // without a connection, a started attempt has no reader
+	sweepEvery  = int64(500_000)
+	orphanAfter = int64(5_000_000) // without a connection, a started attempt has no reader
 )
 
 // maxRecords bounds the table when no limit is set.
 const maxRecords = 1 << 16
 
-// record is what the table knows about one attempt ID.
-type record struct {
-	offer   bamboostep.Offer
-	state   chart.State
-	arrival uint64
-	held    bool   // waits for its adapter to be loaded
-	conn    uint64 // connection that carries the answer; 0 while there is none
-	lostAt  int64  // when the last connection ended
-	endedAt int64
-	out     output
-	failure bamboostep.Failure // when refused, cancelled, or ended without a whole answer
-	failed  bool
-	orphan  bool // nobody will read the answer
-}
-
 type actionKind int
 
 const (
@@ -77,10 +63,12 @@
 type action struct {
 	kind    actionKind
 	conn    uint64
-	offer   bamboostep.Offer   // of actionStart
+	offer   *bamboostep.Offer  // of actionStart
 	answer  bamboostep.Answer  // of actionAnswer
 	failure bamboostep.Failure // of actionFailure
 	attempt bamboostep.AttemptID
+	request bamboostep.RequestID // of actionFailure, if known
+	target  string               // of actionFailure, if known
 }
 
 // table is the agent's table of attempts. It is pure: the time, microseconds on
@@ -99,6 +87,7 @@
 	arrivals  uint64
 	forgotten int64
 	closed    int64
+	sweptAt   int64
 	dropped   uint64 // repeated offers and events that no state lists
 }
 
@@ -127,10 +116,10 @@
 		t.queued = slices.Insert(t.queued, at, r)
 	}
 	if next == stateStarted {
-		t.active[r.offer.Attempt] = r
+		t.active[r.id] = r
 	}
 	if attemptChart.Final(next) {
-		delete(t.active, r.offer.Attempt)
+		delete(t.active, r.id)
 	}
 }
 
@@ -140,7 +129,16 @@
 		t.active = make(map[bamboostep.AttemptID]*record)
 	}
 	t.arrivals++
-	r := &record{offer: offer, state: attemptChart.Initial(), arrival: t.arrivals, conn: conn}
+	r := &record{
+		id:      offer.Attempt,
+		startBy: offer.StartBy,
+		request: offer.Request.ID,
+		target:  target(offer.Request),
+		offer:   &offer,
+		state:   attemptChart.Initial(),
+		arrival: t.arrivals,
+		conn:    conn,
+	}
 	t.records[offer.Attempt] = r
 	return r
 }
@@ -159,6 +157,9 @@
 	if r := t.get(offer.Attempt); r != nil {
 		return t.repeated(r, conn)
 	}
+	if offer.StartBy <= t.forgotten {
+		return []action{failureAction(conn, forgotten(offer.Attempt))}
+	}
 	if offer.StartBy <= now {
 		return []action{refusal(conn, offer, codeTooLate)}
 	}
@@ -186,34 +187,22 @@
 	return []action{failureAction(conn, r.failure)}
 }
 
-func refusal(conn uint64, offer bamboostep.Offer, code string) action {
-	return failureAction(conn, notRun(offer.Attempt, code))
-}
-
-func notRun(id bamboostep.AttemptID, code string) bamboostep.Failure {
-	return bamboostep.Failure{Attempt: id, Outcome: bamboostep.NotRun, Code: code, Message: "the attempt was not started: " + code}
-}
-
-func failureAction(conn uint64, f bamboostep.Failure) action {
-	return action{kind: actionFailure, conn: conn, failure: f, attempt: f.Attempt}
-}
-
 func (t *table) refuse(r *record, code string) []action {
 	if !t.apply(r, eventRefuse) {
 		return nil
 	}
-	return t.bury(r, notRun(r.offer.Attempt, code))
+	return t.bury(r, notRun(r.id, code))
 }
 
 // bury makes r a tombstone that never ran.
 func (t *table) bury(r *record, f bamboostep.Failure) []action {
 	r.failure = f
 	r.failed = true
-	r.offer = bamboostep.Offer{Attempt: r.offer.Attempt, StartBy: r.offer.StartBy}
+	r.offer = nil
 	if r.conn == 0 {
 		return nil
 	}
-	return []action{failureAction(r.conn, f)}
+	return []action{r.failureAction()}
 }
 
 // release lets a held attempt start; a nonempty code refuses it instead.
@@ -270,17 +259,6 @@
 	return bamboostep.NotRun
 }
 
-// outcome says whether r ran, for an attempt that has started.
-func (r *record) outcome() bamboostep.Outcome {
-	if r.failed {
-		return r.failure.Outcome
-	}
-	if r.out.end > 0 || r.state == stateEnded {
-		return bamboostep.Ran
-	}
-	return bamboostep.Unknown
-}
-
 // resumed binds an attempt to another connection and sends its answer from
 // offset on. An ID that is not known gets a tombstone, because its offer may
 // still be on its way.
@@ -289,11 +267,15 @@
 	if r == nil {
 		return []action{failureAction(conn, t.unknownFailure(now, id, startBy))}
 	}
-	r.conn = conn
 	if r.state == stateRefused || r.state == stateCancelled {
 		return []action{failureAction(conn, r.failure)}
 	}
-	if r.orphan || r.out.gone || offset < r.out.base {
+	if conn < r.conn || (offset < r.out.base && !r.out.gone) {
+		t.dropped++ // overtaken by a later connection or acknowledgement
+		return nil
+	}
+	r.conn = conn
+	if r.out.gone {
 		f := bamboostep.Failure{Attempt: id, Outcome: r.outcome(), Code: codeForgotten, Message: "the answer is no longer kept"}
 		return []action{failureAction(conn, f)}
 	}
@@ -309,15 +291,7 @@
 	if t.cancelUnknown(now, id, startBy) == bamboostep.NotRun {
 		return notRun(id, codeNeverArrived)
 	}
-	return bamboostep.Failure{Attempt: id, Outcome: bamboostep.Unknown, Code: codeForgotten, Message: "the attempt is no longer known"}
-}
-
-func (r *record) answers() []action {
-	acts := make([]action, 0, len(r.out.pieces))
-	for _, a := range r.out.pieces {
-		acts = append(acts, action{kind: actionAnswer, conn: r.conn, answer: a, attempt: a.Attempt})
-	}
-	return acts
+	return forgotten(id)
 }
 
 // acked drops output that the entry has.
@@ -366,13 +340,13 @@
 		return nil
 	}
 	r.endedAt = now
-	r.offer = bamboostep.Offer{Attempt: id, StartBy: r.offer.StartBy}
+	r.offer = nil
 	var acts []action
 	if failure != nil {
 		r.failure = *failure
 		r.failed = true
 		if r.conn != 0 && !r.orphan {
-			acts = append(acts, failureAction(r.conn, r.failure))
+			acts = append(acts, r.failureAction())
 		}
 	}
 	if r.orphan {
@@ -400,28 +374,6 @@
 	return acts
 }
 
-// uses reports whether a waiting or running attempt names the model or adapter.
-func (t *table) uses(name string) bool {
-	for _, r := range t.queued {
-		if names(r.offer.Request, name) {
-			return true
-		}
-	}
-	return t.runs(name)
-}
-
-// runs reports whether a running attempt names the model or adapter.
-func (t *table) runs(name string) bool {
-	for _, r := range t.active {
-		if names(r.offer.Request, name) {
-			return true
-		}
-	}
-	return false
-}
-
-func names(r bamboostep.Request, name string) bool { return r.Model == name || r.Adapter == name }
-
 // unfetched reports whether an entry has not yet got the whole answer of an
 // attempt that is running or has ended.
 func (t *table) unfetched() bool {
--- a/bamboostep/status.go
+++ b/bamboostep/status.go
@@ -19,7 +19,7 @@
 	return &cli.Command{
 		Name:         "status",
 		Usage:        "show the copies of each model and the memory of each VM",
-		Flags:        entryFlags(),
+		Flags:        entryFlags(&cli.BoolFlag{Name: "problems", Usage: "only models that lack copies and VMs that are not ready"}),
 		OnUsageError: usageError,
 		Action:       action(status, writeStatus),
 	}
@@ -30,7 +30,11 @@
 	if err != nil {
 		return operator.Status{}, err
 	}
-	return client.Status(ctx)
+	s, err := client.Status(ctx)
+	if cmd.Bool("problems") {
+		s = s.Problems()
+	}
+	return s, err
 }
 
 func writeStatus(w io.Writer, s operator.Status) {
@@ -78,15 +82,22 @@
 func where(m operator.ModelStatus) string {
 	var copies []string
 	for _, c := range m.Copies {
-		text := c.VM
-		if c.State != bamboostep.ReplicaResident {
-			text += " (" + string(c.State) + ")"
-		}
-		copies = append(copies, text)
+		copies = append(copies, c.VM+copyNote(c))
 	}
 	return strings.Join(copies, ", ")
 }
 
+// copyNote says why a copy answers no new requests, if so.
+func copyNote(c operator.CopyStatus) string {
+	switch {
+	case c.State != bamboostep.ReplicaResident:
+		return " (" + string(c.State) + ")"
+	case !c.Ready:
+		return " (not ready)"
+	}
+	return ""
+}
+
 func drainCommand() *cli.Command {
 	return &cli.Command{
 		Name:         "drain",
--- a/catalog/feed_conn.go
+++ b/catalog/feed_conn.go
@@ -49,6 +49,7 @@
 	Registry  prometheus.Registerer
 	Changed   func(*Set) // gets each newer set, in order; must not call Offer; may be nil
 	Upstreams int        // peers polled every second; at least 3
+	File      string     // keeps the newest set over a restart; nothing is kept if empty
 
 	metrics *feedMetrics
 	deliver sync.Mutex // held while sets are applied and handed to Changed
@@ -58,6 +59,7 @@
 	subscribers map[*wire.Conn]time.Time // when each last polled
 	known       map[string]uint64        // revision that each peer is known to have
 	kicks       map[*wire.Conn]chan struct{}
+	refusals    map[string]string // reason last refused, by source
 }
 
 // Register registers the message kinds of the feed. Peers subscribe on the
@@ -66,6 +68,7 @@
 	f.metrics = newFeedMetrics(f.Registry, f)
 	f.subscribers = make(map[*wire.Conn]time.Time)
 	f.known = make(map[string]uint64)
+	f.refusals = make(map[string]string)
 	f.kicks = make(map[*wire.Conn]chan struct{})
 	mux.On(kindPoll, f.handlePoll)
 	mux.On(kindUpdate, f.handleUpdate)
@@ -222,9 +225,9 @@
 	if len(sets) == 0 {
 		return err
 	}
+	f.keep(sets[len(sets)-1])
 	f.push()
 	for _, s := range sets {
-		f.Recorder.Record(timeline.Event{Kind: "revision_applied", Revision: s.Revision()})
 		if f.Changed != nil {
 			f.Changed(s)
 		}
@@ -232,6 +235,18 @@
 	return err
 }
 
+// keep writes s to the feed's file. If that fails the set is in force all the
+// same: a full disk must not hold up a change.
+func (f *Feed) keep(s *Set) {
+	if f.File == "" {
+		return
+	}
+	if err := writeSetFile(f.File, s); err != nil {
+		f.metrics.countUnkept()
+		f.Recorder.Record(timeline.Event{Kind: "revision_not_kept", Revision: s.Revision(), Detail: err.Error()})
+	}
+}
+
 // push sends the subscribers what they are not known to have.
 func (f *Feed) push() {
 	f.mu.Lock()
@@ -312,13 +327,27 @@
 	}
 }
 
-// report notes an update that was refused.
+// report notes an update that was refused, once for each source and reason.
 func (f *Feed) report(source string, err error) {
 	if err == nil {
+		f.noteRefusal(source, "")
 		return
 	}
 	f.metrics.countRefused()
-	f.Recorder.Record(timeline.Event{Kind: "update_refused", Detail: source + ": " + err.Error()})
+	if f.noteRefusal(source, err.Error()) {
+		f.Recorder.Record(timeline.Event{Kind: "update_refused", Detail: source + ": " + err.Error()})
+	}
+}
+
+// noteRefusal reports whether a source's last refusal was another one.
+func (f *Feed) noteRefusal(source, reason string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refusals[source] == reason {
+		return false
+	}
+	f.refusals[source] = reason
+	return true
 }
 
 // Following returns the number of peers that the feed may poll.
--- a/catalog/feed_conn_test.go
+++ b/catalog/feed_conn_test.go
@@ -1,16 +1,18 @@
-package catalog_test
+package catalog
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bamboostep/bamboostep"
-	"github.com/bamboostep/bamboostep/catalog"
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/timeline"
 	"github.com/bamboostep/bamboostep/wire"
@@ -18,25 +20,29 @@
 
 const testDeadline = 10 * time.Second
 
-// feedProcess is a feed with its listener.
+// feedProcess is a feed with its listener and the counters of its connections.
 type feedProcess struct {
-	*catalog.Feed
-	mux     *wire.Mux
-	address string
+	*Feed
+	registry *prometheus.Registry
+	mux      *wire.Mux
+	address  string
 }
 
-func startFeed(t *testing.T, ctx context.Context, name string) *feedProcess {
-	t.Helper()
+func startFeed(tb testing.TB, ctx context.Context, name string) *feedProcess {
+	tb.Helper()
 	clock := &timeline.Clock{Wall: daemon.SystemClock{}}
-	p := &feedProcess{mux: new(wire.Mux), Feed: &catalog.Feed{
-		Node:     &wire.Node{Hello: wire.Hello{Name: name, Role: "entry"}, Clock: clock},
+	p := &feedProcess{registry: prometheus.NewRegistry(), mux: new(wire.Mux)}
+	p.Feed = &Feed{
+		Node: &wire.Node{
+			Hello: wire.Hello{Name: name, Role: "entry"}, Clock: clock, Metrics: wire.NewMetrics(p.registry),
+		},
 		Recorder: &timeline.Recorder{Process: name, Clock: clock},
-		Registry: prometheus.NewRegistry(),
-	}}
+		Registry: p.registry,
+	}
 	p.Register(p.mux)
 	nl, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	p.address = nl.Addr().String()
 	l := &wire.Listener{Node: p.Node, Net: nl, Handler: p.mux}
@@ -67,9 +73,9 @@
 	return p.Set() != nil && p.Set().Revision() == revision
 }
 
-func numberedSet(revision uint64) *catalog.Set {
+func numberedSet(revision uint64) *Set {
 	m := bamboostep.Model{Name: "m", MinCopies: int(revision)}
-	return catalog.New(catalog.Objects{Models: []bamboostep.Model{m}}).WithRevision(revision)
+	return New(Objects{Models: []bamboostep.Model{m}}).WithRevision(revision)
 }
 
 // Only a hears of the ledger; c follows b, and b follows a. Revisions and the
@@ -123,3 +129,51 @@
 	current.Prove(9, time.Now())
 	await(t, "c holds revision 9", func() bool { return c.at(9) })
 }
+
+// A process that restarts, cut off from everything, has the revision that it had
+// before, and takes no older one from a ledger that is still behind. A damaged
+// file is reported and passed over.
+func TestFeedRestartsFromItsFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "feed.set")
+	restart := func() (*feedProcess, error) {
+		p := startFeed(t, t.Context(), "a")
+		p.File = file
+		return p, p.Restore()
+	}
+	first, err := restart()
+	if err != nil || first.Set() != nil {
+		t.Fatalf("got set %v, %v without a file, want none", first.Set(), err)
+	}
+	first.Offer(numberedSet(8))
+	first.Offer(numberedSet(9))
+
+	second, err := restart()
+	if err != nil || !second.at(9) {
+		t.Fatalf("got set %v, %v, want revision 9", second.Set(), err)
+	}
+	second.Offer(numberedSet(8))
+	if !second.at(9) {
+		t.Errorf("got revision %d, want 9", second.Set().Revision())
+	}
+
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, damaged := range map[string][]byte{
+		"cut short": data[:len(data)/2],
+		"empty":     {},
+		"one bit":   append([]byte{data[0] ^ 1}, data[1:]...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			if err := os.WriteFile(file, damaged, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			third, err := restart()
+			var bad *FileError
+			if !errors.As(err, &bad) || third.Set() != nil {
+				t.Errorf("got set %v, error %v, want none and *FileError", third.Set(), err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/dispatch/policy_test.go
@@ -0,0 +1,172 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/dispatch"
+)
+
+var noon = time.Date(2026, 1, 31, 12, 0, 0, 0, time.UTC)
+
+// The longer the wait, the fewer classes are admitted.
+func ExampleAdmission_Admit() {
+	for _, wait := range []time.Duration{500 * time.Millisecond, 900 * time.Millisecond, 3 * time.Second} {
+		fmt.Printf("%v:", wait)
+		for _, class := range []bamboostep.Class{bamboostep.ClassWrite, bamboostep.ClassQuote, bamboostep.ClassQuestion} {
+			after, ok := dispatch.Admission{}.Admit(class, wait, time.Second)
+			fmt.Printf(" %s %v %v", class, ok, after)
+		}
+		fmt.Println()
+	}
+	// Output:
+	// 500ms: write true 0s quote true 0s question true 0s
+	// 900ms: write true 0s quote true 0s question false 1s
+	// 3s: write true 0s quote false 2s question false 2s
+}
+
+// A Wait learns from what it sees how long an engine keeps requests waiting once
+// its batch is full, and follows when that changes.
+func ExampleWait() {
+	var w dispatch.Wait
+	_, _, known := w.Predict(100)
+	fmt.Println("known", known)
+	for _, full := range []time.Duration{time.Second, 3 * time.Second} {
+		for range 200 {
+			w.Observe(100, 20*time.Millisecond)
+			w.Observe(2000, full)
+		}
+		fmt.Print("wait")
+		for _, tokens := range []float64{100, 400, 2000, 9000} {
+			wait, _, _ := w.Predict(tokens)
+			fmt.Print(" ", wait.Round(10*time.Millisecond))
+		}
+		fmt.Println()
+	}
+	// Output:
+	// known false
+	// wait 20ms 20ms 1s 1s
+	// wait 20ms 20ms 2.99s 2.99s
+}
+
+// Long waits that no queue explains, as while a lost copy is loaded, are no reason
+// to refuse what finds no work before it.
+func TestWaitBlamesTheQueueAlone(t *testing.T) {
+	var w dispatch.Wait
+	for i := range 100 {
+		w.Observe(float64(i%3), 2*time.Second)
+	}
+	wait, queued, known := w.Predict(0)
+	if !known || wait < time.Second {
+		t.Errorf("got wait %v, known %v, want about 2s", wait, known)
+	}
+	if got, want := queued, time.Duration(0); got != want {
+		t.Errorf("got %v of the wait from an empty queue, want %v", got, want)
+	}
+}
+
+// However requests and retries arrive, no more retries are allowed than the
+// budget says.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := &dispatch.Budget{Share: 0.1, PerSecond: 1, Burst: 5}
+		now := noon
+		requests, retries := 0, 0
+		b.Request(now)
+		for range rapid.IntRange(0, 500).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(rt, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(rt, "request") {
+				b.Request(now)
+				requests++
+			}
+			if b.Retry(now) {
+				retries++
+			}
+		}
+		limit := 5 + 0.1*float64(requests+1) + now.Sub(noon).Seconds() + 1e-6
+		if float64(retries) > limit {
+			rt.Errorf("%d retries were allowed for %d requests in %v, want at most %.1f", retries, requests, now.Sub(noon), limit)
+		}
+	})
+}
+
+// A request that may not be repeated is offered again only after "not run", and
+// the outcome told is "not run" only if no attempt ran.
+func TestCourseKeepsToTheOutcomes(t *testing.T) {
+	outcomes := []bamboostep.Outcome{bamboostep.NotRun, bamboostep.Ran, bamboostep.Unknown}
+	rapid.Check(t, func(rt *rapid.T) {
+		c := dispatch.Course{Repeatable: rapid.Bool().Draw(rt, "repeatable"), Deadline: noon.Add(time.Second)}
+		now := noon
+		ran := false
+		for {
+			if _, err := c.Offered(); err != nil {
+				rt.Fatal(err)
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(rt, "ms")) * time.Millisecond)
+			o := rapid.SampledFrom(outcomes).Draw(rt, "outcome")
+			refused := c.Failed(now, "vm", bamboostep.Failure{Outcome: o})
+			ran = ran || o != bamboostep.NotRun
+			if refused == nil {
+				if ran && !c.Repeatable {
+					rt.Fatal("a request that may have run is offered again")
+				}
+				if !now.Before(c.Deadline) {
+					rt.Fatal("a request is offered after its deadline")
+				}
+				continue
+			}
+			if got, want := refused.Outcome == bamboostep.NotRun, !ran; got != want {
+				rt.Errorf("told not run: %v, want %v", got, want)
+			}
+			return
+		}
+	})
+}
+
+func TestRefusalOfSuspectEndsAndDoubles(t *testing.T) {
+	s := &dispatch.Suspects{RefuseFor: time.Minute}
+	now := noon
+	crash := func(i int) {
+		s.Note(now, []bamboostep.Suspect{{Fingerprint: 7, Attempt: bamboostep.AttemptID(fmt.Sprint(i)), VM: "vm"}})
+	}
+	crash(1)
+	if got, want := s.Judge(now, 7), (dispatch.Verdict{Alone: true}); got != want {
+		t.Errorf("after one crash verdict = %+v, want %+v", got, want)
+	}
+	crash(1)
+	crash(2)
+	for _, want := range []time.Duration{time.Minute, 2 * time.Minute} {
+		if got := s.Judge(now, 7); !got.Refused || got.RetryAfter != want {
+			t.Errorf("verdict = %+v, want refused for %v", got, want)
+		}
+		now = now.Add(want)
+		if got := s.Judge(now, 7); got.Refused || !got.Alone {
+			t.Errorf("after the refusal verdict = %+v, want alone", got)
+		}
+		crash(int(want))
+	}
+	if got, want := s.Strays(), uint64(0); got != want {
+		t.Errorf("strays = %d, want %d", got, want)
+	}
+}
+
+func TestPrefixCacheForgets(t *testing.T) {
+	prompt := make([]byte, 1000)
+	hashes := dispatch.PrefixHashes("model", prompt)
+	var p dispatch.PrefixCache
+	p.Add(hashes)
+	if got, want := p.Match(hashes), 3; got != want {
+		t.Errorf("matched %d blocks, want %d", got, want)
+	}
+	if got, want := p.Match(dispatch.PrefixHashes("other", prompt)), 0; got != want {
+		t.Errorf("another model matched %d blocks, want %d", got, want)
+	}
+	p.Drop(hashes[1:2])
+	if got, want := p.Match(hashes), 1; got != want {
+		t.Errorf("after a drop matched %d blocks, want %d", got, want)
+	}
+}
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -52,6 +52,7 @@
 // callerLimits bounds what one request may take. Zero fields take defaults.
 type callerLimits struct {
 	BodyBytes      int64         // request body
+	BodyTime       time.Duration // request body, from the first byte of the request on
 	BufferBytes    int           // plain answer held back until whole, so that it can be retried
 	RecordBytes    int           // answer of a non-idempotent request kept for resends
 	DeadlineFactor float64       // deadline of a request, in multiples of its target
@@ -62,21 +63,24 @@
 	HeldWait       time.Duration // wait of a resend for the first sending to end
 	ClaimTime      time.Duration // claim or settlement of a non-idempotent request
 	ClaimKeep      time.Duration // recorded answers are kept for so long
+	NameWindow     time.Duration // a repeated body counts as the same request, where the service does not say
 	IdleTime       time.Duration // a caller that takes nothing for so long is given up
 }
 
 const (
 	defaultBodyBytes      = 1 << 20
+	defaultBodyTime       = 30 * time.Second
 	defaultBufferBytes    = 256 << 10
 	defaultRecordBytes    = 1 << 20
 	defaultDeadlineFactor = 30
 	defaultMinDeadline    = 10 * time.Second
-	defaultStallTime      = 5 * time.Second
+	defaultStallTime      = 2500 * time.Millisecond
 	defaultAnswerTime     = 5 * time.Minute
 	defaultNoServerWait   = 3 * time.Second
 	defaultHeldWait       = 2 * time.Second
 	defaultClaimTime      = 2 * time.Second
 	defaultClaimKeep      = 24 * time.Hour
+	defaultNameWindow     = 10 * time.Minute
 	defaultIdleTime       = 30 * time.Second
 )
 
@@ -88,6 +92,7 @@
 
 func (l callerLimits) withDefaults() callerLimits {
 	defaultTo(&l.BodyBytes, defaultBodyBytes)
+	defaultTo(&l.BodyTime, defaultBodyTime)
 	defaultTo(&l.BufferBytes, defaultBufferBytes)
 	defaultTo(&l.RecordBytes, defaultRecordBytes)
 	defaultTo(&l.DeadlineFactor, defaultDeadlineFactor)
@@ -98,6 +103,7 @@
 	defaultTo(&l.HeldWait, defaultHeldWait)
 	defaultTo(&l.ClaimTime, defaultClaimTime)
 	defaultTo(&l.ClaimKeep, defaultClaimKeep)
+	defaultTo(&l.NameWindow, defaultNameWindow)
 	defaultTo(&l.IdleTime, defaultIdleTime)
 	return l
 }
@@ -125,6 +131,8 @@
 	demand  demandTable
 	lanes   lanes
 	picks   atomic.Uint64
+
+	lateRefusals atomic.Uint64 // made or due, for being late
 }
 
 var _ http.Handler = (*callers)(nil)
@@ -142,18 +150,12 @@
 }
 
 // NoteSuspects takes in all the requests that were running when a backend server
-// crashed, as its agent tells them.
+// crashed, as its agent tells them, or what another entry's ShareSuspects sent.
 func (c *callers) NoteSuspects(list []bamboostep.Suspect) {
 	c.once.Do(c.init)
 	c.Suspects.Note(c.Clock.Now(), list)
 }
 
-// LearnSuspects takes in what another entry's ShareSuspects sent.
-func (c *callers) LearnSuspects(list []bamboostep.Suspect) {
-	c.once.Do(c.init)
-	c.Suspects.Learn(c.Clock.Now(), list)
-}
-
 // ServeHTTP implements http.Handler.
 func (c *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.once.Do(c.init)
@@ -227,8 +229,13 @@
 	x.Recorder.Record(e)
 }
 
+// readBody reads the body within a time. The deadline is lifted afterwards, or it
+// would end the connection while the answer is still made.
 func (x *exchange) readBody() bool {
+	rc := http.NewResponseController(x.w)
+	rc.SetReadDeadline(x.started.Add(x.Limits.BodyTime))
 	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, x.Limits.BodyBytes), x.r.ContentLength)
+	rc.SetReadDeadline(time.Time{})
 	if err == nil {
 		x.body = body
 		return true
--- a/entry/callers_attempt.go
+++ b/entry/callers_attempt.go
@@ -29,7 +29,7 @@
 
 const (
 	cancelWait  = 250 * time.Millisecond // wait to hear whether a cancelled attempt ran
-	probeTokens = 8                      // a crash suspect has passed after so many
+	probeTokens = 3                      // a crash suspect has passed after so many
 )
 
 var (
@@ -150,7 +150,7 @@
 		a.demand.missed(a.target, now)
 	}
 	if a.slot.resident && !a.job.verdict.Alone {
-		a.learnWait(a.job.place, a.slot.queue, now.Sub(a.slot.offered))
+		a.learnWait(waitKey{a.job.place, a.class}, a.slot.queue, now.Sub(a.slot.offered))
 	}
 }
 
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/timeline"
@@ -144,6 +147,64 @@
 	}
 }
 
+// A caller that stops sending in the middle of its body is answered, and one that
+// sends all of it may wait longer for the answer.
+func TestSlowBodyIsGivenUp(t *testing.T) {
+	const bodyTime = 50 * time.Millisecond
+	app := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+		<-time.After(2 * bodyTime)
+		return yield(bamboostep.Answer{Attempt: o.Attempt, Data: []byte("late"), Last: true})
+	}
+	c := newTestCallers(newTestFleet(1, nil, app), nil)
+	c.Limits.BodyTime = bodyTime
+	s := startCallers(t, c)
+	for body, want := range map[string]string{"abc": "body_unreadable", "abcdefghij": "late"} {
+		conn, err := net.Dial("tcp", s.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /checks HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\nConnection: close\r\n\r\n%s", body)
+		got, err := io.ReadAll(conn)
+		if err != nil || !strings.Contains(string(got), want) {
+			t.Errorf("after body %q got %q, %v, want %q", body, got, err, want)
+		}
+	}
+}
+
+// A request that would wait too long is refused at once and told when to come back,
+// and so is not held in the queue of a backend server.
+func TestLateRequestIsRefusedAtOnce(t *testing.T) {
+	started, finish := make(chan bool), make(chan bool)
+	engine := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+		started <- true
+		<-finish
+		return speak(spoken, -1)(o, yield)
+	}
+	c := newTestCallers(newTestFleet(1, engine, nil), nil)
+	for range 10 {
+		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 0, 10*time.Millisecond)
+		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 100, 5*time.Second)
+	}
+	s := startCallers(t, c)
+	ask := func() reply { return call(t, s, "POST", "/v1/completions", `{"model":"base","prompt":"how?"}`) }
+	first := make(chan reply)
+	go func() { first <- ask() }()
+	<-started
+	got := ask()
+	var e errorAnswer
+	if err := json.Unmarshal([]byte(got.body), &e); err != nil || e.Error.Code != "overloaded" || e.Error.Outcome != bamboostep.NotRun {
+		t.Errorf("got %s, %v", got.body, err)
+	}
+	if got, want := got.header.Get("Retry-After"), "5"; got != want {
+		t.Errorf("Retry-After = %q, want %q", got, want)
+	}
+	close(finish)
+	if got := <-first; got.status != http.StatusOK {
+		t.Errorf("first request got %+v", got)
+	}
+}
+
 func TestServiceIsPassedOnIntact(t *testing.T) {
 	app := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
 		q := o.Request
--- a/entry/status.go
+++ b/entry/status.go
@@ -25,11 +25,9 @@
 		Term:     term,
 		Entries:  e.entryStatus(),
 	}
-	for _, p := range e.cfg.Peers {
-		if p.Voter {
-			reachable := p.Name == e.cfg.Name || e.peers.Reachable(p.Name)
-			s.Voters = append(s.Voters, operator.VoterStatus{Name: p.Name, Reachable: reachable})
-		}
+	for _, m := range e.client.State().Members() {
+		reachable := m.Name == e.cfg.Name || e.peers.Reachable(m.Name)
+		s.Voters = append(s.Voters, operator.VoterStatus{Name: m.Name, Reachable: reachable})
 	}
 	members := e.servers.Members()
 	drained := e.drains()
@@ -101,7 +99,7 @@
 		}
 		r, _ := m.server.Report()
 		for _, replica := range r.Replicas {
-			copies[replica.Name] = append(copies[replica.Name], copyStatus(m.VM, replica))
+			copies[replica.Name] = append(copies[replica.Name], copyStatus(m.VM, replica, r.Ready && m.TakesWork()))
 		}
 	}
 	var out []operator.ModelStatus
@@ -119,6 +117,6 @@
 	return out
 }
 
-func copyStatus(vm bamboostep.VM, r bamboostep.Replica) operator.CopyStatus {
-	return operator.CopyStatus{VM: vm.Name, FailureDomain: vm.FailureDomain, Version: r.Version, State: r.State}
+func copyStatus(vm bamboostep.VM, r bamboostep.Replica, ready bool) operator.CopyStatus {
+	return operator.CopyStatus{VM: vm.Name, FailureDomain: vm.FailureDomain, Version: r.Version, State: r.State, Ready: ready}
 }
--- a/ledger/serve.go
+++ b/ledger/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -84,7 +85,7 @@
 		defer cancel()
 		disk, err := askIdentity(ctx, v.Node, call.Member)
 		if err != nil {
-			done(proposeReply{Code: codeRefused, Detail: err.Error()})
+			done(proposeReply{Code: codeBusy, Detail: err.Error()})
 			return
 		}
 		change.disk = disk
@@ -146,7 +147,7 @@
 	var encoded [][]byte
 	var taken []request
 	for _, r := range batch {
-		if len(v.pending)+len(taken) >= maxPending {
+		if len(v.pending)+len(taken) >= maxPending || v.waiting > pendingBytes {
 			r.done(proposeReply{Code: codeBusy})
 			continue
 		}
@@ -166,7 +167,8 @@
 			r.done(v.notLeader())
 			continue
 		}
-		v.pending[first+uint64(i)] = pendingCommand{v.core.term, r.done}
+		v.pending[first+uint64(i)] = pendingCommand{v.core.term, len(encoded[i]), r.done}
+		v.waiting += len(encoded[i])
 	}
 }
 
@@ -191,6 +193,7 @@
 		return
 	}
 	delete(v.pending, e.Index)
+	v.waiting -= p.size
 	if p.term != e.Term {
 		p.done(proposeReply{Code: codeDropped})
 		return
@@ -199,10 +202,11 @@
 }
 
 func (v *Voter) dropPending(code callCode) {
-	for index, p := range v.pending {
-		delete(v.pending, index)
+	for _, p := range v.pending {
 		p.done(proposeReply{Code: code})
 	}
+	clear(v.pending)
+	v.waiting = 0
 }
 
 func (v *Voter) serveBarrier(r request) {
@@ -240,10 +244,21 @@
 		err = v.core.remove(r.change.member.Name)
 	}
 	if err != nil {
-		r.done(proposeReply{Code: codeRefused, Detail: err.Error()})
+		r.done(changeRefused(err))
 		return
 	}
 	s, in := v.core.members.named(r.change.member.Name)
 	settled := v.core.membersIndex <= v.core.commit
 	r.done(proposeReply{Code: codeDone, Settled: settled, Joined: settled && in && r.change.add && !s.Learner})
 }
+
+func changeRefused(err error) proposeReply {
+	var refused *MembershipError
+	if !errors.As(err, &refused) {
+		return proposeReply{Code: codeRefused, Detail: err.Error()}
+	}
+	if refused.Transient {
+		return proposeReply{Code: codeBusy, Detail: refused.Issue}
+	}
+	return proposeReply{Code: codeRefused, Detail: refused.Issue}
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,6 +32,14 @@
 	VMs      []VMStatus    `json:"vms"`
 }
 
+// Problems returns s with only the models that lack copies and the VMs that are
+// not ready.
+func (s Status) Problems() Status {
+	s.Models = slices.DeleteFunc(slices.Clone(s.Models), func(m ModelStatus) bool { return m.Resident() >= m.Wanted })
+	s.VMs = slices.DeleteFunc(slices.Clone(s.VMs), func(v VMStatus) bool { return v.State == VMReady })
+	return s
+}
+
 // VoterStatus is the state of one voter of the ledger.
 type VoterStatus struct {
 	Name      string `json:"name"`
@@ -57,7 +66,7 @@
 func (m ModelStatus) Resident() int {
 	n := 0
 	for _, c := range m.Copies {
-		if c.State == bamboostep.ReplicaResident {
+		if c.Ready && c.State == bamboostep.ReplicaResident {
 			n++
 		}
 	}
@@ -70,6 +79,7 @@
 	FailureDomain string                  `json:"failure_domain"`
 	Version       string                  `json:"version"`
 	State         bamboostep.ReplicaState `json:"state"`
+	Ready         bool                    `json:"ready"` // the VM answers and takes new work
 }
 
 // VMState is how an entry sees a VM.
--- a/stock/memory.go
+++ b/stock/memory.go
@@ -40,6 +40,8 @@
 	highest  bamboostep.Fence
 	engine   bamboostep.EngineState // last observed
 	observed bool
+	listed   []bamboostep.Replica // result of Replicas, nil after a change
+	ready    bool
 	spanFrom time.Duration // start of the unbroken span of observations
 	spanTo   time.Duration // last observation of the span
 }
@@ -286,6 +288,7 @@
 	}
 	h.since = now
 	m.holdings[h.key()] = h
+	m.listed = nil
 }
 
 func (h *holding) key() replicaKey { return replicaKey{h.replica.Name, h.replica.Version} }
@@ -298,6 +301,7 @@
 	}
 	h.state = next
 	h.since = now
+	m.listed = nil
 	if next == stateGone {
 		delete(m.holdings, h.key())
 		m.removed[h.key()] = now
