--- a/standin/experiment/report.go
+++ b/standin/experiment/report.go
@@ -30,7 +30,7 @@
 		if product.System != Systems[0].Name || best == nil {
 			continue
 		}
-		gain := product.Result.Attainment()/best.Result.Attainment() - 1
+		gain := product.Result.Attainment()/max(best.Result.Attainment(), leastAttainment) - 1
 		verdict := "ahead"
 		if gain < 0 {
 			verdict = "LOST"
@@ -40,6 +40,8 @@
 	}
 }
 
+const leastAttainment = 1e-9 // in place of 0, to divide by
+
 // bySeed groups runs that had the same seed and fault, the product first.
 func bySeed(runs []Run) [][]Run {
 	type key struct {
