--- a/entry/callers_demand.go
+++ b/entry/callers_demand.go
@@ -17,7 +17,7 @@
 // follows a shift of demand within a few half-lives.
 
 const (
-	demandHalfLife  = 10 * time.Second
+	demandHalfLife  = 5 * time.Second
 	answerMeanShare = 0.1 // weight of the newest answer in the mean length
 )
 
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -54,7 +54,7 @@
 	at     time.Time
 }
 
-type pendingKey struct{ vm, name string }
+type pendingKey struct{ vm, name, version string }
 
 // NoteDemand takes another entry's demand.
 func (p *placement) NoteDemand(entry string, demand []bamboostep.Demand) {
@@ -160,7 +160,7 @@
 
 func overlayOrder(replicas []bamboostep.Replica, reservedMiB int64, o bamboostep.Order) ([]bamboostep.Replica, int64) {
 	for i := range replicas {
-		if replicas[i].Name != o.Name {
+		if replicas[i].Name != o.Name || replicas[i].Version != o.Version {
 			continue
 		}
 		if o.Kind == bamboostep.UnloadModel || o.Kind == bamboostep.UnloadAdapter {
@@ -213,7 +213,7 @@
 // give sends one order, unless one for the same replica is on its way.
 func (p *placement) give(ctx context.Context, term uint64, move bamboostep.Move) {
 	s := p.Servers.find(move.VM)
-	key := pendingKey{move.VM, move.Order.Name}
+	key := pendingKey{move.VM, move.Order.Name, move.Order.Version}
 	p.mu.Lock()
 	_, busy := p.pending[key]
 	if s == nil || busy {
