--- a/stock/bench_test.go
+++ b/stock/bench_test.go
@@ -1,33 +1,42 @@
 package stock
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
 )
 
-// BenchmarkPlace is one round at 210 models and 1,600 workers whose memory is full,
-// with demand that has shifted and one worker in 29 come back empty.
+// BenchmarkPlace is one round on workers whose memory is full, with demand that has
+// shifted and one worker in 29 come back empty. The largest is the size to design
+// for; the others give the slopes by models and by workers.
 func BenchmarkPlace(b *testing.B) {
-	f := newTestFleet(1600, 210, 6000)
-	f.Places[0].LoadsAtOnce = 10000
+	for _, size := range []struct{ models, workers int }{{210, 1600}, {105, 1600}, {210, 800}, {105, 800}} {
+		b.Run(fmt.Sprintf("models=%d/workers=%d", size.models, size.workers), func(b *testing.B) {
+			f := shiftedFleet(size.models, size.workers)
+			moves := 0
+			for b.Loop() {
+				moves = len((&Placer{}).Place(time.Unix(100, 0), f.Fleet))
+			}
+			b.ReportMetric(float64(moves), "moves/op")
+		})
+	}
+}
+
+func shiftedFleet(models, workers int) *testFleet {
+	const loadsAtOnce = 64
+	f := newTestFleet(workers, models, 6000)
+	f.Places[0].LoadsAtOnce = workers * models
 	f.settle(&Static{}, 5)
-	f.Places[0].LoadsAtOnce = 64
+	f.Places[0].LoadsAtOnce = loadsAtOnce
 	for i := 0; i < len(f.VMs); i += 29 {
 		f.VMs[i].Replicas = nil
 		f.VMs[i].ReservedMiB = 0
 	}
-	for i := range f.Models {
-		f.Models[i] = f.Models[i].WithMinCopies(20)
-	}
 	for i, m := range f.Models {
+		f.Models[i] = m.WithMinCopies(workers / 80)
 		f.Demand[m.Name] = bamboostep.Demand{Name: m.Name, Rate: float64(i), Work: float64(i * 20), LateShare: 0.2}
 	}
-	moves := 0
-	b.ResetTimer()
-	for range b.N {
-		moves = len((&Placer{}).Place(time.Unix(100, 0), f.Fleet))
-	}
-	b.ReportMetric(float64(moves), "moves/op")
+	return f
 }
