An adapter is loaded where the queue is shorter

Cause: a VM without the adapter counted as 200 tokens of work worse. At about 190 tokens a second that is a second of queue, more than the longest wait that admission lets a question have, so requests for adapters were refused while VMs with the model, and copies just loaded for them, stood idle. A load takes 5 to 10 ms. Change: 32 tokens.

--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -25,7 +25,7 @@
 
 const (
 	defaultBlockTokens  = 16   // work saved by one cached prompt block
-	defaultLoadTokens   = 200  // work that loading an adapter costs
+	defaultLoadTokens   = 32   // work that loading an adapter costs
 	suspectTokens       = 1000 // work that a crash suspect holds back, which runs alone
 	defaultSlackTokens  = 64   // two scores this close are equal
 	reportFadeTime      = time.Second
