Names of objects are read in one place

Cause: the functions that read an object's name stood in three files, and a variable hid the built-in new. Ruled out: an interface on the objects of the root package for this alone. Change: placeName and the like, in set.go. Figures: go test ./catalog passes. Conclusion: no change of behaviour.

--- a/catalog/delta.go
+++ b/catalog/delta.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/wire"
 )
 
@@ -107,11 +106,11 @@
 	}
 	old := s.objects
 	next := New(Objects{
-		Places:   applyList(old.Places, d.Set.Places, d.Removed.Places, func(p bamboostep.Place) string { return p.Name }),
-		Versions: applyList(old.Versions, d.Set.Versions, d.Removed.Versions, func(v bamboostep.Version) string { return v.Name }),
-		Models:   applyList(old.Models, d.Set.Models, d.Removed.Models, func(m bamboostep.Model) string { return m.Name }),
-		Adapters: applyList(old.Adapters, d.Set.Adapters, d.Removed.Adapters, func(a bamboostep.Adapter) string { return a.Name }),
-		Services: applyList(old.Services, d.Set.Services, d.Removed.Services, func(v bamboostep.Service) string { return v.Name }),
+		Places:   applyList(old.Places, d.Set.Places, d.Removed.Places, placeName),
+		Versions: applyList(old.Versions, d.Set.Versions, d.Removed.Versions, versionName),
+		Models:   applyList(old.Models, d.Set.Models, d.Removed.Models, modelName),
+		Adapters: applyList(old.Adapters, d.Set.Adapters, d.Removed.Adapters, adapterName),
+		Services: applyList(old.Services, d.Set.Services, d.Removed.Services, serviceName),
 	}).WithRevision(d.To)
 	sum, err := next.Sum()
 	if err != nil {
--- a/catalog/diff.go
+++ b/catalog/diff.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"reflect"
 	"strings"
-
-	"github.com/bamboostep/bamboostep"
 )
 
 // Action says how an object changed from one set to another.
@@ -49,29 +47,29 @@
 
 // Diff returns what changes from a to b, by kind and then by name.
 func Diff(a, b *Set) []Change {
-	old, new := a.Objects(), b.Objects()
-	changes := diffLists(nil, KindPlace, old.Places, new.Places, func(p bamboostep.Place) string { return p.Name })
-	changes = diffLists(changes, KindVersion, old.Versions, new.Versions, func(v bamboostep.Version) string { return v.Name })
-	changes = diffLists(changes, KindModel, old.Models, new.Models, func(m bamboostep.Model) string { return m.Name })
-	changes = diffLists(changes, KindAdapter, old.Adapters, new.Adapters, func(a bamboostep.Adapter) string { return a.Name })
-	return diffLists(changes, KindService, old.Services, new.Services, func(s bamboostep.Service) string { return s.Name })
+	old, next := a.Objects(), b.Objects()
+	changes := diffLists(nil, KindPlace, old.Places, next.Places, placeName)
+	changes = diffLists(changes, KindVersion, old.Versions, next.Versions, versionName)
+	changes = diffLists(changes, KindModel, old.Models, next.Models, modelName)
+	changes = diffLists(changes, KindAdapter, old.Adapters, next.Adapters, adapterName)
+	return diffLists(changes, KindService, old.Services, next.Services, serviceName)
 }
 
 // diffLists appends the changes between two lists in order of name.
-func diffLists[T any](changes []Change, kind Kind, old, new []T, name func(T) string) []Change {
-	for len(old) > 0 || len(new) > 0 {
+func diffLists[T any](changes []Change, kind Kind, old, next []T, name func(T) string) []Change {
+	for len(old) > 0 || len(next) > 0 {
 		switch {
-		case len(new) == 0 || len(old) > 0 && name(old[0]) < name(new[0]):
+		case len(next) == 0 || len(old) > 0 && name(old[0]) < name(next[0]):
 			changes = append(changes, Change{Kind: kind, Name: name(old[0]), Action: Removed})
 			old = old[1:]
-		case len(old) == 0 || name(new[0]) < name(old[0]):
-			changes = append(changes, Change{Kind: kind, Name: name(new[0]), Action: Added})
-			new = new[1:]
+		case len(old) == 0 || name(next[0]) < name(old[0]):
+			changes = append(changes, Change{Kind: kind, Name: name(next[0]), Action: Added})
+			next = next[1:]
 		default:
-			if !reflect.DeepEqual(old[0], new[0]) {
-				changes = append(changes, Change{kind, name(old[0]), Changed, diffFields(old[0], new[0])})
+			if !reflect.DeepEqual(old[0], next[0]) {
+				changes = append(changes, Change{kind, name(old[0]), Changed, diffFields(old[0], next[0])})
 			}
-			old, new = old[1:], new[1:]
+			old, next = old[1:], next[1:]
 		}
 	}
 	return changes
@@ -81,9 +79,9 @@
 	var fields []FieldChange
 	x, y := reflect.ValueOf(a), reflect.ValueOf(b)
 	for i := range x.NumField() {
-		old, new := fieldText(x.Field(i)), fieldText(y.Field(i))
-		if old != new {
-			fields = append(fields, FieldChange{x.Type().Field(i).Tag.Get("toml"), old, new})
+		old, next := fieldText(x.Field(i)), fieldText(y.Field(i))
+		if old != next {
+			fields = append(fields, FieldChange{x.Type().Field(i).Tag.Get("toml"), old, next})
 		}
 	}
 	return fields
--- a/catalog/set.go
+++ b/catalog/set.go
@@ -86,14 +86,20 @@
 		}
 	}
 	return Objects{
-		Places:   sortedByName(o.Places, func(p bamboostep.Place) string { return p.Name }),
-		Versions: sortedByName(o.Versions, func(v bamboostep.Version) string { return v.Name }),
-		Models:   sortedByName(o.Models, func(m bamboostep.Model) string { return m.Name }),
-		Adapters: sortedByName(o.Adapters, func(a bamboostep.Adapter) string { return a.Name }),
-		Services: sortedByName(o.Services, func(s bamboostep.Service) string { return s.Name }),
+		Places:   sortedByName(o.Places, placeName),
+		Versions: sortedByName(o.Versions, versionName),
+		Models:   sortedByName(o.Models, modelName),
+		Adapters: sortedByName(o.Adapters, adapterName),
+		Services: sortedByName(o.Services, serviceName),
 	}
 }
 
+func placeName(p bamboostep.Place) string     { return p.Name }
+func versionName(v bamboostep.Version) string { return v.Name }
+func modelName(m bamboostep.Model) string     { return m.Name }
+func adapterName(a bamboostep.Adapter) string { return a.Name }
+func serviceName(s bamboostep.Service) string { return s.Name }
+
 func sortedByName[T any](list []T, name func(T) string) []T {
 	return slices.SortedStableFunc(slices.Values(list), func(a, b T) int {
 		return strings.Compare(name(a), name(b))
