Feed orders its peers once

Cause: each poll's turn hashed the names of all peers, for each of n peers each second: n squared hashes, by estimate over 1% of a core at 380. Ruled out: one goroutine for all polls; a slow peer would hold up others. Change: the preference is worked out when a link comes up, and the peers are kept in its order. A peer whose push did not fit is polled at once, also when it is not a preferred one.

--- a/catalog/feed_conn.go
+++ b/catalog/feed_conn.go
@@ -1,9 +1,11 @@
 package catalog
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,8 +60,8 @@
 	state       feedState
 	subscribers map[*wire.Conn]time.Time // when each last polled
 	known       map[string]uint64        // revision that each peer is known to have
-	kicks       map[*wire.Conn]chan struct{}
-	refusals    map[string]string // reason last refused, by source
+	upstreams   []*upstream              // in this process's own order of preference
+	refusals    map[string]string        // reason last refused, by source
 }
 
 // Register registers the message kinds of the feed. Peers subscribe on the
@@ -69,7 +71,6 @@
 	f.subscribers = make(map[*wire.Conn]time.Time)
 	f.known = make(map[string]uint64)
 	f.refusals = make(map[string]string)
-	f.kicks = make(map[*wire.Conn]chan struct{})
 	mux.On(kindPoll, f.handlePoll)
 	mux.On(kindUpdate, f.handleUpdate)
 }
@@ -108,29 +109,44 @@
 	f.report("ledger", err)
 }
 
+// upstream is a peer that may be polled.
+type upstream struct {
+	conn       *wire.Conn
+	preference uint64
+	kick       chan struct{} // asks for a poll now
+}
+
 // Subscribe follows the peer of c until c ends. Call it when a link to another
 // entry is up.
 func (f *Feed) Subscribe(c *wire.Conn) {
-	kick := make(chan struct{}, 1)
+	u := &upstream{
+		conn:       c,
+		preference: xxhash.Sum64String(f.Node.Hello.Name + "\x00" + c.Peer().Name),
+		kick:       make(chan struct{}, 1),
+	}
 	f.mu.Lock()
-	f.kicks[c] = kick
+	f.upstreams = append(f.upstreams, u)
+	slices.SortFunc(f.upstreams, func(a, b *upstream) int { return cmp.Compare(a.preference, b.preference) })
 	f.mu.Unlock()
-	go f.follow(c, kick)
+	go f.follow(u)
 }
 
-func (f *Feed) follow(c *wire.Conn, kick chan struct{}) {
-	defer f.unfollow(c)
+func (f *Feed) follow(u *upstream) {
+	defer f.unfollow(u)
+	kicked := false
 	for {
-		if f.due(c) && refused(f.poll(c)) {
+		if (kicked || f.due(u)) && refused(f.poll(u.conn)) {
 			return
 		}
+		kicked = false
 		t := time.NewTimer(pollInterval/2 + rand.N(pollInterval))
 		select {
-		case <-c.Done():
+		case <-u.conn.Done():
 			t.Stop()
 			return
-		case <-kick:
+		case <-u.kick:
 			t.Stop()
+			kicked = true
 		case <-t.C:
 		}
 	}
@@ -142,38 +158,22 @@
 	return errors.As(err, &remote)
 }
 
-// due reports whether c is to be polled in this interval.
-func (f *Feed) due(c *wire.Conn) bool {
+// due reports whether u is to be polled in this interval.
+func (f *Feed) due(u *upstream) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.rank(c) < max(f.Upstreams, minUpstreams) {
+	preferred := f.upstreams[:min(len(f.upstreams), max(f.Upstreams, minUpstreams))]
+	if slices.Contains(preferred, u) {
 		return true
 	}
 	stale := time.Since(f.state.proven) > staleAfter
-	return stale && rand.IntN(len(f.kicks)) < extraPolls
-}
-
-// rank returns the position of a followed peer in this process's own order of
-// preference.
-func (f *Feed) rank(c *wire.Conn) int {
-	own := f.preference(c)
-	rank := 0
-	for other := range f.kicks {
-		if f.preference(other) < own {
-			rank++
-		}
-	}
-	return rank
-}
-
-func (f *Feed) preference(c *wire.Conn) uint64 {
-	return xxhash.Sum64String(f.Node.Hello.Name + "\x00" + c.Peer().Name)
+	return stale && rand.IntN(len(f.upstreams)) < extraPolls
 }
 
-func (f *Feed) unfollow(c *wire.Conn) {
+func (f *Feed) unfollow(u *upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.kicks, c)
+	f.upstreams = slices.DeleteFunc(f.upstreams, func(other *upstream) bool { return other == u })
 }
 
 // poll asks the peer for what is newer, and once more for a snapshot if the
@@ -321,9 +321,14 @@
 func (f *Feed) kick(c *wire.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	select {
-	case f.kicks[c] <- struct{}{}:
-	default:
+	for _, u := range f.upstreams {
+		if u.conn != c {
+			continue
+		}
+		select {
+		case u.kick <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -354,5 +359,5 @@
 func (f *Feed) Following() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.kicks)
+	return len(f.upstreams)
 }
--- a/catalog/spread_test.go
+++ b/catalog/spread_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/bamboostep/bamboostep/wire"
 )
 
 // startMesh starts n feeds, each linked to every other.
@@ -79,10 +77,8 @@
 	mesh := startMesh(b, ctx, 2)
 	spread(mesh, fullSize())
 	mesh[0].Prove(1, time.Now())
-	var c *wire.Conn
 	mesh[0].mu.Lock()
-	for c = range mesh[0].kicks {
-	}
+	c := mesh[0].upstreams[0].conn
 	mesh[0].mu.Unlock()
 	before := mesh[0].sent(b) + mesh[1].sent(b)
 	for b.Loop() {
