Benchmark of the check of frames

Cause: every frame is walked once more than before; the cost was unknown. Ruled out: nothing further. Change: BenchmarkCheckEncoding.

--- a/wire/encoding_test.go
+++ b/wire/encoding_test.go
@@ -97,3 +97,17 @@
 		}
 	})
 }
+
+func BenchmarkCheckEncoding(b *testing.B) {
+	data, err := msgpack.Marshal(map[string]any{"attempt": strings.Repeat("x", 36), "offset": 1234567, "data": make([]byte, 200), "last": false})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(data)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := wire.CheckEncoding(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
