--- a/entry/servers.go
+++ b/entry/servers.go
@@ -37,6 +37,7 @@
 	remotes  map[string]*remoteServer // by VM
 	told     map[string]bool          // VMs whose agent was told to leave
 	revision uint64                   // newest, for agents that connect later
+	listLost bool                     // the platform's list could not be read of late
 
 	snapshot atomic.Pointer[serverSnapshot]
 }
@@ -108,12 +109,12 @@
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	vms, err := p.Platform.VMs(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noteList(err)
 	if err != nil {
-		p.Log.Warn("platform_list_failed", "error", err)
 		return
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	ts := p.roster.List(vms)
 	for _, m := range p.roster.Members() {
 		p.ensureClient(m.VM)
@@ -121,6 +122,21 @@
 	p.apply(ts)
 }
 
+// noteList records when the platform's list stops being readable, and when it is
+// again. mu is held.
+func (p *serverPool) noteList(err error) {
+	lost := err != nil
+	if lost == p.listLost {
+		return
+	}
+	p.listLost = lost
+	if lost {
+		p.Recorder.Record(timeline.Event{Kind: "platform_list_lost", Detail: err.Error()})
+		return
+	}
+	p.Recorder.Record(timeline.Event{Kind: "platform_list_read"})
+}
+
 // ensureClient connects to a VM's agent, anew if its address has changed.
 func (p *serverPool) ensureClient(vm bamboostep.VM) {
 	s := p.remotes[vm.Name]
