wire: read buffer of 4 KiB

Cause: a connection held two buffers of 32 KiB, one at each end; an entry with 1600 agents would pass the 32 MB for control by its buffers alone.

Change: 4 KiB. Larger frames are read past the buffer anyway.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -23,7 +23,7 @@
 	helloTimeout   = 2 * time.Second
 	queueLimit     = 32 << 20 // bytes waiting to be written before the peer counts as stuck
 	helloLimit     = 64 << 10
-	readBufferSize = 32 << 10
+	readBufferSize = 4 << 10
 
 	kindHello = "hello"
 	kindPing  = "ping"
