Agent: reports upon changes are bounded too

Cause: each adapter load led to a report to every entry, up to 50 a second to each.

Change: the least gap between two reports grows with the number of entries, to 1000 reports a second to all together; up to 20 entries it stays 20 ms.

Shown by: go test -race of backend (Silent, Load) and agent (EndToEnd, Stop), green.

--- a/backend/report.go
+++ b/backend/report.go
@@ -7,10 +7,13 @@
 	"github.com/bamboostep/bamboostep"
 )
 
+// The time between reports grows with the number of entries, so that what an
+// agent spends on reports does not.
 const (
 	minReportInterval = 200 * time.Millisecond
-	maxReportRate     = 100                   // reports a second to all entries together, but for changes
 	minReportGap      = 20 * time.Millisecond // between two reports upon changes
+	maxReportRate     = 100                   // reports a second to all entries together
+	maxChangeRate     = 1000                  // the same, upon changes
 	maxDropped        = 256                   // dropped cache blocks that one report names
 )
 
@@ -83,9 +86,10 @@
 // pauseReports waits for the next report: until the interval is over, or until a
 // change, but always for the least gap.
 func (s *Server) pauseReports(ctx context.Context) {
-	gap := time.NewTimer(minReportGap)
+	entries := s.entries()
+	gap := time.NewTimer(max(minReportGap, entries*time.Second/maxChangeRate))
 	defer gap.Stop()
-	rest := time.NewTimer(s.reportInterval())
+	rest := time.NewTimer(max(minReportInterval, entries*time.Second/maxReportRate))
 	defer rest.Stop()
 	select {
 	case <-ctx.Done():
@@ -99,12 +103,11 @@
 	}
 }
 
-// reportInterval grows with the number of entries, so that what an agent spends
-// on reports does not.
-func (s *Server) reportInterval() time.Duration {
+// entries returns the number of connected entries, as a factor.
+func (s *Server) entries() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(minReportInterval, time.Duration(len(s.conns))*time.Second/maxReportRate)
+	return time.Duration(len(s.conns))
 }
 
 func (s *Server) sendReports() {
