Placer: adapters of an old version are unloaded

Cause: a changed version of an adapter never came into force where the old one was resident: entries and agents look for an adapter by its name, and the placer unloaded only adapters that are not declared at all.

Change: an adapter whose version is not the declared one is unloaded; it is loaded again when it is asked for.

Ruled out: loading the new one first; both versions have one name towards the engine, and the load takes milliseconds.

Shown by: TestPlacerUnloadsOldAdapters, which fails with the old condition.

--- a/stock/placer.go
+++ b/stock/placer.go
@@ -84,11 +84,12 @@
 	v.fill(adaptersMiB(v, fleet))
 }
 
-// withdraw unloads what is not declared any more.
+// withdraw unloads what is not declared any more. An adapter of an old version
+// goes at once: the new one is loaded in milliseconds when it is asked for.
 func (v *view) withdraw(fleet bamboostep.Fleet) {
-	declared := make(map[string]bool)
+	declared := make(map[string]string) // versions
 	for _, a := range fleet.Adapters {
-		declared[a.Name] = true
+		declared[a.Name] = a.Version
 	}
 	for _, w := range v.workers {
 		for _, rep := range w.strange {
@@ -96,7 +97,7 @@
 		}
 		for _, c := range w.copies {
 			for _, a := range c.adapters {
-				if !declared[a.Name] {
+				if declared[a.Name] != a.Version {
 					v.dropStrange(w, a, reasonRoom)
 				}
 			}
--- a/stock/placer_test.go
+++ b/stock/placer_test.go
@@ -60,6 +60,26 @@
 	}
 }
 
+// TestPlacerUnloadsOldAdapters unloads an adapter once its declared version is
+// another one; it comes back when it is asked for.
+func TestPlacerUnloadsOldAdapters(t *testing.T) {
+	f := newTestFleet(3, 1, 3000)
+	f.settle(&Placer{}, 50)
+	f.Adapters = []bamboostep.Adapter{{Name: "a", Model: "m0", Version: "new"}, {Name: "b", Model: "m0", Version: "kept"}}
+	r := &f.VMs[0]
+	for _, version := range []string{"old", "kept"} {
+		name := map[string]string{"old": "a", "kept": "b"}[version]
+		r.Replicas = append(r.Replicas, bamboostep.Replica{Name: name, Model: "m0", Version: version, MiB: 1, State: bamboostep.ReplicaResident})
+	}
+	var got []string
+	for _, m := range (&Placer{}).Place(time.Unix(0, 0), f.Fleet) {
+		got = append(got, string(m.Order.Kind)+" "+m.Order.Name+" "+m.Order.Version)
+	}
+	if want := []string{"unload_adapter a old"}; !slices.Equal(got, want) {
+		t.Errorf("got moves %q, want %q", got, want)
+	}
+}
+
 // TestPlacerFollowsDemand asks for one copy more of a model whose requests come
 // late, in full memory, where that gains more than the declared cost of moves.
 func TestPlacerFollowsDemand(t *testing.T) {
