One check loop for all connections of a process

Cause: a ticker for each connection was most of what an idle connection cost. Ruled out: longer check intervals, which would pass the 3 s for silent connections. Change: one goroutine of the node checks all connections every 250 ms and ends when there are none.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -18,7 +18,6 @@
 const (
 	protocolVersion = 1
 
-	checkInterval  = 250 * time.Millisecond
 	dialerQuiet    = 700 * time.Millisecond  // a connection that brought nothing for so long is pinged by who dialled it,
 	listenerQuiet  = 1200 * time.Millisecond // and by its other end, which the first ping mostly spares its own
 	uptimeMaxAge   = 10 * time.Second        // the peer's uptime is asked for anew at this age
@@ -328,22 +327,9 @@
 	}
 }
 
-// checkLoop watches for silence. Whatever arrives shows that the connection
-// works, so only a quiet one is pinged, and the answer to one side's ping spares
-// the other side its own.
-func (c *Conn) checkLoop() {
-	t := time.NewTicker(checkInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-c.done:
-			return
-		case now := <-t.C:
-			c.check(now)
-		}
-	}
-}
-
+// check watches for silence. Whatever arrives shows that the connection works, so
+// only a quiet one is pinged, and the answer to one side's ping spares the other
+// side its own.
 func (c *Conn) check(now time.Time) {
 	silence := now.Sub(time.Unix(0, c.lastRead.Load()))
 	if silence > silenceLimit {
@@ -420,7 +406,8 @@
 func (c *Conn) start(r *bufio.Reader) {
 	c.lastRead.Store(time.Now().UnixNano())
 	go c.writeLoop()
-	go c.checkLoop()
+	c.node.watch(c)
+	defer c.node.unwatch(c)
 	_ = c.send(kindPing, 0, false, nil)
 	c.readLoop(r)
 }
--- a/wire/node.go
+++ b/wire/node.go
@@ -39,6 +39,10 @@
 
 	once    sync.Once
 	started time.Time
+
+	mu       sync.Mutex
+	conns    map[*Conn]bool // checked for silence
+	checking bool           // the check loop runs
 }
 
 // Uptime returns the time since the node was first used, by the monotonic clock.
