Frozen and killed voters; a client avoids one that does not answer

Cause: a client whose leader froze spent two attempts of 1 s on it, one because the others named it still.

Change: a voter that failed to answer is left alone for 1 s.

Ruled out: shorter attempts, which would send commands twice on a slow disk.

Conclusion: a frozen leader costs a call one attempt.

--- a/ledger/client.go
+++ b/ledger/client.go
@@ -49,6 +49,9 @@
 	ctx   context.Context
 	links map[string]*wire.Link // by address
 	next  int                   // voter to try next
+
+	avoided    string // address of a voter that failed to answer
+	avoidUntil time.Time
 }
 
 type leadership struct {
@@ -266,18 +269,21 @@
 }
 
 // attempt makes one call, at the own voter if it leads.
-func (c *Client) attempt(ctx context.Context, kind string, call any, local request) (proposeReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+func (c *Client) attempt(whole context.Context, kind string, call any, local request) (proposeReply, error) {
+	ctx, cancel := context.WithTimeout(whole, attemptTimeout)
 	defer cancel()
 	if c.Local != nil && c.Local.leads() {
 		return c.attemptLocal(ctx, call, local)
 	}
-	conn := c.target()
+	m, conn := c.target()
 	if conn == nil {
 		return proposeReply{}, errNoConnection
 	}
 	var r proposeReply
 	err := conn.Call(ctx, kind, call, &r)
+	if err != nil && whole.Err() == nil {
+		c.avoid(m)
+	}
 	return r, err
 }
 
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -12,6 +12,7 @@
 
 const (
 	watchTimeout = progressInterval + 2*time.Second
+	avoidTime    = 1 * time.Second
 	maxAge       = 2 * time.Second // a voter that heard from no leader for so long is left for another
 )
 
@@ -46,16 +47,16 @@
 }
 
 // target returns a connection to the leader, or to the next voter while it is not
-// known.
-func (c *Client) target() *wire.Conn {
+// known or has just failed to answer.
+func (c *Client) target() (Member, *wire.Conn) {
 	leader, _ := c.Leader()
 	voters := c.voters()
 	for _, m := range voters {
-		if m.Name != leader || c.isLocal(m) {
+		if m.Name != leader || c.isLocal(m) || c.avoids(m) {
 			continue
 		}
 		if conn := c.conn(m); conn != nil {
-			return conn
+			return m, conn
 		}
 	}
 	return c.anyVoter(voters)
@@ -63,20 +64,35 @@
 
 func (c *Client) isLocal(m Member) bool { return c.Local != nil && c.Local.Name == m.Name }
 
-func (c *Client) anyVoter(voters []Member) *wire.Conn {
+// avoid leaves a voter that failed to answer alone for a while, so that a frozen
+// one costs a call one attempt and not several.
+func (c *Client) avoid(m Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoided, c.avoidUntil = m.Address, time.Now().Add(avoidTime)
+}
+
+func (c *Client) avoids(m Member) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.avoided == m.Address && time.Now().Before(c.avoidUntil)
+}
+
+// anyVoter returns a connection to the next voter that has one.
+func (c *Client) anyVoter(voters []Member) (Member, *wire.Conn) {
 	for range voters {
 		c.mu.Lock()
 		c.next++
 		m := voters[c.next%len(voters)]
 		c.mu.Unlock()
-		if c.isLocal(m) {
+		if c.isLocal(m) || c.avoids(m) {
 			continue
 		}
 		if conn := c.conn(m); conn != nil {
-			return conn
+			return m, conn
 		}
 	}
-	return nil
+	return Member{}, nil
 }
 
 // redirect notes who leads, by a voter that does not.
@@ -91,12 +107,9 @@
 // follow watches one voter after the other.
 func (c *Client) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
-		conn := c.anyVoter(c.voters())
-		if conn == nil {
-			_ = pause(ctx)
-			continue
+		if _, conn := c.anyVoter(c.voters()); conn != nil {
+			c.watch(ctx, conn)
 		}
-		c.watch(ctx, conn)
 		_ = pause(ctx)
 	}
 	return ctx.Err()
