Withdrawn models go after their adapters

Cause: a model that was withdrawn with its adapters was unloaded first, which left the adapters on an engine without their base. Change: adapters are unloaded first. Figures: TestWithdrawnModelGoesAfterItsAdapters failed before (unload_model gone, unload_adapter gone-adapter) and passes now.

--- a/stock/placer.go
+++ b/stock/placer.go
@@ -84,15 +84,19 @@
 	v.fill(adaptersMiB(v, fleet))
 }
 
-// withdraw unloads what is not declared any more.
+// withdraw unloads what is not declared any more, adapters before their models.
 func (v *view) withdraw(fleet bamboostep.Fleet) {
 	declared := make(map[string]bool)
 	for _, a := range fleet.Adapters {
 		declared[a.Name] = true
 	}
 	for _, w := range v.workers {
-		for _, rep := range w.strange {
-			v.dropStrange(w, rep, reasonRoom)
+		for _, adapters := range []bool{true, false} {
+			for _, rep := range w.strange {
+				if adapters == (rep.Model != "") {
+					v.dropStrange(w, rep, reasonRoom)
+				}
+			}
 		}
 		for _, c := range w.copies {
 			for _, a := range c.adapters {
--- a/stock/placer_test.go
+++ b/stock/placer_test.go
@@ -215,3 +215,26 @@
 		}
 	}
 }
+
+// TestWithdrawnModelGoesAfterItsAdapters unloads what is not declared any more, the
+// adapters before the model that they are applied on.
+func TestWithdrawnModelGoesAfterItsAdapters(t *testing.T) {
+	f := newTestFleet(3, 2, 3000)
+	f.settle(&Placer{}, 50)
+	r := &f.VMs[0]
+	r.Replicas = []bamboostep.Replica{
+		{Name: "gone", Version: "v", MiB: 500, State: bamboostep.ReplicaResident},
+		{Name: "gone-adapter", Model: "gone", Version: "v", MiB: 50, State: bamboostep.ReplicaResident},
+		{Name: "m0-adapter", Model: "m0", Version: "v", MiB: 50, State: bamboostep.ReplicaLoading},
+	}
+	r.ReservedMiB = 600
+	var got []string
+	for _, m := range (&Placer{}).Place(time.Unix(0, 0), f.Fleet) {
+		if m.VM == r.VM && m.Order.Kind != bamboostep.LoadModel {
+			got = append(got, string(m.Order.Kind)+" "+m.Order.Name)
+		}
+	}
+	if want := []string{"unload_adapter gone-adapter", "unload_model gone"}; !slices.Equal(got, want) {
+		t.Errorf("unloads: got %v, want %v", got, want)
+	}
+}
