Test of the feed waits until the link is cut

Ruled out: a fault of the feed; it may take what arrives while the link stands. Change: the test waits until the feed follows nobody. The check is as strict.

--- a/catalog/feed_conn_test.go
+++ b/catalog/feed_conn_test.go
@@ -103,6 +103,7 @@
 	}
 
 	cut()
+	await(t, "c is cut off", func() bool { return c.Following() == 0 })
 	a.Offer(numberedSet(400))
 	await(t, "b holds revision 400", func() bool { return b.at(400) })
 	c.Offer(numberedSet(3))
