No second attempt behind a begun answer; failures that end at once

The test now counts the bytes.

Also: a bad request and full queues were offered again for seconds; a caller that reads slowly had its attempt taken for stalled; in an outage each request waited its 3 s anew; an attempt that got further counted as one more failure.

Change: a begun answer makes its request not repeatable. bad_request ends at once with 400, full queues everywhere with 503 overloaded. The stall timer rests while the caller reads. The wait for a lost place counts from when it was lost. The count of failures starts anew after progress.

--- a/dispatch/course.go
+++ b/dispatch/course.go
@@ -31,6 +31,7 @@
 	started int      // attempts that ran or may have run
 	offers  int      // attempts made
 	tried   []string // VMs that failed this request, oldest first
+	last    bamboostep.Failure
 }
 
 //go:embed request.toml
@@ -42,6 +43,13 @@
 	defaultMaxAttempts = 4
 	maxOffers          = 64
 	giveUpRetryAfter   = 2 * time.Second
+
+	stateAnswering chart.State = "answering"
+
+	// Codes of failures that other backend servers would repeat.
+	codeBadRequest = "bad_request"
+	codeQueueFull  = "queue_full"
+	codeFull       = "full"
 )
 
 // step moves the machine; an event that its state does not list is a fault of the
@@ -91,6 +99,17 @@
 // Forget makes all VMs eligible again, when every one has been tried.
 func (c *Course) Forget() { c.tried = c.tried[:0] }
 
+// Full reports whether the last attempt was refused because the queue was full.
+// When that is so everywhere, waiting here would only be one more queue.
+func (c *Course) Full() bool {
+	return c.last.Outcome == bamboostep.NotRun && (c.last.Code == codeQueueFull || c.last.Code == codeFull)
+}
+
+// GiveUpFull ends the request because all queues are full.
+func (c *Course) GiveUpFull() *bamboostep.RefusedError {
+	return c.GiveUp(http.StatusServiceUnavailable, "overloaded", retryAfter(c.last), "the queue of every backend server is full")
+}
+
 // Fresh reports whether no attempt was made yet.
 func (c *Course) Fresh() bool { return c.offers == 0 }
 
@@ -98,6 +117,7 @@
 // attempt, or the final answer.
 func (c *Course) Failed(now time.Time, vm string, f bamboostep.Failure) *bamboostep.RefusedError {
 	c.tried = append(c.tried, vm)
+	c.last = f
 	c.noteOutcome(f.Outcome)
 	if refused := c.verdict(now, f); refused != nil {
 		return c.end(refused)
@@ -112,6 +132,9 @@
 	if o == bamboostep.NotRun {
 		return
 	}
+	if c.state == stateAnswering {
+		c.started = 0 // it got further, so it is not failing for good
+	}
 	c.started++
 	c.outcome = bamboostep.Unknown
 }
@@ -122,6 +145,8 @@
 		max = defaultMaxAttempts
 	}
 	switch {
+	case f.Code == codeBadRequest && f.Outcome == bamboostep.NotRun:
+		return c.refusal(http.StatusBadRequest, "bad_request", 0, f.Message)
 	case !c.Repeatable && f.Outcome != bamboostep.NotRun:
 		return c.refusal(http.StatusGatewayTimeout, "outcome_unknown", 0,
 			"the request may have run; it will not be run again")
--- a/entry/callers_attempt.go
+++ b/entry/callers_attempt.go
@@ -110,7 +110,8 @@
 	if !a.begun {
 		a.begin()
 	}
-	a.watch.Reset(a.job.stallTime)
+	a.watch.Stop() // a slow caller is not a slow backend server
+	defer a.watch.Reset(a.job.stallTime)
 	a.slot.progress(p.Tokens)
 	if a.job.resumable {
 		a.job.prior = append(a.job.prior, p.Data...)
--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -51,7 +51,8 @@
 type view struct {
 	at      time.Time
 	lanes   []*lane
-	holders map[string][]*lane // by model; those of services by ""
+	holders map[string][]*lane   // by model; those of services by ""
+	missing map[string]time.Time // models that nobody held, and since when
 }
 
 func (l *lanes) lane(vm string) *lane {
@@ -72,7 +73,7 @@
 	}
 	v := l.views[place]
 	if v == nil {
-		v = &view{}
+		v = &view{missing: make(map[string]time.Time)}
 		l.views[place] = v
 	}
 	if v.at.IsZero() || now.Sub(v.at) >= refreshTime {
@@ -154,6 +155,9 @@
 			list = append(list, n)
 		}
 	}
+	if len(list) > 0 {
+		delete(v.missing, model)
+	}
 	v.holders[model] = list
 	return list
 }
@@ -253,19 +257,20 @@
 	mostPause  = 200 * time.Millisecond
 )
 
-// chooseWithin waits for a backend server until the deadline. It returns nil when
-// none came up.
-func (c *callers) chooseWithin(ctx context.Context, j *job, deadline time.Time) *slot {
+// chooseWithin waits a while for a backend server. It returns nil when none came up
+// or all queues are full.
+func (c *callers) chooseWithin(ctx context.Context, j *job) *slot {
 	for {
 		if p := c.choose(j); p != nil {
 			return p
 		}
+		now := c.Clock.Now()
+		if j.course.Full() || !now.Before(c.waitEnd(j, now)) {
+			return nil
+		}
 		j.course.Forget()
 		pause := min(leastPause<<min(j.rounds, 8), mostPause)
 		j.rounds++
-		if !c.Clock.Now().Before(deadline) {
-			return nil
-		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -273,3 +278,20 @@
 		}
 	}
 }
+
+// waitEnd returns until when j may wait for a backend server. The wait counts from
+// when the last one went, so in a long outage requests are refused at once.
+func (c *callers) waitEnd(j *job, now time.Time) time.Time {
+	c.lanes.mu.Lock()
+	defer c.lanes.mu.Unlock()
+	v := c.view(j.place, now)
+	if len(v.holding(j.model)) > 0 {
+		return j.course.Deadline
+	}
+	since, known := v.missing[j.model]
+	if !known {
+		since = now
+		v.missing[j.model] = now
+	}
+	return since.Add(c.Limits.NoServerWait)
+}
--- a/entry/callers_run.go
+++ b/entry/callers_run.go
@@ -66,11 +66,10 @@
 
 // assign chooses a backend server for the next attempt.
 func (x *exchange) assign(ctx context.Context, j *job) (*slot, *bamboostep.RefusedError) {
-	wait := x.Clock.Now().Add(x.Limits.NoServerWait)
-	if wait.After(j.course.Deadline) {
-		wait = j.course.Deadline
+	p := x.chooseWithin(ctx, j)
+	if p == nil && j.course.Full() {
+		return nil, j.course.GiveUpFull()
 	}
-	p := x.chooseWithin(ctx, j, wait)
 	if p == nil {
 		return nil, j.course.GiveUp(http.StatusServiceUnavailable, "no_backend_server", noServerRetryAfter,
 			fmt.Sprintf("no backend server of place %q can take the request", j.place))
--- a/entry/callers_service.go
+++ b/entry/callers_service.go
@@ -35,7 +35,7 @@
 		x.serveClaimed(s, j)
 		return
 	}
-	a := &serviceAnswer{exchange: x}
+	a := &serviceAnswer{exchange: x, job: j}
 	a.end(x.run(x.r.Context(), j, a.piece))
 }
 
@@ -52,6 +52,7 @@
 // serviceAnswer passes the answer of a plain service to the caller.
 type serviceAnswer struct {
 	*exchange
+	job   *job
 	held  heldAnswer
 	begun bool // bytes went to the caller
 }
@@ -91,9 +92,11 @@
 	return strings.HasPrefix(http.Header(header).Get("Content-Type"), "text/event-stream")
 }
 
-// begin sends what was held back.
+// begin sends what was held back. From then on another attempt could not be told
+// from this one by the caller, so there is none.
 func (a *serviceAnswer) begin() error {
 	a.begun = true
+	a.job.course.Repeatable = false
 	a.writeHeader(a.held.status, a.held.header)
 	return a.write(a.held.body)
 }
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
@@ -205,6 +207,79 @@
 	}
 }
 
+// What no other backend server would judge differently ends at once.
+func TestFailuresThatEndAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		code, want string
+		status     int
+		offers     int
+	}{
+		"bad request": {"bad_request", "bad_request", 400, 1},
+		"full queues": {"queue_full", "overloaded", 503, 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			engine := func(bamboostep.Offer, func(bamboostep.Answer) error) error {
+				return failure(bamboostep.NotRun, tt.code)
+			}
+			f := newTestFleet(3, engine, nil)
+			s := startCallers(t, newTestCallers(f, nil))
+			got := call(t, s, "POST", "/v1/completions", `{"model":"base","prompt":"how?"}`)
+			if got.status != tt.status || !strings.Contains(got.body, tt.want) || !strings.Contains(got.body, "not_run") {
+				t.Errorf("got %d %s, want %d %s", got.status, got.body, tt.status, tt.want)
+			}
+			offers := 0
+			for _, s := range f.servers["engines"] {
+				offers += len(s.offered())
+			}
+			if offers != tt.offers {
+				t.Errorf("offers = %d, want %d", offers, tt.offers)
+			}
+		})
+	}
+}
+
+// slowWriter is a caller that reads one event in four seconds.
+type slowWriter struct{ *httptest.ResponseRecorder }
+
+func (w slowWriter) Write(b []byte) (int, error) {
+	time.Sleep(4 * time.Second)
+	return w.ResponseRecorder.Write(b)
+}
+
+func TestSlowCallerKeepsItsBackendServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(2, speak(spoken, -1), nil)
+		rec := httptest.NewRecorder()
+		body := `{"model":"base","messages":[{}],"stream":true}`
+		newTestCallers(f, nil).ServeHTTP(slowWriter{rec}, httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(body)))
+		if text, done := streamText(t, rec.Body.String()); text != spoken || !done {
+			t.Errorf("streamed text = %q, done %v, want %q", text, done, spoken)
+		}
+		offers := len(f.servers["engines"][0].offered()) + len(f.servers["engines"][1].offered())
+		if got, want := offers, 1; got != want {
+			t.Errorf("offers = %d, want %d", got, want)
+		}
+	})
+}
+
+// In an outage the first request waits for a backend server to come back, and
+// later ones are refused at once.
+func TestOutageRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newTestCallers(newTestFleet(0, nil, nil), nil)
+		c.Limits.NoServerWait = 3 * time.Second
+		for i, want := range []bool{false, true} {
+			rec := httptest.NewRecorder()
+			began := time.Now()
+			c.ServeHTTP(rec, httptest.NewRequest("GET", "/checks", nil))
+			if got := time.Since(began) < 100*time.Millisecond; rec.Code != 503 || got != want {
+				t.Errorf("request %d: status %d after %v, at once %v, want %v", i, rec.Code, time.Since(began), got, want)
+			}
+		}
+	})
+}
+
 func TestServiceIsPassedOnIntact(t *testing.T) {
 	app := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
 		q := o.Request
@@ -226,7 +301,8 @@
 	}
 }
 
-// A long answer that breaks off must not look whole to the caller.
+// A long answer that breaks off must not look whole to the caller, and no other
+// attempt may be appended to it.
 func TestLongServiceAnswerIsBrokenOff(t *testing.T) {
 	piece := []byte(strings.Repeat("x", defaultBufferBytes+1))
 	app := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
@@ -235,10 +311,10 @@
 		}
 		return failure(bamboostep.Unknown, "connection_lost")
 	}
-	s := startCallers(t, newTestCallers(newTestFleet(1, nil, app), nil))
+	s := startCallers(t, newTestCallers(newTestFleet(3, nil, app), nil))
 	got := call(t, s, "GET", "/checks", "")
-	if !errors.Is(got.err, io.ErrUnexpectedEOF) {
-		t.Errorf("got error %v after %d bytes, want %v", got.err, len(got.body), io.ErrUnexpectedEOF)
+	if !errors.Is(got.err, io.ErrUnexpectedEOF) || len(got.body) > len(piece) {
+		t.Errorf("got error %v after %d bytes, want %v after %d", got.err, len(got.body), io.ErrUnexpectedEOF, len(piece))
 	}
 }
 
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -72,7 +72,7 @@
 		x.refuse(refused)
 		return
 	}
-	a := &serviceAnswer{exchange: x, held: held}
+	a := &serviceAnswer{exchange: x, job: j, held: held}
 	a.end(nil)
 }
 
@@ -292,7 +292,7 @@
 		x.refuse(&bamboostep.RefusedError{Status: http.StatusConflict, Code: "answer_not_kept", Outcome: bamboostep.Ran,
 			Message: "this request was sent before and ran; its answer was too large to keep"})
 	default:
-		a := &serviceAnswer{exchange: x, held: heldAnswer{status: s.Status, header: s.Header, body: s.Body}}
+		a := &serviceAnswer{exchange: x, job: &job{}, held: heldAnswer{status: s.Status, header: s.Header, body: s.Body}}
 		a.end(nil)
 	}
 }
