--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -6,7 +6,7 @@
 	"github.com/bamboostep/bamboostep"
 )
 
-// The kinds of message. All but the last three go from an entry to an agent.
+// The kinds of message. Those before answer go from an entry to an agent.
 const (
 	kindHello    = "backend.hello"
 	kindOffer    = "backend.offer"
@@ -20,6 +20,7 @@
 	kindAnswer   = "backend.answer"
 	kindFailure  = "backend.failure"
 	kindReport   = "backend.report"
+	kindLoad     = "backend.load"
 	kindSuspects = "backend.suspects"
 )
 
@@ -47,6 +48,7 @@
 	codeBackendDown  = "backend_down"
 	codeBackendBroke = "backend_broke_off"
 	codeWrongKind    = "wrong_kind"
+	codeTooLarge     = "request_too_large"
 )
 
 // helloBody tells an agent what its entry knows: the highest revision, and the
@@ -79,11 +81,46 @@
 	Leaving bool `msgpack:"leaving"`
 }
 
-// reportBody is a report whose replicas are left out when the connection carried
-// the same ones before.
-type reportBody struct {
-	Report       bamboostep.Report `msgpack:"report"`
-	SameReplicas bool              `msgpack:"same_replicas"`
+func failed(f bamboostep.Failure) error { return &bamboostep.FailedError{Failure: f} }
+
+// answerBody is a bamboostep.Answer on the wire. One is sent for each token, so
+// it goes as an array without names.
+type answerBody struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Attempt bamboostep.AttemptID
+	Offset  int64
+	Status  int
+	Header  map[string][]string
+	Data    []byte
+	Tokens  int
+	Last    bool
+	Finish  string
 }
 
-func failed(f bamboostep.Failure) error { return &bamboostep.FailedError{Failure: f} }
+func newAnswerBody(a bamboostep.Answer) *answerBody {
+	return &answerBody{
+		Attempt: a.Attempt,
+		Offset:  a.Offset,
+		Status:  a.Status,
+		Header:  a.Header,
+		Data:    a.Data,
+		Tokens:  a.Tokens,
+		Last:    a.Last,
+		Finish:  a.Finish,
+	}
+}
+
+func (b *answerBody) answer() *bamboostep.Answer {
+	return &bamboostep.Answer{
+		Attempt: b.Attempt,
+		Offset:  b.Offset,
+		Status:  b.Status,
+		Header:  b.Header,
+		Data:    b.Data,
+		Tokens:  b.Tokens,
+		Last:    b.Last,
+		Finish:  b.Finish,
+	}
+}
--- a/backend/server.go
+++ b/backend/server.go
@@ -22,6 +22,7 @@
 
 	defaultOrderTimeout = 2 * time.Minute
 	defaultDrainTimeout = 30 * time.Second
+	handOverLimit       = 1 * time.Second
 	minDrain            = 1 * time.Second // by then every entry has heard that the agent is leaving
 )
 
@@ -59,6 +60,8 @@
 	loadTurn sync.Mutex                        // one adapter load at a time
 	orders   int                               // that run
 
+	unanswered map[bamboostep.Order]context.CancelFunc // given to the engine
+
 	drained  bool // an operator's drain mark
 	stopping bool
 	backend  backendState
@@ -80,9 +83,8 @@
 
 // peer is one connected entry.
 type peer struct {
-	conn     *wire.Conn
-	replicas []bamboostep.Replica // last sent
-	fresh    bool                 // nothing was sent yet
+	conn *wire.Conn
+	last *bamboostep.Report // last sent, or nil
 }
 
 // Register registers the message kinds of an agent.
@@ -103,6 +105,7 @@
 	s.conns = make(map[uint64]*peer)
 	s.ids = make(map[*wire.Conn]uint64)
 	s.launches = make(map[bamboostep.AttemptID]launched)
+	s.unanswered = make(map[bamboostep.Order]context.CancelFunc)
 	s.loads = make(map[string][]bamboostep.AttemptID)
 	s.kick = make(chan struct{}, 1)
 	s.memory = stock.Memory{VM: s.VM.Name, Limit: s.MemoryMiB, Settle: s.Settle}
@@ -122,7 +125,7 @@
 	s.mu.Lock()
 	s.lastConn++
 	s.ids[conn] = s.lastConn
-	s.conns[s.lastConn] = &peer{conn: conn, fresh: true}
+	s.conns[s.lastConn] = &peer{conn: conn}
 	s.mu.Unlock()
 	s.report()
 }
@@ -185,20 +188,32 @@
 	if limit == 0 {
 		limit = defaultDrainTimeout
 	}
+	began := time.Now()
+	s.awaitDrained(limit, func() bool { return time.Since(began) >= minDrain && s.idle() })
+	n := s.handOver()
+	s.awaitDrained(handOverLimit, s.idle)
+	s.note("drain_ended", fmt.Sprintf("%d attempts handed over", n))
+}
+
+// awaitDrained waits until done, for at most the limit.
+func (s *Server) awaitDrained(limit time.Duration, done func() bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	began := time.Now()
 	every(ctx, drainPoll, func(context.Context) {
-		if time.Since(began) >= minDrain && s.idle() {
+		if done() {
 			cancel()
 		}
 	})
-	s.note("drain_ended", fmt.Sprintf("%d attempts cut off", s.unfinished()))
 }
 
-func (s *Server) unfinished() int {
+// handOver stops the attempts that outlasted the drain. Their entries hear that
+// the VM is leaving, and go on elsewhere with what they have of the answers.
+func (s *Server) handOver() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for id := range s.table.active {
+		s.stopAttempt(id)
+	}
 	return len(s.table.active)
 }
 
@@ -246,13 +261,13 @@
 	for _, a := range acts {
 		switch a.kind {
 		case actionStart:
-			s.launch(a.offer)
+			s.launch(*a.offer)
 		case actionStop:
 			s.stopAttempt(a.attempt)
 		case actionAnswer:
-			s.send(a.conn, kindAnswer, a.answer)
+			s.send(a.conn, kindAnswer, newAnswerBody(a.answer))
 		case actionFailure:
-			s.noteFailure(a.failure)
+			s.noteFailure(a)
 			s.send(a.conn, kindFailure, a.failure)
 		}
 	}
@@ -269,11 +284,14 @@
 	s.Recorder.Record(timeline.Event{Kind: kind, VM: s.VM.Name, Detail: detail})
 }
 
-func (s *Server) noteFailure(f bamboostep.Failure) {
+func (s *Server) noteFailure(a action) {
+	f := a.failure
 	s.metrics.countFailure(f)
 	s.Recorder.Record(timeline.Event{
 		Kind:    "attempt_failed",
+		Request: a.request,
 		Attempt: f.Attempt,
+		Model:   a.target,
 		VM:      s.VM.Name,
 		Detail:  f.Code + " " + string(f.Outcome),
 	})
--- a/stock/memory.go
+++ b/stock/memory.go
@@ -40,6 +40,8 @@
 	highest  bamboostep.Fence
 	engine   bamboostep.EngineState // last observed
 	observed bool
+	listed   []bamboostep.Replica // result of Replicas, nil after a change
+	ready    bool
 	spanFrom time.Duration // start of the unbroken span of observations
 	spanTo   time.Duration // last observation of the span
 }
@@ -83,6 +85,9 @@
 	used    time.Duration // when an attempt last used it
 	fence   bamboostep.Fence
 	loading bool // the order on its way is a load
+	// quietFrom is the first of the observations in a row that do not show the
+	// order on its way at work; 0 if there is none.
+	quietFrom time.Duration
 }
 
 type orderRecord struct {
@@ -286,6 +291,7 @@
 	}
 	h.since = now
 	m.holdings[h.key()] = h
+	m.listed = nil
 }
 
 func (h *holding) key() replicaKey { return replicaKey{h.replica.Name, h.replica.Version} }
@@ -298,6 +304,7 @@
 	}
 	h.state = next
 	h.since = now
+	m.listed = nil
 	if next == stateGone {
 		delete(m.holdings, h.key())
 		m.removed[h.key()] = now
@@ -314,6 +321,23 @@
 	AnswerLost               // nobody knows
 )
 
+// Sent notes that an order that Begin let through goes out only now.
+func (m *Memory) Sent(now time.Duration, order bamboostep.Order) {
+	if h := m.holdings[keyOf(order)]; h != nil {
+		h.since = now
+		h.quietFrom = 0
+	}
+}
+
+// Unanswered reports whether the engine's own state has not shown an order at
+// work for the settling time, without its answer having come. The order or its
+// answer then counts as lost: waiting on would hold the replica up for as long as
+// the sender's timeout.
+func (m *Memory) Unanswered(order bamboostep.Order) bool {
+	h := m.holdings[keyOf(order)]
+	return h != nil && h.quietFrom != 0 && m.spanTo-max(h.quietFrom, m.spanFrom) >= m.settle()
+}
+
 // Finish takes the end of an order that Begin or BeginOwn let through.
 func (m *Memory) Finish(now time.Duration, order bamboostep.Order, ending Ending, cause error) {
 	m.finishRecord(order, ending, cause)
--- a/stock/reconcile.go
+++ b/stock/reconcile.go
@@ -42,6 +42,7 @@
 		m.spanFrom = asked
 	}
 	m.spanTo = asked
+	m.ready = m.ready || m.spanTo-m.spanFrom >= m.settle()
 }
 
 func (m *Memory) settle() time.Duration {
@@ -55,7 +56,7 @@
 // from before the agent's start.
 func (m *Memory) adopt(asked time.Duration, key replicaKey, r bamboostep.Replica) {
 	if h := m.holdings[key]; h != nil {
-		h.replica.MiB = max(h.replica.MiB, r.MiB)
+		m.grow(h, r.MiB)
 		return
 	}
 	if gone, ok := m.removed[key]; ok && asked <= gone {
@@ -68,12 +69,21 @@
 	m.hold(asked, h)
 }
 
+// grow takes the engine's word where a replica is larger than its order said.
+func (m *Memory) grow(h *holding, mib int64) {
+	if mib > h.replica.MiB {
+		h.replica.MiB = mib
+		m.listed = nil
+	}
+}
+
 func (m *Memory) reconcile(asked time.Duration, h *holding, r bamboostep.Replica, listed bool) {
 	if asked <= h.since {
 		return
 	}
 	present := listed && r.State == bamboostep.ReplicaResident
 	moving := listed && !present
+	h.noteQuiet(asked, moving)
 	switch h.state {
 	case resident:
 		if !listed {
@@ -84,6 +94,18 @@
 	}
 }
 
+// noteQuiet keeps since when the engine's state has not shown the order on its
+// way at work: it shows the order's end, or no trace of it.
+func (h *holding) noteQuiet(asked time.Duration, moving bool) {
+	onItsWay := h.state == loading || h.state == unloading
+	switch {
+	case moving || !onItsWay:
+		h.quietFrom = 0
+	case h.quietFrom == 0:
+		h.quietFrom = asked
+	}
+}
+
 // settleOrder decides what became of an order whose answer was lost. A load that
 // shows as done is done. All else waits for the settling time.
 func (m *Memory) settleOrder(asked time.Duration, h *holding, present, moving bool) {
@@ -116,11 +138,9 @@
 	r.apply("refuse")
 }
 
-// Ready reports whether the engine's state has been observed for long enough to
-// reserve memory.
-func (m *Memory) Ready() bool {
-	return m.observed && m.spanTo-m.spanFrom >= m.settle()
-}
+// Ready reports whether memory may be reserved: the engine's state has once been
+// observed for the settling time. What the agent sent since its start it knows.
+func (m *Memory) Ready() bool { return m.ready }
 
 // Observed reports whether the engine's state is known at all.
 func (m *Memory) Observed() bool { return m.observed }
@@ -213,8 +233,16 @@
 // HeldMiB returns what the engine itself last reported to hold.
 func (m *Memory) HeldMiB() int64 { return m.engine.HeldMiB }
 
-// Replicas returns all replicas in order of name and version.
+// Replicas returns all replicas in order of name and version. The caller must
+// not change them.
 func (m *Memory) Replicas() []bamboostep.Replica {
+	if m.listed == nil {
+		m.listed = m.list()
+	}
+	return m.listed
+}
+
+func (m *Memory) list() []bamboostep.Replica {
 	rs := make([]bamboostep.Replica, 0, len(m.holdings))
 	for _, key := range slices.SortedFunc(maps.Keys(m.holdings), compareKeys) {
 		h := m.holdings[key]
