Bounds on what an entry remembers of backend servers and demand

Rows of demand stayed for good too.

Change: lanes that no place lists are forgotten; 65,536 prompt blocks are shared by all lanes; demand that has faded is dropped; crashes are forgotten with their suspects. A choice among more than 512 candidates scores the rest twice instead of allocating. A caller that left while no backend server was up counts as gone.

Not measured: memory of a lane.

--- a/dispatch/prefix.go
+++ b/dispatch/prefix.go
@@ -14,7 +14,7 @@
 const (
 	prefixBlockBytes = 256  // prompt bytes in one block
 	maxPrefixBlocks  = 64   // blocks hashed of one prompt
-	prefixCacheSize  = 4096 // blocks remembered for one backend server
+	maxCacheBlocks   = 4096 // blocks remembered for one backend server
 )
 
 // PrefixHashes returns the hashes of the leading blocks of a prompt, each covering
@@ -37,6 +37,7 @@
 // PrefixCache guesses which prompt blocks one engine has cached. It forgets the
 // least recently used. The zero value is empty.
 type PrefixCache struct {
+	Limit  int // blocks remembered at most; 4096 if 0
 	blocks map[uint64]*list.Element
 	recent list.List // of uint64, the most recent in front
 }
@@ -63,7 +64,11 @@
 		}
 		p.blocks[h] = p.recent.PushFront(h)
 	}
-	for p.recent.Len() > prefixCacheSize {
+	limit := p.Limit
+	if limit == 0 {
+		limit = maxCacheBlocks
+	}
+	for p.recent.Len() > limit {
 		p.remove(p.recent.Back())
 	}
 }
--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -29,7 +29,7 @@
 	suspectTokens       = 1000 // work that a crash suspect holds back, which runs alone
 	defaultSlackTokens  = 64   // two scores this close are equal
 	reportFadeTime      = time.Second
-	scoresOnStack       = 512 // candidates scored without allocating
+	scoresOnStack       = 512 // candidates scored once; the others are scored twice
 	defaultAttemptFloor = 8   // tokens of a running attempt that has overrun its estimate
 )
 
@@ -90,18 +90,25 @@
 // Pick implements bamboostep.Router.
 func (b Balanced) Pick(_ time.Time, _ bamboostep.Request, candidates []bamboostep.Candidate, seed uint64) (int, bool) {
 	b = b.withDefaults()
-	var buffer [scoresOnStack]float64
-	scores := buffer[:0]
+	var scores [scoresOnStack]float64
 	best := math.Inf(1)
 	for i := range candidates {
 		s := b.score(&candidates[i])
-		scores = append(scores, s)
+		if i < len(scores) {
+			scores[i] = s
+		}
 		best = min(best, s)
 	}
 	limit := best + b.SlackTokens
 	local := pair{rand: random(seed)}
 	all := pair{rand: random(seed)}
-	for i, s := range scores {
+	for i := range candidates {
+		var s float64
+		if i < len(scores) {
+			s = scores[i]
+		} else {
+			s = b.score(&candidates[i])
+		}
 		if s > limit {
 			continue
 		}
--- a/dispatch/router_test.go
+++ b/dispatch/router_test.go
@@ -113,12 +113,16 @@
 	}
 }
 
-func BenchmarkPick200(b *testing.B) {
-	list := fleetOf(200)
-	var r bamboostep.Router = dispatch.Balanced{}
-	req := bamboostep.Request{}
-	b.ReportAllocs()
-	for i := range b.N {
-		r.Pick(time.Time{}, req, list, uint64(i))
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{20, 200, 1600} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			list := fleetOf(n)
+			var r bamboostep.Router = dispatch.Balanced{}
+			req := bamboostep.Request{}
+			b.ReportAllocs()
+			for i := range b.N {
+				r.Pick(time.Time{}, req, list, uint64(i))
+			}
+		})
 	}
 }
--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -312,6 +312,11 @@
 			delete(s.byPrint, f)
 		}
 	}
+	for vm, c := range s.crashes {
+		if now.Sub(c.at) > keep {
+			delete(s.crashes, vm)
+		}
+	}
 }
 
 // PickSuspect returns the candidate that runs the crash suspects of a place: the
--- a/entry/callers_demand.go
+++ b/entry/callers_demand.go
@@ -18,7 +18,8 @@
 
 const (
 	demandHalfLife  = 5 * time.Second
-	answerMeanShare = 0.1 // weight of the newest answer in the mean length
+	answerMeanShare = 0.1  // weight of the newest answer in the mean length
+	forgottenBelow  = 1e-9 // faded requests; one fades so far in about five minutes
 )
 
 // demandTable holds the demand by the name that callers ask for.
@@ -103,6 +104,10 @@
 	list := make([]bamboostep.Demand, 0, len(t.rows))
 	for name, r := range t.rows {
 		r.fade(now)
+		if r.requests < forgottenBelow {
+			delete(t.rows, name)
+			continue
+		}
 		d := bamboostep.Demand{Name: name, Rate: r.requests * perSecond, Work: r.work * perSecond}
 		if r.requests > 0 {
 			d.LateShare = min(r.late/r.requests, 1)
--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -97,6 +97,31 @@
 	}
 	if changed || v.holders == nil {
 		v.holders = make(map[string][]*lane)
+		c.lanes.prune()
+	}
+}
+
+const (
+	allCacheBlocks   = 1 << 16 // prompt blocks remembered for all backend servers
+	leastCacheBlocks = 256     // for each
+	mostCacheBlocks  = 4096
+)
+
+// prune forgets backend servers that no place lists any more, and shares the
+// memory of prompt blocks among the others.
+func (l *lanes) prune() {
+	listed := make(map[*lane]bool, len(l.byVM))
+	for _, v := range l.views {
+		for _, n := range v.lanes {
+			listed[n] = true
+		}
+	}
+	for vm, n := range l.byVM {
+		if !listed[n] && n.inFlight == 0 {
+			delete(l.byVM, vm)
+			continue
+		}
+		n.cache.Limit = max(min(allCacheBlocks/len(l.byVM), mostCacheBlocks), leastCacheBlocks)
 	}
 }
 
--- a/entry/callers_route_test.go
+++ b/entry/callers_route_test.go
@@ -61,6 +61,21 @@
 	}
 }
 
+// A backend server that went is forgotten, so replaced VMs take no memory.
+func TestGoneBackendServersAreForgotten(t *testing.T) {
+	f := newStillFleet(10)
+	c := newTestCallers(f, nil)
+	c.once.Do(c.init)
+	j := &job{place: "engines", model: "base", work: 100}
+	chooseOnce(c, j, t)
+	f.list = f.list[:4]
+	c.lanes.views["engines"].at = time.Time{}
+	chooseOnce(c, j, t)
+	if got, want := len(c.lanes.byVM), 4; got != want {
+		t.Errorf("%d backend servers are remembered, want %d", got, want)
+	}
+}
+
 // BenchmarkChoose200 is the whole decision: listing the candidates, scoring them
 // and entering the attempt.
 func BenchmarkChoose200(b *testing.B) {
--- a/entry/callers_run.go
+++ b/entry/callers_run.go
@@ -67,10 +67,12 @@
 // assign chooses a backend server for the next attempt.
 func (x *exchange) assign(ctx context.Context, j *job) (*slot, *bamboostep.RefusedError) {
 	p := x.chooseWithin(ctx, j)
-	if p == nil && j.course.Full() {
+	switch {
+	case p == nil && ctx.Err() != nil:
+		return nil, callerGone(j)
+	case p == nil && j.course.Full():
 		return nil, j.course.GiveUpFull()
-	}
-	if p == nil {
+	case p == nil:
 		return nil, j.course.GiveUp(http.StatusServiceUnavailable, "no_backend_server", noServerRetryAfter,
 			fmt.Sprintf("no backend server of place %q can take the request", j.place))
 	}
@@ -100,7 +102,7 @@
 		return refused
 	}
 	if ctx.Err() != nil {
-		return j.course.GiveUp(statusCallerGone, "caller_gone", 0, "the caller closed its connection")
+		return callerGone(j)
 	}
 	x.metrics.retries.Inc()
 	x.note(timeline.Event{Kind: "retry", Attempt: end.failure.Attempt, VM: p.vm, Detail: end.failure.Code})
@@ -110,6 +112,10 @@
 // statusCallerGone is counted for requests whose caller is gone; nobody reads it.
 const statusCallerGone = 499
 
+func callerGone(j *job) *bamboostep.RefusedError {
+	return j.course.GiveUp(statusCallerGone, "caller_gone", 0, "the caller closed its connection")
+}
+
 // noteCrash suspects a request whose backend server crashed while it ran.
 func (x *exchange) noteCrash(j *job, p *slot, f bamboostep.Failure) {
 	s := bamboostep.Suspect{Fingerprint: j.request.Fingerprint, Attempt: f.Attempt, VM: p.vm}
