--- a/entry/callers_route_test.go
+++ b/entry/callers_route_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -87,3 +90,17 @@
 		chooseOnce(c, j, b)
 	}
 }
+
+// BenchmarkChat is one streamed answer of eight tokens, without any network.
+func BenchmarkChat(b *testing.B) {
+	c := newTestCallers(newTestFleet(9, speak(spoken, -1), nil), nil)
+	body := `{"model":"base","stream":true,"messages":[{"role":"user","content":"how?"}]}`
+	b.ReportAllocs()
+	for b.Loop() {
+		rec := httptest.NewRecorder()
+		c.ServeHTTP(rec, httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(body)))
+		if rec.Code != http.StatusOK {
+			b.Fatal(rec.Body)
+		}
+	}
+}
