--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -42,7 +42,6 @@
 	mu      sync.Mutex
 	byPrint map[uint64]*suspect
 	crashes map[string]*crash // last crash of each VM
-	noted   time.Time         // when the last suspect was added
 	strays  uint64            // events that the chart does not list
 }
 
@@ -55,7 +54,6 @@
 	defaultRefuseFor = 5 * time.Minute
 	defaultKeep      = time.Hour
 	maxRefuseFor     = 4 * time.Hour
-	pendingTime      = 5 * time.Second
 	sameCrash        = time.Second // single notes of one VM this close are of one crash
 
 	suspectRefused chart.State = "refused"
@@ -175,22 +173,6 @@
 	return n, true
 }
 
-// Pending reports whether there are suspects of a recent crash that have not run
-// again, so that other requests should stay off the backend server that runs them.
-func (s *Suspects) Pending(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.noted.IsZero() || now.Sub(s.noted) > pendingTime {
-		return false
-	}
-	for _, p := range s.byPrint {
-		if p.state == suspectChart.Initial() {
-			return true
-		}
-	}
-	return false
-}
-
 // Passed notes that a suspect got further than where it was at the crash.
 func (s *Suspects) Passed(fingerprint uint64) {
 	s.mu.Lock()
@@ -236,7 +218,6 @@
 		s.byPrint[n.Fingerprint] = p
 	}
 	p.heard = now
-	s.noted = now
 	if p.attempts[n.Attempt] != nil {
 		return
 	}
--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -205,21 +205,9 @@
 	if j.verdict.Alone {
 		return dispatch.PickSuspect(j.place, c.lanes.candidates)
 	}
-	c.avoidSuspects(j.place, now)
 	return c.Router.Pick(now, j.request, c.lanes.candidates, c.Seed+c.picks.Add(1))
 }
 
-// avoidSuspects marks the candidate that runs crash suspects, those of other
-// entries too.
-func (c *callers) avoidSuspects(place string, now time.Time) {
-	if !c.Suspects.Pending(now) {
-		return
-	}
-	if i, ok := dispatch.PickSuspect(place, c.lanes.candidates); ok {
-		c.lanes.candidates[i].Suspects++
-	}
-}
-
 // gather lists the candidates for j.
 func (c *callers) gather(j *job, now time.Time) {
 	l := &c.lanes
