--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -51,7 +51,8 @@
 type view struct {
 	at      time.Time
 	lanes   []*lane
-	holders map[string][]*lane // by model; those of services by ""
+	holders map[string][]*lane   // by model; those of services by ""
+	missing map[string]time.Time // models that nobody held, and since when
 }
 
 func (l *lanes) lane(vm string) *lane {
@@ -72,7 +73,7 @@
 	}
 	v := l.views[place]
 	if v == nil {
-		v = &view{}
+		v = &view{missing: make(map[string]time.Time)}
 		l.views[place] = v
 	}
 	if v.at.IsZero() || now.Sub(v.at) >= refreshTime {
@@ -96,6 +97,31 @@
 	}
 	if changed || v.holders == nil {
 		v.holders = make(map[string][]*lane)
+		c.lanes.prune()
+	}
+}
+
+const (
+	allCacheBlocks   = 1 << 16 // prompt blocks remembered for all backend servers
+	leastCacheBlocks = 256     // for each
+	mostCacheBlocks  = 4096
+)
+
+// prune forgets backend servers that no place lists any more, and shares the
+// memory of prompt blocks among the others.
+func (l *lanes) prune() {
+	listed := make(map[*lane]bool, len(l.byVM))
+	for _, v := range l.views {
+		for _, n := range v.lanes {
+			listed[n] = true
+		}
+	}
+	for vm, n := range l.byVM {
+		if !listed[n] && n.inFlight == 0 {
+			delete(l.byVM, vm)
+			continue
+		}
+		n.cache.Limit = max(min(allCacheBlocks/len(l.byVM), mostCacheBlocks), leastCacheBlocks)
 	}
 }
 
@@ -154,6 +180,9 @@
 			list = append(list, n)
 		}
 	}
+	if len(list) > 0 {
+		delete(v.missing, model)
+	}
 	v.holders[model] = list
 	return list
 }
@@ -253,19 +282,20 @@
 	mostPause  = 200 * time.Millisecond
 )
 
-// chooseWithin waits for a backend server until the deadline. It returns nil when
-// none came up.
-func (c *callers) chooseWithin(ctx context.Context, j *job, deadline time.Time) *slot {
+// chooseWithin waits a while for a backend server. It returns nil when none came up
+// or all queues are full.
+func (c *callers) chooseWithin(ctx context.Context, j *job) *slot {
 	for {
 		if p := c.choose(j); p != nil {
 			return p
 		}
+		now := c.Clock.Now()
+		if j.course.Full() || !now.Before(c.waitEnd(j, now)) {
+			return nil
+		}
 		j.course.Forget()
 		pause := min(leastPause<<min(j.rounds, 8), mostPause)
 		j.rounds++
-		if !c.Clock.Now().Before(deadline) {
-			return nil
-		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -273,3 +303,20 @@
 		}
 	}
 }
+
+// waitEnd returns until when j may wait for a backend server. The wait counts from
+// when the last one went, so in a long outage requests are refused at once.
+func (c *callers) waitEnd(j *job, now time.Time) time.Time {
+	c.lanes.mu.Lock()
+	defer c.lanes.mu.Unlock()
+	v := c.view(j.place, now)
+	if len(v.holding(j.model)) > 0 {
+		return j.course.Deadline
+	}
+	since, known := v.missing[j.model]
+	if !known {
+		since = now
+		v.missing[j.model] = now
+	}
+	return since.Add(c.Limits.NoServerWait)
+}
