Entries beside a refused voter stay current; membership changes hardened

Cause: an entry whose own voter was refused, removed or behind saw that voter's stale state. A voter that found its own uncommitted removal in its log did not campaign after a restart, because the commit is not on disk and the membership before it was taken to be empty. disk_refused was logged ten times a second for each peer. A voter that ended by an error told nobody that it led no more.

Change: a client watches the others while its own voter is not current; the membership before the newest decides who may campaign; such events are recorded once, and a gauge shows a refused disk; Run resigns whatever ends it.

Ruled out: keeping the commit on disk, which costs a sync for what the log tells.

Figures: mutations in a scratch copy now fail: a removed voter that does not campaign (TestUncommittedRemovalDoesNotSilence), a change before the term's first commit and two changes at once (TestNewLeaderWaitsToChangeMembers).

--- a/ledger/client.go
+++ b/ledger/client.go
@@ -36,8 +36,9 @@
 	Local    *Voter   // the process's own voter; nil if it is none
 	Recorder *timeline.Recorder
 
-	// Applied is called with each changed state of a process that is no voter, in
-	// order. It must not block. May be nil.
+	// Applied is called with each changed state that was watched, in order. It must
+	// not block. May be nil. A process with a voter watches only while that is not
+	// current, and may get the same state from Voter.Applied as well.
 	Applied func(*State)
 
 	once    sync.Once
@@ -71,7 +72,7 @@
 }
 
 // Run keeps connections to the voters, and follows the state if the process is no
-// voter, until ctx ends.
+// voter or while its own voter is not current, until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	c.init()
 	c.mu.Lock()
@@ -80,30 +81,34 @@
 	for _, m := range c.voters() {
 		c.link(m)
 	}
-	if c.Local != nil {
-		<-ctx.Done()
-		return ctx.Err()
-	}
 	return c.follow(ctx)
 }
 
 // State returns the newest state that the process knows.
 func (c *Client) State() *State {
 	c.init()
-	if c.Local != nil {
-		return c.Local.State()
+	watched := c.state.Load()
+	if c.Local == nil {
+		return watched
 	}
-	return c.state.Load()
+	if own := c.Local.State(); own.index >= watched.index {
+		return own
+	}
+	return watched
 }
 
 // Current returns when State was last proved to be current: it held all that a
 // quorum had committed then.
 func (c *Client) Current() time.Time {
 	c.init()
-	if c.Local != nil {
-		return c.Local.status.Load().current
+	watched := *c.current.Load()
+	if c.Local == nil {
+		return watched
 	}
-	return *c.current.Load()
+	if own := c.Local.current(); own.After(watched) {
+		return own
+	}
+	return watched
 }
 
 // Leader returns the leader and its term, as far as the process knows.
@@ -230,8 +235,10 @@
 	return context.WithTimeout(ctx, callTimeout)
 }
 
-func pause(ctx context.Context) error {
-	t := time.NewTimer(retryDelay)
+func pause(ctx context.Context) error { return pauseFor(ctx, retryDelay) }
+
+func pauseFor(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
--- a/ledger/core.go
+++ b/ledger/core.go
@@ -109,6 +109,7 @@
 	announceDue time.Duration
 	announced   map[string]announcement
 
+	told     map[coreEvent]bool
 	incoming incomingSnapshot
 	keep     uint64 // entries kept behind a snapshot
 	out      actions
@@ -129,6 +130,7 @@
 		commit:      st.Snapshot.Index,
 		handedOut:   st.Snapshot.Index,
 		announced:   make(map[string]announcement),
+		told:        make(map[coreEvent]bool),
 		keep:        keptEntries,
 	}
 	c.log = restoreLog(st)
@@ -163,7 +165,7 @@
 		return
 	}
 	if m.ToDisk != c.disk {
-		c.event("message_for_other_disk", m.From)
+		c.eventOnce("message_for_other_disk", m.From)
 		return
 	}
 	if m.Kind.isReply() && !c.known(m.FromDisk) {
@@ -316,6 +318,15 @@
 	c.out.Events = append(c.out.Events, coreEvent{kind, detail})
 }
 
+// eventOnce is event for what would come again with every message.
+func (c *core) eventOnce(kind, detail string) {
+	e := coreEvent{kind, detail}
+	if !c.told[e] {
+		c.told[e] = true
+		c.out.Events = append(c.out.Events, e)
+	}
+}
+
 // reply sends r to the sender of m, after everything is saved.
 func (c *core) reply(r, m message) {
 	r.To, r.ToDisk = m.From, m.FromDisk
@@ -339,15 +350,19 @@
 
 // refreshMembers finds the newest membership in the log.
 func (c *core) refreshMembers() {
-	c.members, c.membersIndex = c.snap.Members, c.snap.Index
-	for i := c.log.lastIndex(); i > max(c.log.baseIndex, c.snap.Index); i-- {
+	c.members, c.membersIndex = c.findMembers(c.log.lastIndex())
+}
+
+// findMembers returns the newest membership up to an entry, and where it is.
+func (c *core) findMembers(last uint64) (membership, uint64) {
+	for i := last; i > max(c.log.baseIndex, c.snap.Index); i-- {
 		e := c.log.at(i)
 		if e.Kind != entryMembership {
 			continue
 		}
 		if m, err := decodeMembership(e.Data); err == nil {
-			c.members, c.membersIndex = m, i
-			return
+			return m, i
 		}
 	}
+	return c.snap.Members, c.snap.Index
 }
--- a/ledger/core_test.go
+++ b/ledger/core_test.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"errors"
 	"flag"
 	"math/rand/v2"
 	"testing"
@@ -190,3 +191,61 @@
 		t.Errorf("got replies %+v, want one of term 3 and round 0", replies)
 	}
 }
+
+func membershipEntry(index, term uint64, names string) entry {
+	var m membership
+	for _, name := range names {
+		m = m.With(seat{Member: Member{Name: string(name)}, Disk: diskID(name)})
+	}
+	return entry{Index: index, Term: term, Kind: entryMembership, Data: m.encode()}
+}
+
+// A voter that finds its own removal in its log, not knowing it committed, still
+// campaigns after a restart: it may be the only one with the newest entries.
+func TestUncommittedRemovalDoesNotSilence(t *testing.T) {
+	st := stored{
+		Disk:    'b',
+		Ballot:  ballot{Term: 2},
+		Entries: []entry{membershipEntry(1, 1, "abc"), membershipEntry(2, 2, "ac")},
+	}
+	c := newCore("b", nil, st, rand.New(rand.NewPCG(1, 1)))
+	c.tick(maxElectionTimeout)
+	if asked := len(c.take().Replies); c.role != rolePreCandidate || asked != 2 {
+		t.Errorf("got role %q and %d voters asked, want %q and 2", c.role, asked, rolePreCandidate)
+	}
+}
+
+// A new leader changes no membership before an entry of its term has committed:
+// its predecessor's change may be committed unknown to it.
+func TestNewLeaderWaitsToChangeMembers(t *testing.T) {
+	members, err := decodeMembership(membershipEntry(1, 1, "abc").Data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	st := stored{Disk: 'b', Ballot: ballot{Term: 2}, Snapshot: snapshot{Index: 1, Term: 1, Members: members}}
+	c := newCore("b", nil, st, rand.New(rand.NewPCG(1, 1)))
+	settle := func() {
+		for a := c.take(); !a.empty(); a = c.take() {
+			c.saved(&a)
+		}
+	}
+	from := func(kind messageKind, term, index uint64) message {
+		return message{Kind: kind, From: "a", FromDisk: 'a', ToDisk: 'b', Term: term, OK: true, Index: index, Round: c.round}
+	}
+	c.tick(maxElectionTimeout)
+	c.step(c.now, from(messagePreVoteReply, 3, 0))
+	settle()
+	c.step(c.now, from(messageVoteReply, 3, 0))
+	settle()
+	var refused *MembershipError
+	if err := c.addLearner(Member{Name: "d"}, 'd'); !errors.As(err, &refused) || !refused.Transient {
+		t.Errorf("before the commit: got error %v, want a transient *MembershipError", err)
+	}
+	c.step(c.now, from(messageAppendReply, 3, 2))
+	if err := c.addLearner(Member{Name: "d"}, 'd'); err != nil {
+		t.Errorf("after the commit: got error %v, want none", err)
+	}
+	if err := c.addLearner(Member{Name: "e"}, 'e'); !errors.As(err, &refused) || !refused.Transient {
+		t.Errorf("second change at once: got error %v, want a transient *MembershipError", err)
+	}
+}
--- a/ledger/election.go
+++ b/ledger/election.go
@@ -33,7 +33,7 @@
 	if c.members.voter(c.disk) {
 		return true
 	}
-	return c.membersIndex > c.commit && c.committedMembers().voter(c.disk)
+	return c.membersIndex > c.commit && c.membersBefore(c.membersIndex).voter(c.disk)
 }
 
 // campaign raises the term and asks for votes. Upon elect_now the voters grant
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -104,9 +104,19 @@
 
 func (c *Client) forgetLeader() { c.leader.Store(&leadership{term: c.leader.Load().term}) }
 
+// hasVoter reports whether the process's own voter is current, so that there is
+// nothing to watch.
+func (c *Client) hasVoter() bool {
+	return c.Local != nil && time.Since(c.Local.current()) < maxAge
+}
+
 // follow watches one voter after the other.
 func (c *Client) follow(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if c.hasVoter() {
+			_ = pauseFor(ctx, progressInterval)
+			continue
+		}
 		if _, conn := c.anyVoter(c.voters()); conn != nil {
 			c.watch(ctx, conn)
 		}
@@ -117,7 +127,7 @@
 
 // watch follows one voter until it fails or lags.
 func (c *Client) watch(ctx context.Context, conn *wire.Conn) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !c.hasVoter() {
 		s := c.state.Load()
 		_, revision := s.Set()
 		asked := time.Now()
--- a/ledger/formation.go
+++ b/ledger/formation.go
@@ -81,13 +81,15 @@
 	c.tryForm()
 }
 
+const eventDiskRefused = "disk_refused"
+
 // hearFormed learns that others have a log. If it names another disk for c, then
 // c has lost its own.
 func (c *core) hearFormed(m message) {
 	delete(c.announced, m.From)
 	s, ok := m.Announce.Members.named(c.name)
 	if ok && s.Disk != c.disk {
-		c.event("disk_refused", "voters know another disk under this name; remove the voter and add it anew")
+		c.eventOnce(eventDiskRefused, "voters know another disk under this name; remove the voter and add it anew")
 	}
 }
 
--- a/ledger/member_test.go
+++ b/ledger/member_test.go
@@ -31,6 +31,11 @@
 	lost = c.start(c.member(name))
 	c.eventually("refusal of the empty disk", func() bool { return recorded(lost.voter.Recorder, "ledger_disk_refused") })
 
+	c.eventually("the others' state beside a refused voter", func() bool {
+		_, revision := lost.client.State().Set()
+		return revision == 1
+	})
+
 	leader := c.leader()
 	third := c.third(leader, name)
 	c.stop(third)
--- a/ledger/metrics.go
+++ b/ledger/metrics.go
@@ -12,6 +12,7 @@
 	term       prometheus.Gauge
 	entries    prometheus.Counter
 	overflow   prometheus.Counter
+	refused    prometheus.Gauge
 	saveSecond prometheus.Histogram
 }
 
@@ -24,6 +25,7 @@
 		term:     prometheus.NewGauge(prometheus.GaugeOpts(opts("term", "Newest term that this voter knows."))),
 		entries:  prometheus.NewCounter(prometheus.CounterOpts(opts("applied_entries_total", "Log entries applied."))),
 		overflow: prometheus.NewCounter(prometheus.CounterOpts(opts("dropped_messages_total", "Messages of voters dropped because too many waited."))),
+		refused:  prometheus.NewGauge(prometheus.GaugeOpts(opts("disk_refused", "1 while the other voters know another disk under this voter's name."))),
 		saveSecond: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: "bamboostep",
 			Subsystem: "ledger",
@@ -33,7 +35,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.leader, m.term, m.entries, m.overflow, m.saveSecond)
+		r.MustRegister(m.leader, m.term, m.entries, m.overflow, m.refused, m.saveSecond)
 	}
 	return m
 }
@@ -44,6 +46,15 @@
 
 func (m *metrics) dropped() { m.overflow.Inc() }
 
+func (m *metrics) event(kind string) {
+	switch kind {
+	case eventDiskRefused:
+		m.refused.Set(1)
+	case "role_" + string(roleFollower):
+		m.refused.Set(0)
+	}
+}
+
 func (m *metrics) leading(leads bool, term uint64) {
 	m.leader.Set(0)
 	if leads {
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -48,17 +48,12 @@
 }
 
 // committedMembers returns the membership at the last entry handed out.
-func (c *core) committedMembers() membership {
-	for i := c.handedOut; i > max(c.log.baseIndex, c.snap.Index); i-- {
-		e := c.log.at(i)
-		if e.Kind != entryMembership {
-			continue
-		}
-		if m, err := decodeMembership(e.Data); err == nil {
-			return m
-		}
-	}
-	return c.snap.Members
+func (c *core) committedMembers() membership { return c.membersBefore(c.handedOut + 1) }
+
+// membersBefore returns the newest membership before an entry.
+func (c *core) membersBefore(index uint64) membership {
+	m, _ := c.findMembers(index - 1)
+	return m
 }
 
 func (c *core) sendSnapshot(to seat, p *progress) {
--- a/ledger/voter.go
+++ b/ledger/voter.go
@@ -134,6 +134,7 @@
 	v.peers = newPeers(v)
 	defer v.peers.close()
 	defer v.awaitSnapshot()
+	defer v.resign()
 	return v.loop(ctx)
 }
 
@@ -253,6 +254,7 @@
 	}
 	v.peers.send(a.Replies)
 	for _, e := range a.Events {
+		v.metrics.event(e.Kind)
 		v.record("ledger_"+e.Kind, e.Detail)
 	}
 	if err := v.restore(a.Snapshot); err != nil {
@@ -307,8 +309,15 @@
 	a := v.core.take()
 	v.peers.send(a.Early)
 	v.peers.flush()
+}
+
+// resign tells everyone that this voter, which has ended, leads no more.
+func (v *Voter) resign() {
 	v.dropPending(codeUncertain)
-	v.status.Store(&status{})
+	old := v.status.Swap(&status{current: v.status.Load().current})
+	if v.LeaderChanged != nil && old.leader != "" {
+		v.LeaderChanged("", old.term)
+	}
 }
 
 func (v *Voter) publishStatus() {
@@ -363,6 +372,12 @@
 	return v.status.Load().self
 }
 
+// current returns when this voter last had all that a leader had committed.
+func (v *Voter) current() time.Time {
+	v.init()
+	return v.status.Load().current
+}
+
 func (v *Voter) record(kind, detail string) {
 	var term uint64
 	if v.core != nil {
