--- a/stock/placer.go
+++ b/stock/placer.go
@@ -32,7 +32,7 @@
 const (
 	unloadsPerLoad = 4  // unloads of models a round, for each load that the store bears at once
 	spareCopies    = 2  // copies in different failure domains, where memory is free
-	adapterShare   = 16 // a 16th of a worker's memory is left for adapters at most
+	adapterShare   = 32 // a 32nd of a worker's memory is left for adapters at most
 )
 
 // Placer is the placement policy. Its state is only the memory of what it did of
@@ -84,15 +84,19 @@
 	v.fill(adaptersMiB(v, fleet))
 }
 
-// withdraw unloads what is not declared any more.
+// withdraw unloads what is not declared any more, adapters before their models.
 func (v *view) withdraw(fleet bamboostep.Fleet) {
 	declared := make(map[string]bool)
 	for _, a := range fleet.Adapters {
 		declared[a.Name] = true
 	}
 	for _, w := range v.workers {
-		for _, rep := range w.strange {
-			v.dropStrange(w, rep, reasonRoom)
+		for _, adapters := range []bool{true, false} {
+			for _, rep := range w.strange {
+				if adapters == (rep.Model != "") {
+					v.dropStrange(w, rep, reasonRoom)
+				}
+			}
 		}
 		for _, c := range w.copies {
 			for _, a := range c.adapters {
