A voter that has ended refuses instead of keeping callers waiting

Cause: after Run had returned, for a disk error say, commands sent to that voter waited for a loop that was gone, 1 s each, and ended as uncertain.

Change: such commands are answered not_leader, which is certain, and the client goes on to another voter.

--- a/ledger/serve.go
+++ b/ledger/serve.go
@@ -70,6 +70,22 @@
 	case v.requests <- r:
 	default:
 		r.done(proposeReply{Code: codeBusy})
+		return
+	}
+	if v.ended.Load() {
+		v.refuseWaiting()
+	}
+}
+
+// refuseWaiting answers the requests that no loop will take any more.
+func (v *Voter) refuseWaiting() {
+	for {
+		select {
+		case r := <-v.requests:
+			r.done(proposeReply{Code: codeNotLeader})
+		default:
+			return
+		}
 	}
 }
 
--- a/ledger/voter.go
+++ b/ledger/voter.go
@@ -48,6 +48,7 @@
 	requests chan request
 	state    atomic.Pointer[State]
 	status   atomic.Pointer[status]
+	ended    atomic.Bool // Run has returned
 	watchers watchers
 	metrics  *metrics
 
@@ -313,7 +314,9 @@
 
 // resign tells everyone that this voter, which has ended, leads no more.
 func (v *Voter) resign() {
+	v.ended.Store(true)
 	v.dropPending(codeUncertain)
+	v.refuseWaiting()
 	old := v.status.Swap(&status{current: v.status.Load().current})
 	if v.LeaderChanged != nil && old.leader != "" {
 		v.LeaderChanged("", old.term)
