--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -49,19 +49,37 @@
 	}
 }
 
-// BenchmarkIdle measures what three idle voters, all in this process, spend on
-// heartbeats, per voter and second.
+// BenchmarkIdle measures what three idle voters spend, per voter and second, on
+// heartbeats and on clients that watch. All run in this process, so the share of a
+// core is that of voters and clients together.
 func BenchmarkIdle(b *testing.B) {
-	c := newCluster(b, "a", "b", "c")
-	c.startAll()
-	mustPublish(b, c.running[c.leader()].client, publication("p", 0))
-	began, sent, cpu := time.Now(), c.sentBytes(), processorTime(b)
-	for b.Loop() {
-		time.Sleep(time.Second)
+	for _, clients := range []int{0, 30} {
+		b.Run(fmt.Sprintf("clients=%d", clients), func(b *testing.B) {
+			c := newCluster(b, "a", "b", "c")
+			c.startAll()
+			mustPublish(b, c.running[c.leader()].client, publication("p", 0))
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			for range clients {
+				c.watch(ctx)
+			}
+			began, sent, cpu := time.Now(), c.sentBytes(), processorTime(b)
+			for b.Loop() {
+				time.Sleep(time.Second)
+			}
+			perVoter := time.Since(began).Seconds() * float64(len(c.members))
+			b.ReportMetric((c.sentBytes()-sent)/perVoter, "sent_bytes/s")
+			b.ReportMetric((processorTime(b)-cpu).Seconds()*100/perVoter, "%core")
+		})
 	}
-	perVoter := time.Since(began).Seconds() * float64(len(c.members))
-	b.ReportMetric((c.sentBytes()-sent)/perVoter, "sent_bytes/s")
-	b.ReportMetric((processorTime(b)-cpu).Seconds()*100/perVoter, "%core")
+}
+
+// watch starts a client that is no voter and waits until it is current.
+func (c *cluster) watch(ctx context.Context) {
+	node, recorder := newNode("client")
+	client := &ledger.Client{Node: node, Members: c.members, Recorder: recorder}
+	go client.Run(ctx)
+	c.eventually("a current client", func() bool { return !client.Current().IsZero() })
 }
 
 func (c *cluster) sentBytes() float64 {
