Unloads of old versions are bounded too

Cause: where no memory was free, replaceExtra unloaded one old copy of every model in one round whatever was left of the round's bound. Change: it asks for the bound like all others.

--- a/stock/placer.go
+++ b/stock/placer.go
@@ -162,10 +162,11 @@
 		return
 	}
 	w := v.bestWorker(m, func(w *worker) bool { return w.free >= m.size })
-	if w == nil {
-		v.addUnload(old[0], reasonVersion)
-	} else if v.loads > 0 {
+	switch {
+	case w != nil && v.loads > 0:
 		v.addLoad(m, w, reasonVersion)
+	case w == nil && v.unloads > 0:
+		v.addUnload(old[0], reasonVersion)
 	}
 }
 
