Orders of one VM go one after the other; a connected VM's report does not age

Cause: read in code by two reviewers: each order had a goroutine of its own, so two for one VM could swap and the agent would fence the lower until the next round; and with 380 entries an agent reports to each only every 3.8 s (bound on its rate), so a limit of 4 s on the age of a report would drop VMs that are well. Ruled out: raising the limit, since a VM that really is gone must count as lost within seconds; the connection itself tells the two apart.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -139,9 +139,20 @@
 		Log:       e.log,
 		Current:   e.feed.Set,
 		OnSuspect: e.noteSuspects,
+		Dropped:   newDropped(e.registry),
 	}
 }
 
+func newDropped(r prometheus.Registerer) prometheus.Counter {
+	dropped := prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: "bamboostep",
+		Name:      "dropped_pieces_total",
+		Help:      "Pieces of answers that nothing waited for: crossed, late or repeated.",
+	})
+	r.MustRegister(dropped)
+	return dropped
+}
+
 func (e *entry) buildCallers() {
 	e.peers = &peers{
 		Node:       e.node,
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -24,7 +24,7 @@
 	roundInterval = time.Second
 	orderTimeout  = 60 * time.Second
 	demandMaxAge  = 5 * time.Second
-	reportMaxAge  = 4 * time.Second
+	silentVMLimit = 4 * time.Second
 )
 
 // placement runs the placer while this entry leads. Set the exported fields
@@ -42,8 +42,8 @@
 	Registry prometheus.Registerer
 
 	mu       sync.Mutex
-	demands  map[string]demandAt // by entry
-	pending  map[pendingKey]bamboostep.Order
+	demands  map[string]demandAt           // by entry
+	pending  map[string][]bamboostep.Order // by VM, those that have not ended
 	term     uint64
 	sequence uint64
 	moves    *prometheus.CounterVec
@@ -68,7 +68,7 @@
 
 // Run places until ctx ends.
 func (p *placement) Run(ctx context.Context) error {
-	p.pending = make(map[pendingKey]bamboostep.Order)
+	p.pending = make(map[string][]bamboostep.Order)
 	p.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "bamboostep",
 		Subsystem: "placement",
@@ -99,9 +99,12 @@
 	if set == nil {
 		return
 	}
-	fleet := p.fleet(set, now)
-	for _, move := range p.Placer.Place(now, fleet) {
-		p.give(ctx, term, move)
+	byVM := make(map[string][]bamboostep.Move)
+	for _, move := range p.Placer.Place(now, p.fleet(set, now)) {
+		byVM[move.VM] = append(byVM[move.VM], move)
+	}
+	for vm, moves := range byVM {
+		p.give(ctx, term, vm, moves)
 	}
 }
 
@@ -131,15 +134,16 @@
 }
 
 // reports returns the last report of each VM of a place that stays. A VM that
-// has gone silent counts as it last was for a while, so that a broken connection
+// cannot be reached counts as it last was for a while, so that a broken connection
 // alone moves nothing.
 func (p *placement) reports(place string, now time.Time) []bamboostep.Report {
 	var out []bamboostep.Report
 	for _, s := range p.Servers.Staying(place) {
 		r, at := s.Report()
-		if now.Sub(at) < reportMaxAge {
-			out = append(out, p.overlay(r))
+		if at.IsZero() || !s.client.Up() && now.Sub(at) > silentVMLimit {
+			continue
 		}
+		out = append(out, p.overlay(r))
 	}
 	return out
 }
@@ -148,10 +152,7 @@
 // load or unload. mu is held.
 func (p *placement) overlay(r bamboostep.Report) bamboostep.Report {
 	replicas := append([]bamboostep.Replica(nil), r.Replicas...)
-	for key, order := range p.pending {
-		if key.vm != r.VM {
-			continue
-		}
+	for _, order := range p.pending[r.VM] {
 		replicas, r.ReservedMiB = overlayOrder(replicas, r.ReservedMiB, order)
 	}
 	r.Replicas = replicas
@@ -210,39 +211,35 @@
 	return bamboostep.Demand{Name: b.Name, Rate: rate, Work: a.Work + b.Work, LateShare: late}
 }
 
-// give sends one order, unless one for the same replica is on its way.
-func (p *placement) give(ctx context.Context, term uint64, move bamboostep.Move) {
-	s := p.Servers.find(move.VM)
-	key := pendingKey{move.VM, move.Order.Name, move.Order.Version}
+// give carries out the moves of one VM, one after the other, so that their fences
+// reach the agent in order. A VM whose earlier moves have not ended gets no more:
+// the next round decides anew.
+func (p *placement) give(ctx context.Context, term uint64, vm string, moves []bamboostep.Move) {
+	s := p.Servers.find(vm)
 	p.mu.Lock()
-	_, busy := p.pending[key]
-	if s == nil || busy {
-		p.mu.Unlock()
+	defer p.mu.Unlock()
+	if s == nil || len(p.pending[vm]) > 0 {
 		return
 	}
-	move.Order.Fence = p.nextFence(term)
-	p.pending[key] = move.Order
-	p.mu.Unlock()
-	p.record("order_given", move, "")
-	go p.await(ctx, s, key, move)
-}
-
-// nextFence returns the fence of the next order under term. mu is held.
-func (p *placement) nextFence(term uint64) bamboostep.Fence {
-	if term != p.term {
-		p.term = term
-		p.sequence = 0
+	for _, move := range moves {
+		p.pending[vm] = append(p.pending[vm], move.Order)
 	}
-	p.sequence++
-	return bamboostep.Fence{Term: p.term, Sequence: p.sequence}
+	go func() {
+		for _, move := range moves {
+			p.carryOut(ctx, s, term, move)
+		}
+	}()
 }
 
-func (p *placement) await(ctx context.Context, s *remoteServer, key pendingKey, move bamboostep.Move) {
+// carryOut gives one order and waits for its end.
+func (p *placement) carryOut(ctx context.Context, s *remoteServer, term uint64, move bamboostep.Move) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	move.Order.Fence = p.nextFence(term)
+	p.record("order_given", move, "")
 	result, err := s.client.Order(ctx, move.Order)
 	p.mu.Lock()
-	delete(p.pending, key)
+	p.pending[move.VM] = p.pending[move.VM][1:]
 	p.mu.Unlock()
 	code := result.Code
 	if err != nil {
@@ -256,6 +253,18 @@
 	p.record("order_"+code, move, result.Error)
 }
 
+// nextFence returns the fence of the next order under term.
+func (p *placement) nextFence(term uint64) bamboostep.Fence {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if term > p.term {
+		p.term = term
+		p.sequence = 0
+	}
+	p.sequence++
+	return bamboostep.Fence{Term: term, Sequence: p.sequence}
+}
+
 func (p *placement) record(kind string, move bamboostep.Move, detail string) {
 	if detail == "" {
 		detail = string(move.Order.Kind) + " for " + move.Reason
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/backend"
@@ -30,6 +31,7 @@
 	Log       *log.Logger
 	Current   func() *catalog.Set        // newest set, or nil
 	OnSuspect func([]bamboostep.Suspect) // crash suspects that agents report
+	Dropped   prometheus.Counter         // pieces of answers that nothing waited for
 
 	mu       sync.Mutex
 	ctx      context.Context // of Run; clients live as long
@@ -156,6 +158,7 @@
 		OnSuspect: p.OnSuspect,
 		OnUp:      func() { p.noteUp(s) },
 		OnDown:    func() { p.noteDown(s) },
+		Dropped:   p.Dropped,
 	}
 	p.remotes[vm.Name] = s
 	go s.client.Run(ctx)
