Check grants by entry, not by the order of answers

The log has claim 8 at 20, its not_run at 110 and claim 80 at 127; a deposed leader delivered the answer to entry 20 after that to entry 127. The check compared the order of answers and was wrong.

Change: grants are compared by entry. The check is as strict between two attempts and now also fails if an attempt is granted after it ended as not run.

Ruled out: a fault of the machine; the table of entries shows one holder at a time.

Conclusion: the check was wrong, the ledger was not.

--- a/ledger/checker_test.go
+++ b/ledger/checker_test.go
@@ -21,9 +21,16 @@
 	operations []*operation
 	revision   uint64 // highest that a client has seen
 	byNumber   map[uint64]string
-	holders    map[string]bamboostep.AttemptID
-	released   map[bamboostep.AttemptID]bool
-	settled    map[string]bool // names whose settlement as ran was answered
+	holders    map[string]grant                // newest by entry
+	released   map[bamboostep.AttemptID]bool   // was sent a settlement as not run
+	notRun     map[bamboostep.AttemptID]uint64 // entry of that settlement, once answered
+	settled    map[string]bool                 // names whose settlement as ran was answered
+}
+
+// grant is a claim that was granted.
+type grant struct {
+	attempt bamboostep.AttemptID
+	index   uint64 // entry of the claim
 }
 
 // operation is one wish of a client, which may be sent several times.
@@ -40,7 +47,8 @@
 		leaders:  make(map[uint64]string),
 		states:   make(map[uint64][]byte),
 		byNumber: make(map[uint64]string),
-		holders:  make(map[string]bamboostep.AttemptID),
+		holders:  make(map[string]grant),
+		notRun:   make(map[bamboostep.AttemptID]uint64),
 		released: make(map[bamboostep.AttemptID]bool),
 		settled:  make(map[string]bool),
 	}
@@ -142,9 +150,9 @@
 	case r.IntN(2) == 0:
 		based := c.revision - min(c.revision, uint64(r.IntN(3)/2))
 		op.command.Publish = &bamboostep.Publication{ID: id, Based: based, Set: []byte("set " + id)}
-	case held && !c.released[holder] && r.IntN(2) == 0:
+	case held && !c.released[holder.attempt] && r.IntN(2) == 0:
 		outcome := []bamboostep.Outcome{bamboostep.NotRun, bamboostep.Ran, bamboostep.Unknown}[r.IntN(3)]
-		op.command.Settle = &bamboostep.Settlement{Name: name, Attempt: holder, Outcome: outcome, Status: 200, Body: []byte(id)}
+		op.command.Settle = &bamboostep.Settlement{Name: name, Attempt: holder.attempt, Outcome: outcome, Status: 200, Body: []byte(id)}
 	default:
 		op.command.Claim = &bamboostep.Claim{Name: name, Attempt: bamboostep.AttemptID(id), Keep: 1000 * time.Hour}
 	}
@@ -173,9 +181,11 @@
 	case op.command.Publish != nil:
 		c.answeredPublish(s, op, r)
 	case op.command.Claim != nil:
-		c.answeredClaim(s, op, r.Claim)
+		c.answeredClaim(s, op, index, r.Claim)
 	case op.command.Settle.Outcome == bamboostep.Ran && r.Refused == "":
 		c.settled[op.command.Settle.Name] = true
+	case op.command.Settle.Outcome == bamboostep.NotRun && r.Refused == "":
+		c.notRun[op.command.Settle.Attempt] = index
 	}
 	op.answers = append(op.answers, r)
 }
@@ -206,8 +216,10 @@
 	c.revision = max(c.revision, r.Revision.Number)
 }
 
-// answeredClaim: a name is granted to one attempt unless its holder did not run.
-func (c *checker) answeredClaim(s *sim, op *operation, r bamboostep.ClaimResult) {
+// answeredClaim: a name is granted to one attempt unless its holder did not run,
+// and never to an attempt that did not run. Answers may come in another order than
+// the entries, so the grants are compared by entry.
+func (c *checker) answeredClaim(s *sim, op *operation, index uint64, r bamboostep.ClaimResult) {
 	claim := op.command.Claim
 	if r.State != bamboostep.ClaimGranted {
 		return
@@ -215,9 +227,15 @@
 	if op.settled {
 		s.fail("name %q was granted to attempt %q after it was settled as ran", claim.Name, claim.Attempt)
 	}
-	holder, held := c.holders[claim.Name]
-	if held && holder != claim.Attempt && !c.released[holder] {
-		s.fail("name %q was granted to attempts %q and %q", claim.Name, holder, claim.Attempt)
+	if at, ended := c.notRun[claim.Attempt]; ended && at < index {
+		s.fail("name %q was granted to attempt %q at entry %d, which had ended as not run at %d", claim.Name, claim.Attempt, index, at)
+	}
+	older, newer := c.holders[claim.Name], grant{claim.Attempt, index}
+	if older.index > newer.index {
+		older, newer = newer, older
+	}
+	if older.attempt != "" && older.attempt != newer.attempt && !c.released[older.attempt] {
+		s.fail("name %q was granted to attempts %q and %q", claim.Name, older.attempt, newer.attempt)
 	}
-	c.holders[claim.Name] = claim.Attempt
+	c.holders[claim.Name] = newer
 }
