--- a/entry/callers_route_test.go
+++ b/entry/callers_route_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -61,6 +64,21 @@
 	}
 }
 
+// A backend server that went is forgotten, so replaced VMs take no memory.
+func TestGoneBackendServersAreForgotten(t *testing.T) {
+	f := newStillFleet(10)
+	c := newTestCallers(f, nil)
+	c.once.Do(c.init)
+	j := &job{place: "engines", model: "base", work: 100}
+	chooseOnce(c, j, t)
+	f.list = f.list[:4]
+	c.lanes.views["engines"].at = time.Time{}
+	chooseOnce(c, j, t)
+	if got, want := len(c.lanes.byVM), 4; got != want {
+		t.Errorf("%d backend servers are remembered, want %d", got, want)
+	}
+}
+
 // BenchmarkChoose200 is the whole decision: listing the candidates, scoring them
 // and entering the attempt.
 func BenchmarkChoose200(b *testing.B) {
@@ -72,3 +90,17 @@
 		chooseOnce(c, j, b)
 	}
 }
+
+// BenchmarkChat is one streamed answer of eight tokens, without any network.
+func BenchmarkChat(b *testing.B) {
+	c := newTestCallers(newTestFleet(9, speak(spoken, -1), nil), nil)
+	body := `{"model":"base","stream":true,"messages":[{"role":"user","content":"how?"}]}`
+	b.ReportAllocs()
+	for b.Loop() {
+		rec := httptest.NewRecorder()
+		c.ServeHTTP(rec, httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(body)))
+		if rec.Code != http.StatusOK {
+			b.Fatal(rec.Body)
+		}
+	}
+}
--- a/stock/placer.go
+++ b/stock/placer.go
@@ -85,10 +85,12 @@
 }
 
 // withdraw unloads what is not declared any more, adapters before their models.
+// An adapter of an old version goes at once: the new one is loaded in milliseconds
+// when it is asked for.
 func (v *view) withdraw(fleet bamboostep.Fleet) {
-	declared := make(map[string]bool)
+	declared := make(map[string]string) // versions
 	for _, a := range fleet.Adapters {
-		declared[a.Name] = true
+		declared[a.Name] = a.Version
 	}
 	for _, w := range v.workers {
 		for _, adapters := range []bool{true, false} {
@@ -100,7 +102,7 @@
 		}
 		for _, c := range w.copies {
 			for _, a := range c.adapters {
-				if !declared[a.Name] {
+				if declared[a.Name] != a.Version {
 					v.dropStrange(w, a, reasonRoom)
 				}
 			}
@@ -162,10 +164,11 @@
 		return
 	}
 	w := v.bestWorker(m, func(w *worker) bool { return w.free >= m.size })
-	if w == nil {
-		v.addUnload(old[0], reasonVersion)
-	} else if v.loads > 0 {
+	switch {
+	case w != nil && v.loads > 0:
 		v.addLoad(m, w, reasonVersion)
+	case w == nil && v.unloads > 0:
+		v.addUnload(old[0], reasonVersion)
 	}
 }
 
