A voter that is refused or behind follows the others' state

Cause: an entry took applied states only from its own voter, so one whose disk was lost, and which is refused under its old name, learned drains from nobody. Ruled out: relying on the feed alone; it carries sets, not drains. Change: the client's watched states are taken too, and one that is older than the last is passed over. The page on settlements says when an unknown name goes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,6 +69,9 @@
 	callers   *callers
 	placement *placement
 
+	stateMu    sync.Mutex
+	stateIndex uint64 // of the newest state noted; guarded by stateMu
+
 	draining   atomic.Bool
 	configured chan struct{} // closed once a set is in force
 	firstSet   sync.Once
@@ -125,9 +128,7 @@
 		Members:  e.cfg.voters(),
 		Local:    e.voter,
 		Recorder: e.recorder,
-	}
-	if e.voter == nil {
-		e.client.Applied = e.noteState
+		Applied:  e.noteState,
 	}
 }
 
@@ -201,8 +202,16 @@
 	e.peers.ShareSuspects(suspects)
 }
 
-// noteState takes a newly applied state of the ledger.
+// noteState takes a newly applied state of the ledger, from this entry's own voter
+// or, where that one is behind or refused, from the others. The two may come
+// crossed, so an older state is passed over.
 func (e *entry) noteState(s *ledger.State) {
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	if s.Index() < e.stateIndex {
+		return
+	}
+	e.stateIndex = s.Index()
 	e.servers.SetDrained(s.Drains())
 	encoded, revision := s.Set()
 	if revision == 0 {
--- a/ledger.go
+++ b/ledger.go
@@ -62,7 +62,7 @@
 
 // Settlement records the end of a claimed request. NotRun frees the name; Ran
 // keeps the answer for callers that send the request again; Unknown keeps the
-// name taken for good.
+// name taken, until the table of names is full and the name is over 30 days old.
 type Settlement struct {
 	Name    string              `msgpack:"name"`
 	Attempt AttemptID           `msgpack:"attempt"`
