Orders of one VM leave one after another

Cause: all orders of a round were sent side by side, so those of one VM reached its agent in any order, and the agent, which keeps the highest fence, refused the ones that came late. Change: the leader keeps a queue for each VM, gives a move its fence when it is sent and sends the next once that is answered. Moves of a term that is over are dropped. Ruled out: a lock around the sending alone; an agent handles the orders that come over one connection side by side.

--- a/entry/placement.go
+++ b/entry/placement.go
@@ -44,6 +44,7 @@
 	mu       sync.Mutex
 	demands  map[string]demandAt // by entry
 	pending  map[pendingKey]bamboostep.Order
+	queues   map[string][]queuedMove // by VM; there while its orders are being sent
 	term     uint64
 	sequence uint64
 	moves    *prometheus.CounterVec
@@ -69,6 +70,7 @@
 // Run places until ctx ends.
 func (p *placement) Run(ctx context.Context) error {
 	p.pending = make(map[pendingKey]bamboostep.Order)
+	p.queues = make(map[string][]queuedMove)
 	p.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "bamboostep",
 		Subsystem: "placement",
@@ -210,39 +212,81 @@
 	return bamboostep.Demand{Name: b.Name, Rate: rate, Work: a.Work + b.Work, LateShare: late}
 }
 
-// give sends one order, unless one for the same replica is on its way.
+// give queues one order, unless one for the same replica is on its way. The orders
+// of one VM go out one after another, each once the one before has been answered:
+// sent side by side they would arrive in any order, and the agent refuses all but
+// the highest fence it has seen.
 func (p *placement) give(ctx context.Context, term uint64, move bamboostep.Move) {
 	s := p.Servers.find(move.VM)
-	key := pendingKey{move.VM, move.Order.Name, move.Order.Version}
+	key := keyOf(move)
 	p.mu.Lock()
-	_, busy := p.pending[key]
-	if s == nil || busy {
-		p.mu.Unlock()
+	defer p.mu.Unlock()
+	if _, busy := p.pending[key]; s == nil || busy {
 		return
 	}
-	move.Order.Fence = p.nextFence(term)
 	p.pending[key] = move.Order
-	p.mu.Unlock()
-	p.record("order_given", move, "")
-	go p.await(ctx, s, key, move)
+	waiting, sending := p.queues[move.VM]
+	p.queues[move.VM] = append(waiting, queuedMove{term, move})
+	p.term = max(p.term, term)
+	if !sending {
+		go p.sendQueue(ctx, s, move.VM)
+	}
+}
+
+// queuedMove is a move on its way to its VM, and the term that it was chosen in.
+type queuedMove struct {
+	term uint64
+	move bamboostep.Move
+}
+
+func keyOf(move bamboostep.Move) pendingKey {
+	return pendingKey{move.VM, move.Order.Name, move.Order.Version}
 }
 
-// nextFence returns the fence of the next order under term. mu is held.
-func (p *placement) nextFence(term uint64) bamboostep.Fence {
-	if term != p.term {
-		p.term = term
-		p.sequence = 0
+// sendQueue sends the orders of one VM until none is left.
+func (p *placement) sendQueue(ctx context.Context, s *remoteServer, vm string) {
+	for {
+		move, ok := p.nextMove(vm)
+		if !ok {
+			return
+		}
+		p.await(ctx, s, move)
 	}
+}
+
+// nextMove takes the next move of a VM and gives it its fence. Moves of a term that
+// is over are dropped.
+func (p *placement) nextMove(vm string) (bamboostep.Move, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.queues[vm]) > 0 {
+		q := p.queues[vm][0]
+		p.queues[vm] = p.queues[vm][1:]
+		if q.term == p.term {
+			q.move.Order.Fence = p.nextFence()
+			return q.move, true
+		}
+		delete(p.pending, keyOf(q.move))
+	}
+	delete(p.queues, vm)
+	return bamboostep.Move{}, false
+}
+
+// nextFence returns the fence of the next order. Sequence numbers go on from one
+// term to the next. mu is held.
+func (p *placement) nextFence() bamboostep.Fence {
 	p.sequence++
 	return bamboostep.Fence{Term: p.term, Sequence: p.sequence}
 }
 
-func (p *placement) await(ctx context.Context, s *remoteServer, key pendingKey, move bamboostep.Move) {
+// await sends one order and waits for its answer.
+func (p *placement) await(ctx context.Context, s *remoteServer, move bamboostep.Move) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	p.record("order_given", move, "")
 	result, err := s.client.Order(ctx, move.Order)
 	p.mu.Lock()
-	delete(p.pending, key)
+	delete(p.pending, keyOf(move))
 	p.mu.Unlock()
 	code := result.Code
 	if err != nil {
