--- a/entry/placement.go
+++ b/entry/placement.go
@@ -42,8 +42,9 @@
 	Registry prometheus.Registerer
 
 	mu       sync.Mutex
-	demands  map[string]demandAt           // by entry
-	pending  map[string][]bamboostep.Order // by VM, those that have not ended
+	demands  map[string]demandAt // by entry
+	pending  map[pendingKey]bamboostep.Order
+	queues   map[string][]queuedMove // by VM; there while its orders are being sent
 	term     uint64
 	sequence uint64
 	moves    *prometheus.CounterVec
@@ -68,7 +69,8 @@
 
 // Run places until ctx ends.
 func (p *placement) Run(ctx context.Context) error {
-	p.pending = make(map[string][]bamboostep.Order)
+	p.pending = make(map[pendingKey]bamboostep.Order)
+	p.queues = make(map[string][]queuedMove)
 	p.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "bamboostep",
 		Subsystem: "placement",
@@ -99,12 +101,9 @@
 	if set == nil {
 		return
 	}
-	byVM := make(map[string][]bamboostep.Move)
-	for _, move := range p.Placer.Place(now, p.fleet(set, now)) {
-		byVM[move.VM] = append(byVM[move.VM], move)
-	}
-	for vm, moves := range byVM {
-		p.give(ctx, term, vm, moves)
+	fleet := p.fleet(set, now)
+	for _, move := range p.Placer.Place(now, fleet) {
+		p.give(ctx, term, move)
 	}
 }
 
@@ -152,7 +151,10 @@
 // load or unload. mu is held.
 func (p *placement) overlay(r bamboostep.Report) bamboostep.Report {
 	replicas := append([]bamboostep.Replica(nil), r.Replicas...)
-	for _, order := range p.pending[r.VM] {
+	for key, order := range p.pending {
+		if key.vm != r.VM {
+			continue
+		}
 		replicas, r.ReservedMiB = overlayOrder(replicas, r.ReservedMiB, order)
 	}
 	r.Replicas = replicas
@@ -211,35 +213,81 @@
 	return bamboostep.Demand{Name: b.Name, Rate: rate, Work: a.Work + b.Work, LateShare: late}
 }
 
-// give carries out the moves of one VM, one after the other, so that their fences
-// reach the agent in order. A VM whose earlier moves have not ended gets no more:
-// the next round decides anew.
-func (p *placement) give(ctx context.Context, term uint64, vm string, moves []bamboostep.Move) {
-	s := p.Servers.find(vm)
+// give queues one order, unless one for the same replica is on its way. The orders
+// of one VM go out one after another, each once the one before has been answered:
+// sent side by side they would arrive in any order, and the agent refuses all but
+// the highest fence it has seen.
+func (p *placement) give(ctx context.Context, term uint64, move bamboostep.Move) {
+	s := p.Servers.find(move.VM)
+	key := keyOf(move)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s == nil || len(p.pending[vm]) > 0 {
+	if _, busy := p.pending[key]; s == nil || busy {
 		return
 	}
-	for _, move := range moves {
-		p.pending[vm] = append(p.pending[vm], move.Order)
+	p.pending[key] = move.Order
+	waiting, sending := p.queues[move.VM]
+	p.queues[move.VM] = append(waiting, queuedMove{term, move})
+	p.term = max(p.term, term)
+	if !sending {
+		go p.sendQueue(ctx, s, move.VM)
 	}
-	go func() {
-		for _, move := range moves {
-			p.carryOut(ctx, s, term, move)
+}
+
+// queuedMove is a move on its way to its VM, and the term that it was chosen in.
+type queuedMove struct {
+	term uint64
+	move bamboostep.Move
+}
+
+func keyOf(move bamboostep.Move) pendingKey {
+	return pendingKey{move.VM, move.Order.Name, move.Order.Version}
+}
+
+// sendQueue sends the orders of one VM until none is left.
+func (p *placement) sendQueue(ctx context.Context, s *remoteServer, vm string) {
+	for {
+		move, ok := p.nextMove(vm)
+		if !ok {
+			return
+		}
+		p.await(ctx, s, move)
+	}
+}
+
+// nextMove takes the next move of a VM and gives it its fence. Moves of a term that
+// is over are dropped.
+func (p *placement) nextMove(vm string) (bamboostep.Move, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.queues[vm]) > 0 {
+		q := p.queues[vm][0]
+		p.queues[vm] = p.queues[vm][1:]
+		if q.term == p.term {
+			q.move.Order.Fence = p.nextFence()
+			return q.move, true
 		}
-	}()
+		delete(p.pending, keyOf(q.move))
+	}
+	delete(p.queues, vm)
+	return bamboostep.Move{}, false
+}
+
+// nextFence returns the fence of the next order. Sequence numbers go on from one
+// term to the next. mu is held.
+func (p *placement) nextFence() bamboostep.Fence {
+	p.sequence++
+	return bamboostep.Fence{Term: p.term, Sequence: p.sequence}
 }
 
-// carryOut gives one order and waits for its end.
-func (p *placement) carryOut(ctx context.Context, s *remoteServer, term uint64, move bamboostep.Move) {
+// await sends one order and waits for its answer.
+func (p *placement) await(ctx context.Context, s *remoteServer, move bamboostep.Move) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	move.Order.Fence = p.nextFence(term)
 	p.record("order_given", move, "")
 	result, err := s.client.Order(ctx, move.Order)
 	p.mu.Lock()
-	p.pending[move.VM] = p.pending[move.VM][1:]
+	delete(p.pending, keyOf(move))
 	p.mu.Unlock()
 	code := result.Code
 	if err != nil {
@@ -253,18 +301,6 @@
 	p.record("order_"+code, move, result.Error)
 }
 
-// nextFence returns the fence of the next order under term.
-func (p *placement) nextFence(term uint64) bamboostep.Fence {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if term > p.term {
-		p.term = term
-		p.sequence = 0
-	}
-	p.sequence++
-	return bamboostep.Fence{Term: term, Sequence: p.sequence}
-}
-
 func (p *placement) record(kind string, move bamboostep.Move, detail string) {
 	if detail == "" {
 		detail = string(move.Order.Kind) + " for " + move.Reason
