Watches of entries leave the set out

Ruled out: deltas in the watch; the feed between entries brings them already. Change: Client.NoSet; entries set it. The feed brings the set, the watch its number, the drains and the voters. TestWatchWithoutSet holds it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -129,6 +129,7 @@
 		Local:    e.voter,
 		Recorder: e.recorder,
 		Applied:  e.noteState,
+		NoSet:    true, // the feed brings sets as deltas
 	}
 }
 
@@ -214,7 +215,7 @@
 	e.stateIndex = s.Index()
 	e.servers.SetDrained(s.Drains())
 	encoded, revision := s.Set()
-	if revision == 0 {
+	if revision == 0 || len(encoded) == 0 {
 		return
 	}
 	if current := e.feed.Set(); current != nil && current.Revision() >= revision {
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -41,6 +41,10 @@
 	// current, and may get the same state from Voter.Applied as well.
 	Applied func(*State)
 
+	// NoSet leaves the encoded set out of watched states, for processes that learn
+	// of sets another way. Their numbers, authors and times are there as ever.
+	NoSet bool
+
 	once    sync.Once
 	state   atomic.Pointer[State]
 	current atomic.Pointer[time.Time]
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -132,7 +132,7 @@
 		_, revision := s.Set()
 		asked := time.Now()
 		var r watchReply
-		if c.callWatch(ctx, conn, watchCall{s.index, revision, s.content}, &r) != nil {
+		if c.callWatch(ctx, conn, watchCall{s.index, revision, s.content, c.NoSet}, &r) != nil {
 			return
 		}
 		age := time.Duration(r.AgeMS) * time.Millisecond
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -24,7 +24,7 @@
 }
 
 // Set returns the newest published set, encoded, and its revision. The revision
-// is 0 before the first publication.
+// is 0 before the first publication. A state watched with NoSet has no set.
 func (s *State) Set() (encoded []byte, revision uint64) { return s.set, s.newest().Number }
 
 // Revisions returns the last revisions, oldest first.
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -78,7 +78,9 @@
 	r.Changed = true
 	r.Drained, r.Members = s.Drains(), s.members
 	if s.newest().Number > call.Revision {
-		r.Set = s.set
+		if !call.NoSet {
+			r.Set = s.set
+		}
 		r.Revisions, r.Reset = s.revisionsAfter(call.Revision)
 	}
 	return r
--- a/ledger/watch_test.go
+++ b/ledger/watch_test.go
@@ -42,7 +42,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			old := stateAt(test.revision)
-			r := v.watchReply(watchCall{old.index, test.revision, old.content}, time.Now())
+			r := v.watchReply(watchCall{Index: old.index, Revision: test.revision, Content: old.content}, time.Now())
 			if len(r.Revisions) != test.brings {
 				t.Errorf("got %d revisions in the reply, want %d", len(r.Revisions), test.brings)
 			}
@@ -56,3 +56,19 @@
 		})
 	}
 }
+
+// A client that learns of sets another way gets everything but the set itself.
+func TestWatchWithoutSet(t *testing.T) {
+	v := &Voter{}
+	v.init()
+	v.state.Store(stateAt(9))
+	old := stateAt(8)
+	r := v.watchReply(watchCall{Index: old.index, Revision: 8, Content: old.content, NoSet: true}, time.Now())
+	set, revision := r.apply(old).Set()
+	if len(r.Set) != 0 || len(set) != 0 {
+		t.Errorf("got a set of %d bytes in the reply and %d in the state, want none", len(r.Set), len(set))
+	}
+	if revision != 9 {
+		t.Errorf("got revision %d, want 9", revision)
+	}
+}
--- a/ledger/wiretype.go
+++ b/ledger/wiretype.go
@@ -55,6 +55,7 @@
 	Index    uint64 `msgpack:"index"`    // of the client's state; 0 for none
 	Revision uint64 `msgpack:"revision"` // of the client's state
 	Content  uint64 `msgpack:"content"`  // index of the last change that the client has
+	NoSet    bool   `msgpack:"no_set"`   // leave the set out
 }
 
 // watchReply is a progress mark: it proves up to which index the client is
