wire and entry: hello, errors and the operators' side in files of their own

Cause: wire/conn.go and entry/entry.go had grown to about 450 lines each. Ruled out: splitting by size alone; each new file is one concept. Change: moves only.

--- /dev/null
+++ b/entry/operators.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/daemon"
+	"github.com/bamboostep/bamboostep/operator"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+// The operators' side of the entry: package operator's protocol, and the pages
+// that every program has.
+
+func (e *entry) serveOperators(ctx context.Context) error {
+	nl, err := net.Listen("tcp", e.cfg.Operators)
+	if err != nil {
+		return err
+	}
+	admin := &daemon.Admin{Registry: e.registry, Recorder: e.recorder, Ready: e.ready}
+	mux := http.NewServeMux()
+	mux.Handle("/", admin.Handler())
+	mux.Handle("/operator/v1/", &operator.Handler{
+		Ledger:    e.client,
+		Set:       e.feed.Set,
+		Revisions: e.revisions,
+		Status:    e.status,
+		Timeline:  e.timeline,
+		Voters:    e.client,
+		Token:     e.cfg.OperatorToken,
+	})
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: e.log.StandardLog()}
+	return daemon.ServeHTTP(ctx, nl, s, adminCloseTimeout)
+}
+
+func (e *entry) revisions() []bamboostep.Revision {
+	if s := e.client.State(); s != nil {
+		return s.Revisions()
+	}
+	return nil
+}
+
+// timeline merges the events of all processes that answer.
+func (e *entry) timeline(ctx context.Context, q timeline.Query) []timeline.Event {
+	lists := [][]timeline.Event{e.recorder.Find(q)}
+	lists = append(lists, e.peers.Timeline(ctx, q)...)
+	lists = append(lists, e.servers.Timeline(ctx, q)...)
+	return timeline.Merge(lists...)
+}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -11,35 +11,20 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
-
-	"github.com/bamboostep/bamboostep/timeline"
 )
 
 const (
-	protocolVersion = 1
-
 	dialerQuiet    = 700 * time.Millisecond  // a connection that brought nothing for so long is pinged by who dialled it,
 	listenerQuiet  = 1200 * time.Millisecond // and by its other end, which the first ping mostly spares its own
 	uptimeMaxAge   = 10 * time.Second        // the peer's uptime is asked for anew at this age
 	silenceLimit   = 2 * time.Second         // a connection that brought nothing for so long is abandoned
-	helloTimeout   = 2 * time.Second
-	queueLimit     = 32 << 20 // bytes waiting to be written before the peer counts as stuck
-	helloLimit     = 64 << 10
+	queueLimit     = 32 << 20                // bytes waiting to be written before the peer counts as stuck
 	readBufferSize = 4 << 10
 
-	kindHello = "hello"
-	kindPing  = "ping"
-	kindPong  = "pong"
+	kindPing = "ping"
+	kindPong = "pong"
 )
 
-// Hello introduces a process to its peer.
-type Hello struct {
-	Version     int    `msgpack:"version"`
-	Name        string `msgpack:"name"`
-	Role        string `msgpack:"role"` // "entry" or "agent"
-	Incarnation uint64 `msgpack:"incarnation"`
-}
-
 type pongBody struct {
 	UptimeMicros int64 `msgpack:"uptime_micros"`
 }
@@ -49,38 +34,6 @@
 	Message string `msgpack:"message"`
 }
 
-// ClosedError says that a connection ended, and why.
-type ClosedError struct {
-	Peer  string
-	Cause error
-}
-
-// Error implements error.
-func (e *ClosedError) Error() string {
-	return fmt.Sprintf("connection to %q is closed: %v", e.Peer, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ClosedError) Unwrap() error { return e.Cause }
-
-// SilentError says that a connection brought nothing, not even an answer to a
-// ping, for a while. The connection may still look open to the kernel.
-type SilentError struct{ Silence time.Duration }
-
-// Error implements error.
-func (e *SilentError) Error() string {
-	return fmt.Sprintf("nothing arrived for %v", e.Silence)
-}
-
-// RemoteError is a peer's answer that a call failed.
-type RemoteError struct {
-	Code    string // stable, snake case
-	Message string
-}
-
-// Error implements error.
-func (e *RemoteError) Error() string { return e.Code + ": " + e.Message }
-
 // Message is one message from a peer.
 type Message struct {
 	Kind string
@@ -411,43 +364,3 @@
 	_ = c.send(kindPing, 0, false, nil)
 	c.readLoop(r)
 }
-
-func exchangeHello(nc net.Conn, r *bufio.Reader, own Hello, clock *timeline.Clock) (Hello, error) {
-	if err := nc.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
-		return Hello{}, err
-	}
-	body, err := msgpack.Marshal(own)
-	if err != nil {
-		return Hello{}, err
-	}
-	frame, err := encodeFrame(envelope{Kind: kindHello, Stamp: clock.Now(), Body: body})
-	if err != nil {
-		return Hello{}, err
-	}
-	if _, err := nc.Write(frame); err != nil {
-		return Hello{}, err
-	}
-	peer, err := readHello(r)
-	if err != nil {
-		return Hello{}, err
-	}
-	return peer, nc.SetDeadline(time.Time{})
-}
-
-func readHello(r *bufio.Reader) (Hello, error) {
-	e, err := readFrame(r, helloLimit)
-	if err != nil {
-		return Hello{}, err
-	}
-	var peer Hello
-	if e.Kind != kindHello {
-		return peer, &FrameError{len(e.Body), fmt.Sprintf("first frame is %q, not a hello", e.Kind)}
-	}
-	if err := msgpack.Unmarshal(e.Body, &peer); err != nil {
-		return peer, &FrameError{len(e.Body), err.Error()}
-	}
-	if peer.Version != protocolVersion {
-		return peer, &FrameError{len(e.Body), fmt.Sprintf("protocol version %d, want %d", peer.Version, protocolVersion)}
-	}
-	return peer, nil
-}
