--- a/wire/conn.go
+++ b/wire/conn.go
@@ -8,7 +8,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -96,13 +95,11 @@
 	node    *Node
 	peer    Hello
 	handler Handler
-	quiet   time.Duration   // before a ping
-	raw     syscall.RawConn // for writes that must not block; nil under TLS
+	quiet   time.Duration // before a ping
 
 	mu       sync.Mutex
 	queue    [][]byte
-	queued   int  // bytes in queue
-	writing  bool // the write loop writes
+	queued   int // bytes in queue
 	wake     chan struct{}
 	calls    map[uint64]chan envelope
 	lastCall uint64
@@ -232,13 +229,6 @@
 		c.close(err)
 		return &ClosedError{c.peer.Name, err}
 	}
-	if len(c.queue) == 0 && !c.writing {
-		frame = frame[c.writeNow(frame):]
-	}
-	if len(frame) == 0 {
-		c.mu.Unlock()
-		return nil
-	}
 	c.queue = append(c.queue, frame)
 	c.queued += len(frame)
 	c.mu.Unlock()
@@ -249,15 +239,12 @@
 	return nil
 }
 
-// takeQueue returns what waits to be written, nil if nothing does. Until the next
-// call, the write loop is the only one that writes.
 func (c *Conn) takeQueue() [][]byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q := c.queue
 	c.queue = nil
 	c.queued = 0
-	c.writing = len(q) > 0
 	return q
 }
 
@@ -273,7 +260,6 @@
 	c.nc.Close()
 }
 
-// writeLoop writes what Send could not write at once.
 func (c *Conn) writeLoop() {
 	for {
 		select {
@@ -281,23 +267,15 @@
 			return
 		case <-c.wake:
 		}
-		if err := c.writeQueue(); err != nil {
-			c.close(err)
-			return
-		}
-	}
-}
-
-func (c *Conn) writeQueue() error {
-	for {
 		bufs := net.Buffers(c.takeQueue())
 		if len(bufs) == 0 {
-			return nil
+			continue
 		}
 		n, err := bufs.WriteTo(c.nc)
 		c.node.Metrics.countSent(n)
 		if err != nil {
-			return err
+			c.close(err)
+			return
 		}
 	}
 }
--- a/wire/node.go
+++ b/wire/node.go
@@ -78,7 +78,6 @@
 		peer:    peer,
 		handler: handler,
 		quiet:   quiet,
-		raw:     rawConn(nc),
 		wake:    make(chan struct{}, 1),
 		calls:   make(map[uint64]chan envelope),
 		done:    make(chan struct{}),
