--- a/scenario/main.go
+++ b/scenario/main.go
@@ -15,7 +15,7 @@
 	cmd := &cli.Command{
 		Name:     "scenario",
 		Usage:    "run the programs together",
-		Commands: []*cli.Command{demoCommand(), overheadCommand()},
+		Commands: []*cli.Command{demoCommand(), overheadCommand(), streamsCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "scenario:", err)
@@ -62,3 +62,15 @@
 		},
 	}
 }
+
+func streamsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "streams",
+		Usage: "measure what open streams cost an entry in memory",
+		Flags: folderFlags(&cli.IntFlag{Name: "count", Value: 1000, Usage: "streams open at once"}),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			s := &streams{Bin: cmd.String("bin"), Objects: cmd.String("objects"), Count: cmd.Int("count"), Out: os.Stdout}
+			return s.Run(ctx)
+		},
+	}
+}
