Ports and waits of the test cluster apart; ledger benchmarks use measure

Ruled out: nothing else; moves and one reuse. Change: port.go and wait.go; package measure serves the ledger too.

--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -12,27 +12,27 @@
 const sentBytesMetric = "bamboostep_wire_sent_bytes_total"
 
 // SentBytes returns the bytes that package wire has counted as written in r.
-func SentBytes(b *testing.B, r *prometheus.Registry) float64 {
-	b.Helper()
+func SentBytes(tb testing.TB, r *prometheus.Registry) float64 {
+	tb.Helper()
 	families, err := r.Gather()
 	if err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	for _, f := range families {
 		if f.GetName() == sentBytesMetric {
 			return f.GetMetric()[0].GetCounter().GetValue()
 		}
 	}
-	b.Fatalf("metric %q is not registered", sentBytesMetric)
+	tb.Fatalf("metric %q is not registered", sentBytesMetric)
 	return 0
 }
 
 // CPUTime returns the processor time that this process has used.
-func CPUTime(b *testing.B) time.Duration {
-	b.Helper()
+func CPUTime(tb testing.TB) time.Duration {
+	tb.Helper()
 	var u syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		b.Fatal(err)
+		tb.Fatal(err)
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/internal/measure"
 	"github.com/bamboostep/bamboostep/ledger"
 )
 
@@ -63,13 +63,13 @@
 			for range clients {
 				c.watch(ctx)
 			}
-			began, sent, cpu := time.Now(), c.sentBytes(), processorTime(b)
+			began, sent, cpu := time.Now(), c.sentBytes(), measure.CPUTime(b)
 			for b.Loop() {
 				time.Sleep(time.Second)
 			}
 			perVoter := time.Since(began).Seconds() * float64(len(c.members))
 			b.ReportMetric((c.sentBytes()-sent)/perVoter, "sent_bytes/s")
-			b.ReportMetric((processorTime(b)-cpu).Seconds()*100/perVoter, "%core")
+			b.ReportMetric((measure.CPUTime(b)-cpu).Seconds()*100/perVoter, "%core")
 		})
 	}
 }
@@ -85,23 +85,7 @@
 func (c *cluster) sentBytes() float64 {
 	var sum float64
 	for _, p := range c.running {
-		families, err := p.registry.Gather()
-		if err != nil {
-			c.t.Fatal(err)
-		}
-		for _, f := range families {
-			if f.GetName() == "bamboostep_wire_sent_bytes_total" {
-				sum += f.GetMetric()[0].GetCounter().GetValue()
-			}
-		}
+		sum += measure.SentBytes(c.t, p.registry)
 	}
 	return sum
 }
-
-func processorTime(b *testing.B) time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		b.Fatal(err)
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/scenario/cluster/cluster.go
+++ b/scenario/cluster/cluster.go
@@ -12,20 +12,15 @@
 	"fmt"
 	"maps"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
-	"sync/atomic"
-	"time"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/scenario/relay"
 )
 
 const (
-	startTimeout      = 20 * time.Second
-	pollInterval      = 20 * time.Millisecond
 	servicePlace      = "libro"
 	defaultDeployment = "campanas"
 )
@@ -70,18 +65,6 @@
 // Error implements error.
 func (e *UnknownProcessError) Error() string { return fmt.Sprintf("no process is named %q", e.Name) }
 
-// TimeoutError says that something did not come about in time.
-type TimeoutError struct {
-	What  string
-	After time.Duration
-	Last  error
-}
-
-// Error implements error.
-func (e *TimeoutError) Error() string {
-	return fmt.Sprintf("%s did not come about within %v: %v", e.What, e.After, e.Last)
-}
-
 // Start writes the settings and starts every process. Relays end with ctx;
 // processes are ended by Stop.
 func (c *Cluster) Start(ctx context.Context) error {
@@ -369,55 +352,6 @@
 	return nil
 }
 
-// WaitReady waits until every entry says that it is ready.
-func (c *Cluster) WaitReady(entries ...string) error {
-	for _, name := range entries {
-		url := c.OperatorsURL(name) + "/readyz"
-		if err := Eventually(startTimeout, "readiness of "+name, func() error { return checkOK(url) }); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// WaitHealthy waits until every entry answers at all.
-func (c *Cluster) WaitHealthy(entries ...string) error {
-	for _, name := range entries {
-		url := c.OperatorsURL(name) + "/healthz"
-		if err := Eventually(startTimeout, "health of "+name, func() error { return checkOK(url) }); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func checkOK(url string) error {
-	resp, err := http.Get(url)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s: status %d", url, resp.StatusCode)
-	}
-	return nil
-}
-
-// Eventually tries until check succeeds, and fails with a *TimeoutError.
-func Eventually(timeout time.Duration, what string, check func() error) error {
-	deadline := time.Now().Add(timeout)
-	for {
-		err := check()
-		if err == nil {
-			return nil
-		}
-		if time.Now().After(deadline) {
-			return &TimeoutError{what, timeout, err}
-		}
-		time.Sleep(pollInterval)
-	}
-}
-
 // Stop ends every process, by ID.
 func (c *Cluster) Stop() {
 	for _, name := range slices.Backward(c.order) {
@@ -426,41 +360,3 @@
 }
 
 func entryName(i int) string { return "entry-" + string(rune('a'+i)) }
-
-// Ports for the processes come from below the range that the kernel gives to
-// outgoing connections, so that none is taken between its choice and its use.
-const (
-	firstPort = 10000
-	ports     = 20000
-)
-
-var nextPort atomic.Uint32
-
-func init() { nextPort.Store(uint32(os.Getpid()) * 127) }
-
-// freeAddress returns a free port of a loopback address.
-func freeAddress(host string) (string, error) {
-	var err error
-	for range ports {
-		port := firstPort + nextPort.Add(1)%ports
-		var nl net.Listener
-		nl, err = net.Listen("tcp", fmt.Sprintf("%s:%d", host, port))
-		if err == nil {
-			nl.Close()
-			return nl.Addr().String(), nil
-		}
-	}
-	return "", err
-}
-
-func freeAddresses(hosts ...string) ([]string, error) {
-	var out []string
-	for _, host := range hosts {
-		address, err := freeAddress(host)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, address)
-	}
-	return out, nil
-}
