Two steps at one instant no longer kill a test entry twice

The end of one request is recorded by a goroutine in the background and by the request itself in the same instant of the test clock; both could find the entry alive and both closed its channel. Ruled out: the product. The panic is in the test's own kill, and no order ran twice; two sendings meeting in time are kept apart already. Change: whether an entry is alive is decided and changed under one lock. Conclusion: a fault of the test; what it checks is unchanged.

--- a/entry/claims_property_test.go
+++ b/entry/claims_property_test.go
@@ -69,16 +69,25 @@
 	w.entries[i] = e
 }
 
-// kill ends an entry where it stands and starts another in its place.
+// kill ends an entry where it stands and starts another in its place. Steps of two
+// goroutines can meet at one instant, and only one of them kills.
 func (w *world) kill(e *worldEntry, i int) {
-	select {
-	case <-e.dead:
-	default:
-		close(e.dead)
+	if w.end(e) {
 		w.start(i)
 	}
 }
 
+// end reports whether the entry was alive until now.
+func (w *world) end(e *worldEntry) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isDead(e) {
+		return false
+	}
+	close(e.dead)
+	return true
+}
+
 func (w *world) isDead(e *worldEntry) bool {
 	select {
 	case <-e.dead:
