Requests that one answer cannot hold are refused; every code is documented

Cause: n=2, best_of=2, several prompts, a null or empty list of messages and a negative limit of tokens were passed on; the caller got one choice, or an answer to nothing, with status 200. Several codes that callers can get were not in docs/OPERATING.md. Ruled out: answering several choices. Nobody's devices ask for them, and each choice would be an attempt of its own. Change: the request to a model is read and checked in chat_request.go; a test reads the codes from the sources and looks each up in docs/OPERATING.md. Conclusion: bad input of this kind now gets its error before it is routed.

--- /dev/null
+++ b/entry/callers_docs_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// refusalCode matches where the sources name the code of a refusal.
+var refusalCode = regexp.MustCompile(`(?:badRequest\(|GiveUp\(|refusal\(|RefusedError\{Status: )http\.Status\w+, (?:Code: )?"([a-z_]+)"`)
+
+// Every code that a caller can get is explained to operators.
+func TestRefusalCodesAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../docs/OPERATING.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const leastCodes = 20 // fewer means that the pattern no longer fits the sources
+	found := 0
+	for _, pattern := range []string{"*.go", "../dispatch/*.go"} {
+		files, err := filepath.Glob(pattern)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			found += checkRefusalCodes(t, file, string(page))
+		}
+	}
+	if found < leastCodes {
+		t.Errorf("got %d codes in the sources, want %d or more", found, leastCodes)
+	}
+}
+
+func checkRefusalCodes(t *testing.T, file, page string) int {
+	if strings.HasSuffix(file, "_test.go") {
+		return 0
+	}
+	source, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	codes := refusalCode.FindAllSubmatch(source, -1)
+	for _, m := range codes {
+		if code := string(m[1]); !strings.Contains(page, "`"+code+"`") {
+			t.Errorf("%s: code %q is not in docs/OPERATING.md", file, code)
+		}
+	}
+	return len(codes)
+}
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -26,26 +26,12 @@
 type style interface {
 	// prompt returns the text of the request that engines cache by prefix.
 	prompt(q *chatRequest) []byte
+	checkPrompt(prompt json.RawMessage) error
 	object(stream bool) string
 	choice(text string, finish *string, stream, first bool) choice
 	idPrefix() string
 }
 
-type chatRequest struct {
-	Model         string          `json:"model"`
-	Messages      json.RawMessage `json:"messages"`
-	Prompt        json.RawMessage `json:"prompt"`
-	Stream        bool            `json:"stream"`
-	MaxTokens     int             `json:"max_tokens"`
-	MaxCompletion int             `json:"max_completion_tokens"`
-	StreamOptions struct {
-		IncludeUsage bool `json:"include_usage"`
-	} `json:"stream_options"`
-}
-
-// tokenLimit returns how many tokens the caller allows, or 0.
-func (q *chatRequest) tokenLimit() int { return max(q.MaxTokens, q.MaxCompletion) }
-
 type message struct {
 	Role    string `json:"role,omitempty"`
 	Content string `json:"content"`
@@ -124,22 +110,18 @@
 		x.refuse(badRequest(http.StatusMethodNotAllowed, "method_not_allowed", "this path takes POST"))
 		return
 	}
-	var q chatRequest
-	if err := json.Unmarshal(x.body, &q); err != nil {
-		x.refuse(badRequest(http.StatusBadRequest, "bad_json", "the body is not the JSON of a request: "+err.Error()))
-		return
-	}
-	if len(s.prompt(&q)) == 0 {
-		x.refuse(badRequest(http.StatusBadRequest, "no_prompt", "the request holds no messages or prompt"))
+	q, refused := parseChatRequest(s, x.body)
+	if refused != nil {
+		x.refuse(refused)
 		return
 	}
-	j, refused := x.modelJob(s, &q)
+	j, refused := x.modelJob(s, q)
 	if refused != nil {
 		x.refuse(refused)
 		return
 	}
-	a := &chatAnswer{exchange: x, style: s, query: &q, model: x.target, created: x.started.Unix(),
-		usage: usage{PromptTokens: len(s.prompt(&q)) / bytesPerToken}}
+	a := &chatAnswer{exchange: x, style: s, query: q, model: x.target, created: x.started.Unix(),
+		usage: usage{PromptTokens: len(s.prompt(q)) / bytesPerToken}}
 	x.received(j)
 	a.end(x.run(x.r.Context(), j, a.piece))
 }
--- /dev/null
+++ b/entry/chat_request.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// This file reads what a caller asks of a model. Fields that the entry does not
+// read are the engine's. A request that asks for something that an answer could
+// not hold, such as several choices, is refused: leaving that out in silence
+// would give the caller less than the whole answer.
+
+type chatRequest struct {
+	Model         string          `json:"model"`
+	Messages      json.RawMessage `json:"messages"`
+	Prompt        json.RawMessage `json:"prompt"`
+	Stream        bool            `json:"stream"`
+	MaxTokens     int             `json:"max_tokens"`
+	MaxCompletion int             `json:"max_completion_tokens"`
+	Choices       int             `json:"n"`
+	BestOf        int             `json:"best_of"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// tokenLimit returns how many tokens the caller allows, or 0.
+func (q *chatRequest) tokenLimit() int { return max(q.MaxTokens, q.MaxCompletion) }
+
+// parseChatRequest returns the request in a body, or why it is refused.
+func parseChatRequest(s style, body []byte) (*chatRequest, *bamboostep.RefusedError) {
+	var q chatRequest
+	if err := json.Unmarshal(body, &q); err != nil {
+		return nil, badRequest(http.StatusBadRequest, "bad_json", "the body is not the JSON of a request: "+err.Error())
+	}
+	prompt := s.prompt(&q)
+	if len(prompt) == 0 || string(prompt) == "null" {
+		return nil, badRequest(http.StatusBadRequest, "no_prompt", "the request holds no messages or prompt")
+	}
+	if err := s.checkPrompt(prompt); err != nil {
+		return nil, badRequest(http.StatusBadRequest, "bad_prompt", err.Error())
+	}
+	if q.Choices > 1 || q.BestOf > 1 {
+		return nil, badRequest(http.StatusBadRequest, "many_choices", "a request gets one choice: \"n\" and \"best_of\" must be 1 or left out")
+	}
+	if q.MaxTokens < 0 || q.MaxCompletion < 0 {
+		return nil, badRequest(http.StatusBadRequest, "bad_token_limit", "a limit of tokens must not be negative")
+	}
+	return &q, nil
+}
+
+// checkPrompt refuses messages that are no list of objects.
+func (chatStyle) checkPrompt(prompt json.RawMessage) error {
+	var messages []struct{}
+	if err := json.Unmarshal(prompt, &messages); err != nil {
+		return fmt.Errorf("\"messages\" is not a list of messages: %w", err)
+	}
+	if len(messages) == 0 {
+		return fmt.Errorf("\"messages\" is empty")
+	}
+	return nil
+}
+
+// checkPrompt refuses a prompt that asks for several answers: each string of a
+// list, and each list of tokens in a list, is a prompt of its own.
+func (completionStyle) checkPrompt(prompt json.RawMessage) error {
+	var text string
+	if json.Unmarshal(prompt, &text) == nil {
+		return nil
+	}
+	var tokens []int
+	if json.Unmarshal(prompt, &tokens) == nil && len(tokens) > 0 {
+		return nil
+	}
+	var prompts []json.RawMessage
+	if err := json.Unmarshal(prompt, &prompts); err != nil {
+		return fmt.Errorf("\"prompt\" is neither a text nor a list: %w", err)
+	}
+	if len(prompts) != 1 {
+		return fmt.Errorf("\"prompt\" holds %d prompts, and a request gets one answer", len(prompts))
+	}
+	return nil
+}
