Overhead is measured without relays

Cause: the measurement started the cluster with a test relay before every agent. The relay is a hop of the scenarios (it cuts connections); no deployment has it, and it runs in the measuring process. Its two hops were counted as the path's.

Change: the cluster of the overhead measurement is Direct.

--- a/scenario/overhead.go
+++ b/scenario/overhead.go
@@ -25,7 +25,8 @@
 // request, over calling the engine stand-in directly. Both kinds of request are
 // sent in turn, open loop, in one run, so that both meet the same machine. The
 // engine steps fast and each answer is one token, since what is measured is the
-// path and not the engine.
+// path and not the engine. No relay stands between the processes, as the relays of
+// the scenarios would add a hop to the path that no deployment has.
 
 const (
 	maxLatencyMicros  = 60_000_000
@@ -64,7 +65,7 @@
 	defer os.RemoveAll(dir)
 	o.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
 	o.cluster = &cluster.Cluster{Bin: o.Bin, Dir: dir, Entries: 1, Engines: 3, Services: 2, EngineArgs: overheadEngine,
-		AgentLines: []string{"concurrency = 512", "queue = 4096"}}
+		AgentLines: []string{"concurrency = 512", "queue = 4096"}, Direct: true}
 	defer o.cluster.Stop()
 	if err := o.start(ctx, dir); err != nil {
 		return err
