An order that is not answered holds up no other order of its VM

Cause: the leader sent a VM's next order once the one before was answered, and showed the placer an unanswered order as a replica on its way. One order that an engine works on for long, one that waits for running attempts (up to 30 s), or one whose answer never comes held the VM's other orders back for up to 60 s.

Change: an agent's report shows the highest fence that it has taken up. From then on the leader takes the report as the truth about the replica, lays the order over reports no more, and sends the next. The agent reports at once when it takes an order up, unloads idle adapters side by side, and gives its engine every order under the highest fence seen, since orders for different replicas may now pass one another there. What is reserved is decided as before, by the agent alone.

--- a/backend/orders.go
+++ b/backend/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
@@ -56,6 +57,7 @@
 			s.changed.Wait()
 		}
 		s.mu.Unlock()
+		s.report() // the leader goes on once it sees that the order has been taken up
 		switch verdict {
 		case stock.Send:
 			return s.execute(order)
@@ -89,9 +91,11 @@
 	s.mu.Lock()
 	victims := s.memory.Victims(order.MiB, s.table.uses)
 	s.mu.Unlock()
+	var all sync.WaitGroup
 	for _, v := range victims {
-		_ = s.ownOrder(v)
+		all.Go(func() { _ = s.ownOrder(v) })
 	}
+	all.Wait()
 }
 
 func isLoad(kind bamboostep.OrderKind) bool {
@@ -150,7 +154,27 @@
 		defer s.mu.Unlock()
 		delete(s.unanswered, order)
 	}()
-	return s.Engine.Do(ctx, order)
+	return s.giveEngine(ctx, order)
+}
+
+// giveEngine gives the engine an order under the highest fence seen. Orders for
+// different replicas go side by side, so that an engine that fences would refuse
+// one that had to wait, or that a later one has overtaken, under its own.
+func (s *Server) giveEngine(ctx context.Context, order bamboostep.Order) error {
+	for {
+		order.Fence = s.highestFence()
+		err := s.Engine.Do(ctx, order)
+		var fenced *bamboostep.FencedError
+		if !errors.As(err, &fenced) || !order.Fence.Less(s.highestFence()) {
+			return err
+		}
+	}
+}
+
+func (s *Server) highestFence() bamboostep.Fence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.memory.Highest()
 }
 
 // giveUpAnswers stops waiting for answers that must have been lost. mu is held.
--- a/backend/orders_test.go
+++ b/backend/orders_test.go
@@ -130,3 +130,69 @@
 	}
 	t.Fatalf("%s is never answered as done, last code %q", order.Kind, last.Code)
 }
+
+// fencingEngine refuses an order under a lower fence than one it has taken.
+type fencingEngine struct {
+	gatedEngine
+	highest bamboostep.Fence
+}
+
+func (e *fencingEngine) Do(_ context.Context, order bamboostep.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if order.Fence.Less(e.highest) {
+		return &bamboostep.FencedError{Order: order.Fence, Highest: e.highest}
+	}
+	e.highest = order.Fence
+	return nil
+}
+
+// An unload that waits for an attempt to end lets later orders pass, and is still
+// done afterwards, by an engine that fences as well.
+func TestOrderThatWaitedIsNotFenced(t *testing.T) {
+	e := &fencingEngine{gatedEngine: gatedEngine{gate: make(chan string)}}
+	address, _ := startServer(t, "127.0.0.1:0", e)
+	c := startClient(t, address)
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	defer cancel()
+
+	load := bamboostep.Order{Fence: bamboostep.Fence{Term: 1, Sequence: 1}, Kind: bamboostep.LoadModel, Name: "n", Version: "v", MiB: 10}
+	if result, _ := giveOrder(t, ctx, c, load); result.Code != "" {
+		t.Fatalf("first load: got code %q, want none", result.Code)
+	}
+	running := offer(ctx, c, "a1")
+	e.gate <- "word "
+	unload := bamboostep.Order{Fence: bamboostep.Fence{Term: 1, Sequence: 2}, Kind: bamboostep.UnloadModel, Name: "m", MiB: 1}
+	unloaded := make(chan bamboostep.OrderResult, 1)
+	go func() {
+		result, _ := c.Order(ctx, unload)
+		unloaded <- result
+	}()
+	awaitFence(t, ctx, c, unload)
+	load.Fence.Sequence, load.Name = 3, "o"
+	if result, _ := giveOrder(t, ctx, c, load); result.Code != "" {
+		t.Errorf("load that passes: got code %q, want none", result.Code)
+	}
+	e.gate <- "."
+	if err := <-running.err; err != nil {
+		t.Errorf("attempt: %v", err)
+	}
+	if result := <-unloaded; result.Code != "" {
+		t.Errorf("unload that waited: got code %q (%s), want none", result.Code, result.Error)
+	}
+}
+
+// awaitFence waits until the agent has taken the order up: it then refuses one
+// under a lower fence.
+func awaitFence(t *testing.T, ctx context.Context, c repeater, taken bamboostep.Order) {
+	t.Helper()
+	probe := bamboostep.Order{Fence: taken.Fence, Kind: bamboostep.UnloadAdapter, Name: "probe"}
+	probe.Fence.Sequence--
+	for ctx.Err() == nil {
+		result, err := c.Order(ctx, probe)
+		if err == nil && result.Code == "fenced" {
+			return
+		}
+	}
+	t.Fatalf("order %v is never taken up", taken.Fence)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,6 +140,7 @@
 		Log:       e.log,
 		Current:   e.feed.Set,
 		OnSuspect: e.noteSuspects,
+		OnReport:  func(r bamboostep.Report) { e.placement.NoteReport(r) },
 		Dropped:   newDropped(e.registry),
 	}
 }
--- a/entry/placement.go
+++ b/entry/placement.go
@@ -19,6 +19,11 @@
 // shown to it as a replica that loads or unloads. A leader that has lost its
 // quorum stops at the next round; orders of its that are still on their way are
 // refused by agents that have seen the next leader's term.
+//
+// The hard point is an order that is long in being answered, or never is. Once a
+// report of its agent shows its fence, the agent has taken it up, and from then on
+// the report is the truth about the replica, whatever becomes of the answer: the
+// order is laid over reports no more, and the next one goes out.
 
 const (
 	roundInterval = time.Second
@@ -44,7 +49,8 @@
 	mu       sync.Mutex
 	demands  map[string]demandAt // by entry
 	pending  map[pendingKey]bamboostep.Order
-	queues   map[string][]queuedMove // by VM; there while its orders are being sent
+	queues   map[string][]queuedMove  // by VM; there while its orders are being sent
+	takenUp  map[string]chan struct{} // by VM: closed when the order that goes out is taken up
 	term     uint64
 	sequence uint64
 	moves    *prometheus.CounterVec
@@ -69,15 +75,7 @@
 
 // Run places until ctx ends.
 func (p *placement) Run(ctx context.Context) error {
-	p.pending = make(map[pendingKey]bamboostep.Order)
-	p.queues = make(map[string][]queuedMove)
-	p.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: "bamboostep",
-		Subsystem: "placement",
-		Name:      "moves_total",
-		Help:      "Orders given to agents, by kind, reason and result.",
-	}, []string{"kind", "reason", "result"})
-	p.Registry.MustRegister(p.moves)
+	p.prepare()
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
 	for {
@@ -90,6 +88,21 @@
 	}
 }
 
+func (p *placement) prepare() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pending = make(map[pendingKey]bamboostep.Order)
+	p.queues = make(map[string][]queuedMove)
+	p.takenUp = make(map[string]chan struct{})
+	p.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "bamboostep",
+		Subsystem: "placement",
+		Name:      "moves_total",
+		Help:      "Orders given to agents, by kind, reason and result.",
+	}, []string{"kind", "reason", "result"})
+	p.Registry.MustRegister(p.moves)
+}
+
 func (p *placement) round(ctx context.Context, now time.Time) {
 	leader, term, self := p.Leader()
 	p.NoteDemand(p.Name, p.Demand())
@@ -214,7 +227,7 @@
 }
 
 // give queues one order, unless one for the same replica is on its way. The orders
-// of one VM go out one after another, each once the one before has been answered:
+// of one VM go out one after another, each once the one before has been taken up:
 // sent side by side they would arrive in any order, and the agent refuses all but
 // the highest fence it has seen.
 func (p *placement) give(ctx context.Context, term uint64, move bamboostep.Move) {
@@ -251,7 +264,58 @@
 		if !ok {
 			return
 		}
+		p.send(ctx, s, move)
+	}
+}
+
+// send sends one order and returns once its agent has taken it up or answered it.
+func (p *placement) send(ctx context.Context, s *remoteServer, move bamboostep.Move) {
+	taken := p.begin(move)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
 		p.await(ctx, s, move)
+	}()
+	select {
+	case <-taken:
+	case <-answered:
+	}
+}
+
+// begin notes the fence of an order that goes out now, and returns a channel that
+// is closed when its agent has taken it up.
+func (p *placement) begin(move bamboostep.Move) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	taken := make(chan struct{})
+	p.takenUp[move.VM] = taken
+	p.pending[keyOf(move)] = move.Order
+	return taken
+}
+
+// NoteReport takes an agent's report: orders that it covers are on their way no
+// more.
+func (p *placement) NoteReport(r bamboostep.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for key, order := range p.pending {
+		if key.vm == r.VM && covers(r, order) {
+			delete(p.pending, key)
+			p.noteTakenUp(r.VM)
+		}
+	}
+}
+
+// covers reports whether the agent had taken up the order when it made the report.
+func covers(r bamboostep.Report, o bamboostep.Order) bool {
+	return o.Fence.Term != 0 && !r.Fence.Less(o.Fence)
+}
+
+// noteTakenUp lets the next order of the VM go out. mu is held.
+func (p *placement) noteTakenUp(vm string) {
+	if taken := p.takenUp[vm]; taken != nil {
+		close(taken)
+		delete(p.takenUp, vm)
 	}
 }
 
@@ -286,9 +350,7 @@
 	defer cancel()
 	p.record("order_given", move, "")
 	result, err := s.client.Order(ctx, move.Order)
-	p.mu.Lock()
-	delete(p.pending, keyOf(move))
-	p.mu.Unlock()
+	p.forget(move)
 	code := result.Code
 	if err != nil {
 		code = "no_answer"
@@ -301,6 +363,16 @@
 	p.record("order_"+code, move, result.Error)
 }
 
+// forget notes that an order is on its way no more. Another for its replica may
+// be already.
+func (p *placement) forget(move bamboostep.Move) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pending[keyOf(move)].Fence == move.Order.Fence {
+		delete(p.pending, keyOf(move))
+	}
+}
+
 func (p *placement) record(kind string, move bamboostep.Move, detail string) {
 	if detail == "" {
 		detail = string(move.Order.Kind) + " for " + move.Reason
--- /dev/null
+++ b/entry/placement_orders_test.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/backend"
+	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/daemon"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+// orderedWithin is the time in which a lost copy must be on its way again: a
+// change is in force everywhere within 6 s, and that of a copy is no slower.
+const orderedWithin = 6 * time.Second
+
+// stuckEngine never answers orders for what is named "stuck", which its state
+// shows at work for ever, and fences as an engine may.
+type stuckEngine struct {
+	mu      sync.Mutex
+	highest bamboostep.Fence
+	orders  map[string]bamboostep.Order // taken, by name
+	taken   chan string
+}
+
+func (e *stuckEngine) Generate(context.Context, bamboostep.Offer, func(bamboostep.Answer) error) error {
+	return nil
+}
+
+func (e *stuckEngine) Do(ctx context.Context, o bamboostep.Order) error {
+	if err := e.take(o); err != nil {
+		return err
+	}
+	if o.Name == "stuck" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (e *stuckEngine) take(o bamboostep.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Fence.Less(e.highest) {
+		return &bamboostep.FencedError{Order: o.Fence, Highest: e.highest}
+	}
+	e.highest = o.Fence
+	if _, again := e.orders[o.Name]; !again {
+		e.taken <- o.Name
+	}
+	e.orders[o.Name] = o
+	return nil
+}
+
+func (e *stuckEngine) State(context.Context) (bamboostep.EngineState, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := bamboostep.EngineState{Incarnation: "one", MemoryMiB: 100}
+	for name, o := range e.orders {
+		r := bamboostep.Replica{Name: name, Version: o.Version, MiB: o.MiB, State: bamboostep.ReplicaResident}
+		if name == "stuck" {
+			r.State = bamboostep.ReplicaLoading
+		}
+		s.Replicas = append(s.Replicas, r)
+	}
+	return s, nil
+}
+
+// startTestAgent runs an agent beside the engine and returns its VM.
+func startTestAgent(t *testing.T, ctx context.Context, e bamboostep.Engine) bamboostep.VM {
+	t.Helper()
+	nl, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := &timeline.Clock{Wall: daemon.SystemClock{}}
+	vm := bamboostep.VM{Name: "vm-1", Place: "engines", Address: nl.Addr().String(), State: bamboostep.VMLive}
+	s := &backend.Server{
+		Node:        &wire.Node{Hello: wire.Hello{Name: "vm-1", Role: "agent", Incarnation: 1}, Clock: clock},
+		VM:          vm,
+		Engine:      e,
+		MemoryMiB:   100,
+		Concurrency: 4,
+		Queue:       4,
+		Recorder:    &timeline.Recorder{Process: "vm-1", Clock: clock},
+	}
+	mux := &wire.Mux{}
+	s.Register(mux)
+	go (&wire.Listener{Node: s.Node, Net: nl, Handler: mux, Up: s.Up, Down: s.Down}).Run(ctx)
+	go s.Run(ctx)
+	return vm
+}
+
+type fixedPlatform []bamboostep.VM
+
+func (p fixedPlatform) VMs(context.Context) ([]bamboostep.VM, error) { return p, nil }
+
+// fixedPlacer wants the same moves in every round, but for replicas that are
+// there or on their way.
+type fixedPlacer []bamboostep.Move
+
+func (p fixedPlacer) Place(_ time.Time, fleet bamboostep.Fleet) []bamboostep.Move {
+	there := make(map[string]bool)
+	for _, vm := range fleet.VMs {
+		for _, r := range vm.Replicas {
+			there[r.Name] = true
+		}
+	}
+	var moves []bamboostep.Move
+	for _, m := range p {
+		if !there[m.Order.Name] {
+			moves = append(moves, m)
+		}
+	}
+	return moves
+}
+
+// startTestPlacement runs the placement of a leader.
+func startTestPlacement(t *testing.T, ctx context.Context, placer bamboostep.Placer, vms ...bamboostep.VM) {
+	t.Helper()
+	clock := &timeline.Clock{Wall: daemon.SystemClock{}}
+	recorder := &timeline.Recorder{Process: "entry-a", Clock: clock}
+	set := catalog.New(catalog.Objects{Places: []bamboostep.Place{{Name: "engines", Kind: bamboostep.EnginePlace}}}).WithRevision(1)
+	servers := &serverPool{
+		Node:     &wire.Node{Hello: wire.Hello{Name: "entry-a", Role: "entry", Incarnation: 1}, Clock: clock},
+		Platform: fixedPlatform(vms),
+		Recorder: recorder,
+		Log:      log.New(io.Discard),
+		Current:  func() *catalog.Set { return set },
+	}
+	p := &placement{
+		Name:     "entry-a",
+		Placer:   placer,
+		Servers:  servers,
+		Set:      servers.Current,
+		Leader:   func() (string, uint64, bool) { return "entry-a", 1, true },
+		Demand:   func() []bamboostep.Demand { return nil },
+		Recorder: recorder,
+		Registry: prometheus.NewRegistry(),
+	}
+	servers.OnReport = p.NoteReport
+	go servers.Run(ctx)
+	go p.Run(ctx)
+}
+
+func loadMove(vm, name string) bamboostep.Move {
+	return bamboostep.Move{VM: vm, Order: bamboostep.Order{Kind: bamboostep.LoadModel, Name: name, Version: "v", MiB: 10}}
+}
+
+// An order that is never answered holds up no other order of its VM: the agent's
+// report shows that it has been taken up.
+func TestUnansweredOrderHoldsUpNoOther(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e := &stuckEngine{orders: make(map[string]bamboostep.Order), taken: make(chan string, 3)}
+	vm := startTestAgent(t, ctx, e)
+	startTestPlacement(t, ctx, fixedPlacer{loadMove(vm.Name, "stuck"), loadMove(vm.Name, "lost"), loadMove(vm.Name, "third")}, vm)
+
+	if got, want := <-e.taken, "stuck"; got != want {
+		t.Fatalf("got the first order for %q, want %q", got, want)
+	}
+	late := time.After(orderedWithin)
+	for _, want := range []string{"lost", "third"} {
+		select {
+		case got := <-e.taken:
+			if got != want {
+				t.Errorf("got an order for %q, want %q", got, want)
+			}
+		case <-late:
+			t.Fatalf("no order for %q within %v of one that is never answered", want, orderedWithin)
+		}
+	}
+}
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -31,6 +31,7 @@
 	Log       *log.Logger
 	Current   func() *catalog.Set        // newest set, or nil
 	OnSuspect func([]bamboostep.Suspect) // crash suspects that agents report
+	OnReport  func(bamboostep.Report)    // every report, once Report returns it; may be nil
 	Dropped   prometheus.Counter         // pieces of answers that nothing waited for
 
 	mu       sync.Mutex
@@ -166,6 +167,9 @@
 
 func (p *serverPool) noteReport(s *remoteServer, r bamboostep.Report) {
 	s.last.Store(&reportAt{r, time.Now()})
+	if p.OnReport != nil {
+		p.OnReport(r)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.remotes[s.vm.Name] == s {
