Log lines are written off the path of requests

Cause: six events of a request at the entry and two at the agent were formatted and written to the log before the answer went on.

Change: the Recorder queues the event and writes its line 5 ms later, in order and with the event's own time. When 4,096 lines wait, Record writes them itself, so no line is dropped and memory is bounded. Programs flush before they end; a killed one loses the lines of its last milliseconds (docs/OPERATING.md).

--- a/agent/run.go
+++ b/agent/run.go
@@ -36,6 +36,7 @@
 	registry := daemon.NewRegistry()
 	clock := &timeline.Clock{Wall: daemon.SystemClock{}}
 	recorder := &timeline.Recorder{Process: cfg.Name, Clock: clock, Log: logger}
+	defer recorder.Flush()
 	node := &wire.Node{
 		Hello:   wire.Hello{Name: cfg.Name, Role: "agent", Incarnation: uint64(time.Now().UnixNano())},
 		Clock:   clock,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -298,6 +298,7 @@
 	if err != nil {
 		return err
 	}
+	defer e.recorder.Flush()
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	g, parts := errgroup.WithContext(parts)
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -2,7 +2,7 @@
 // would call it a distributed trace log.
 //
 // Every process keeps its last events in a ring of fixed size and writes each as
-// one key=value log line. An operator's query is sent to all processes and the
+// one key=value log line, off the path of requests. An operator's query is sent to all processes and the
 // answers are merged by a hybrid logical clock, which rides on every frame
 // between processes. That clock is the hard point: hosts' wall clocks may be off
 // by seconds, yet an event must never sort before the event that caused it.
@@ -69,15 +69,16 @@
 	mu     sync.Mutex
 	events []Event
 	next   int
+	lines  lines
 }
 
-// Record stamps e, keeps it and logs it.
+// Record stamps e, keeps it and logs it, the last a moment later.
 func (r *Recorder) Record(e Event) {
 	e.Stamp = r.Clock.Now()
 	e.Process = r.Process
 	r.keep(e)
 	if r.Log != nil {
-		r.Log.Info(e.Kind, keyValues(e)...)
+		r.lines.add(r.Log, e)
 	}
 }
 
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -1,10 +1,16 @@
 package timeline_test
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -48,3 +54,79 @@
 		t.Errorf("kept events = %q, want %q", got, want)
 	}
 }
+
+// logText is the target of a logger.
+type logText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (t *logText) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.text.Write(p)
+}
+
+func (t *logText) lines() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return strings.Split(strings.TrimSuffix(t.text.String(), "\n"), "\n")
+}
+
+func newLogged(t *logText) *timeline.Recorder {
+	l := log.NewWithOptions(t, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter})
+	return &timeline.Recorder{Process: "p", Clock: &timeline.Clock{Wall: &wall{time.UnixMilli(1)}}, Log: l}
+}
+
+// Lines come by themselves, in the order of the events and with their times.
+func TestLinesFollowEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out logText
+		r := newLogged(&out)
+		var want []string
+		for i := range 3 {
+			want = append(want, fmt.Sprintf("time=%s level=info msg=event_%d vm=vm-1", time.Now().Format(time.RFC3339Nano), i))
+			r.Record(timeline.Event{Kind: fmt.Sprint("event_", i), VM: "vm-1"})
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		got := out.lines()
+		if fmt.Sprint(got) != fmt.Sprint(want) {
+			t.Errorf("log = %q, want %q", got, want)
+		}
+	})
+}
+
+// No line is lost or swapped when many goroutines record more than may wait.
+func TestEveryEventHasItsLine(t *testing.T) {
+	const writers, each = 4, 3000
+	var out logText
+	r := newLogged(&out)
+	var all sync.WaitGroup
+	for w := range writers {
+		all.Go(func() {
+			for i := range each {
+				r.Record(timeline.Event{Kind: "event", VM: fmt.Sprint(w), Revision: uint64(i + 1)})
+			}
+		})
+	}
+	all.Wait()
+	r.Flush()
+	lines := out.lines()
+	if got, want := len(lines), writers*each; got != want {
+		t.Fatalf("%d lines, want %d", got, want)
+	}
+	last := make(map[string]int)
+	for _, line := range lines {
+		_, fields, _ := strings.Cut(line, " vm=")
+		var vm string
+		var n int
+		if _, err := fmt.Sscanf(fields, "%s revision=%d", &vm, &n); err != nil {
+			t.Fatalf("line %q: %v", line, err)
+		}
+		if n != last[vm]+1 {
+			t.Fatalf("line %d of vm %s follows line %d", n, vm, last[vm])
+		}
+		last[vm] = n
+	}
+}
