A choice keeps its candidates and looks a prompt up once

Change: the holders of a model are kept as candidates until a report or the membership says otherwise, and a choice sets only what changed; which of them hold an adapter is kept too. dispatch.PrefixIndex finds the caches that hold a block, so a prompt costs one look-up a block and not one a block and backend server. It costs about 40 to 50 bytes more for each remembered block.

Found on the way, by the new property test before the change was whole: a backend server that came back in the same 20 ms in which another went left the old list of holders in place, as only the length was compared. The positions are compared now.

Tests: the kept candidates against a plain listing, the index against each cache alone (rapid). The benchmark has full caches, an adapter and shared prompts.

--- a/dispatch/course.go
+++ b/dispatch/course.go
@@ -96,6 +96,9 @@
 // Tried reports whether an attempt at the VM has failed.
 func (c *Course) Tried(vm string) bool { return slices.Contains(c.tried, vm) }
 
+// TriedAny reports whether an attempt at any VM has failed.
+func (c *Course) TriedAny() bool { return len(c.tried) > 0 }
+
 // Forget makes all VMs eligible again, when every one has been tried.
 func (c *Course) Forget() { c.tried = c.tried[:0] }
 
--- a/dispatch/policy_test.go
+++ b/dispatch/policy_test.go
@@ -170,3 +170,31 @@
 		t.Errorf("after a drop matched %d blocks, want %d", got, want)
 	}
 }
+
+// Whatever the caches took in and dropped, the index finds what each cache alone
+// would.
+func TestPrefixIndexFindsWhatEachCacheHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var index dispatch.PrefixIndex
+		caches := make([]*dispatch.PrefixCache, 5)
+		for i := range caches {
+			caches[i] = &dispatch.PrefixCache{Limit: 4, Index: &index}
+		}
+		prompt := rapid.SliceOfN(rapid.Uint64Range(1, 8), 0, 6)
+		cache := rapid.SampledFrom(caches)
+		t.Repeat(map[string]func(*rapid.T){
+			"add":   func(t *rapid.T) { cache.Draw(t, "cache").Add(prompt.Draw(t, "prompt")) },
+			"drop":  func(t *rapid.T) { cache.Draw(t, "cache").Drop(prompt.Draw(t, "blocks")) },
+			"clear": func(t *rapid.T) { cache.Draw(t, "cache").Clear() },
+			"": func(t *rapid.T) {
+				asked := prompt.Draw(t, "asked")
+				index.Match(asked)
+				for i, p := range caches {
+					if got, want := p.Matched(), p.Match(asked); got != want {
+						t.Fatalf("cache %d holds %d leading blocks of %v, want %d", i, got, asked, want)
+					}
+				}
+			},
+		})
+	})
+}
--- a/dispatch/prefix.go
+++ b/dispatch/prefix.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -10,6 +11,10 @@
 // hold. Engines publish cache events late and with gaps, so the guess is made of
 // what this entry sent there; an event can only take blocks out of it. A wrong
 // guess costs a choice that is a little worse and nothing else.
+//
+// A choice compares one prompt with the caches of all candidates. The index turns
+// the caches round, so that it looks each block of the prompt up once, however
+// many backend servers there are.
 
 const (
 	prefixBlockBytes = 256  // prompt bytes in one block
@@ -37,11 +42,77 @@
 // PrefixCache guesses which prompt blocks one engine has cached. It forgets the
 // least recently used. The zero value is empty.
 type PrefixCache struct {
-	Limit  int // blocks remembered at most; 4096 if 0
+	Limit int          // blocks remembered at most; 4096 if 0
+	Index *PrefixIndex // that the cache belongs to; may be nil
+
+	round   uint64 // of the index, in which the cache matched
+	matched int    // leading blocks of that round's prompt
+
 	blocks map[uint64]*list.Element
 	recent list.List // of uint64, the most recent in front
 }
 
+// PrefixIndex knows which caches hold a block. It and its caches are for one
+// goroutine at a time. The zero value is empty.
+type PrefixIndex struct {
+	round   uint64
+	holders map[uint64][]*PrefixCache
+}
+
+// Match compares a prompt with all caches of the index. Matched returns the
+// result for each, until the next call.
+func (x *PrefixIndex) Match(prefix []uint64) {
+	x.round++
+	for i, h := range prefix {
+		more := false
+		for _, p := range x.holders[h] {
+			if p.Matched() == i {
+				p.round = x.round
+				p.matched = i + 1
+				more = true
+			}
+		}
+		if !more {
+			return
+		}
+	}
+}
+
+func (x *PrefixIndex) add(h uint64, p *PrefixCache) {
+	if x == nil {
+		return
+	}
+	if x.holders == nil {
+		x.holders = make(map[uint64][]*PrefixCache)
+	}
+	x.holders[h] = append(x.holders[h], p)
+}
+
+func (x *PrefixIndex) remove(h uint64, p *PrefixCache) {
+	if x == nil {
+		return
+	}
+	list := x.holders[h]
+	if len(list) == 1 {
+		delete(x.holders, h)
+		return
+	}
+	i := slices.Index(list, p)
+	last := len(list) - 1
+	list[i] = list[last]
+	list[last] = nil
+	x.holders[h] = list[:last]
+}
+
+// Matched returns how many leading blocks of the prompt that the index last
+// compared are expected in the cache.
+func (p *PrefixCache) Matched() int {
+	if p.round != p.Index.round {
+		return 0
+	}
+	return p.matched
+}
+
 // Match returns how many leading blocks of a prompt are expected in the cache.
 func (p *PrefixCache) Match(prefix []uint64) int {
 	for i, h := range prefix {
@@ -63,6 +134,7 @@
 			continue
 		}
 		p.blocks[h] = p.recent.PushFront(h)
+		p.Index.add(h, p)
 	}
 	limit := p.Limit
 	if limit == 0 {
@@ -84,11 +156,16 @@
 
 // Clear notes that the engine holds nothing.
 func (p *PrefixCache) Clear() {
+	for h := range p.blocks {
+		p.Index.remove(h, p)
+	}
 	clear(p.blocks)
 	p.recent.Init()
 }
 
 func (p *PrefixCache) remove(e *list.Element) {
-	delete(p.blocks, e.Value.(uint64))
+	h := e.Value.(uint64)
+	delete(p.blocks, h)
 	p.recent.Remove(e)
+	p.Index.remove(h, p)
 }
--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -12,8 +12,9 @@
 // This file holds what an entry knows of each backend server (a lane), and the
 // choice of one for an attempt.
 //
-// A choice looks only at the holders of the wanted model, which are listed once
-// and kept until some report says otherwise. Reports are read at most every
+// A choice looks only at the holders of the wanted model. They are listed once, as
+// candidates, and kept until some report says otherwise; a choice only sets what
+// has changed since the last one. Reports are read at most every
 // refreshTime: a backend server that stopped in the meantime refuses the offer,
 // and the request goes elsewhere. What changes with every request, the entry's own
 // attempts in flight, is always up to date.
@@ -22,43 +23,51 @@
 
 // lanes holds one lane for each backend server that this entry has seen.
 type lanes struct {
-	mu         sync.Mutex
-	byVM       map[string]*lane
-	views      map[string]*view       // by place
-	candidates []bamboostep.Candidate // reused by every choice
-	chosen     []*lane                // the same, index by index
-	waits      map[waitKey]*dispatch.Wait
+	mu       sync.Mutex
+	byVM     map[string]*lane
+	views    map[string]*view // by place
+	untried  holders          // reused by every choice of a request that has tried some
+	waits    map[waitKey]*dispatch.Wait
+	prefixes dispatch.PrefixIndex
 }
 
-// lane is one backend server.
+// lane is one backend server. What every choice reads stands first, together.
 type lane struct {
-	server    server
-	vm        bamboostep.VM
-	ready     bool
-	reported  float64              // queue by the last report, tokens
-	trueAt    time.Time            // when that was so
-	replicas  []bamboostep.Replica // that resident was made from
-	resident  map[string]bool      // models and adapters
-	reportID  [2]uint64            // incarnation and sequence of the last report
-	inFlight  int                  // this entry's own attempts
-	work      float64              // their remaining work, tokens
-	suspects  int                  // those that run alone
-	cache     dispatch.PrefixCache
-	candidate bamboostep.Candidate // the part that only reports change
+	inFlight int       // this entry's own attempts
+	work     float64   // their remaining work, tokens
+	suspects int       // those that run alone
+	reported float64   // queue by the last report, tokens
+	trueAt   time.Time // when that was so
+	cache    dispatch.PrefixCache
+
+	server   server
+	vm       bamboostep.VM
+	local    bool // in the entry's own failure domain
+	ready    bool
+	replicas []bamboostep.Replica // that resident was made from
+	resident map[string]bool      // models and adapters
+	reportID [2]uint64            // incarnation and sequence of the last report
+}
+
+// holders are backend servers that hold a model, as candidates.
+type holders struct {
+	lanes      []*lane
+	candidates []bamboostep.Candidate // index by index
+	resident   map[string][]bool      // by adapter, index by index
 }
 
 // view is one place as of the last reading of reports.
 type view struct {
 	at      time.Time
 	lanes   []*lane
-	holders map[string][]*lane   // by model; those of services by ""
+	holders map[string]*holders  // by model; those of services by ""
 	missing map[string]time.Time // models that nobody held, and since when
 }
 
 func (l *lanes) lane(vm string) *lane {
 	n := l.byVM[vm]
 	if n == nil {
-		n = &lane{}
+		n = &lane{cache: dispatch.PrefixCache{Index: &l.prefixes}}
 		l.byVM[vm] = n
 	}
 	return n
@@ -87,16 +96,17 @@
 // one of them may have changed.
 func (c *callers) refresh(v *view, servers []server) {
 	changed := len(servers) != len(v.lanes)
+	before := v.lanes
 	v.lanes = v.lanes[:0]
-	for _, s := range servers {
+	for i, s := range servers {
 		n := c.lanes.lane(s.VM().Name)
-		v.lanes = append(v.lanes, n)
-		if n.learn(s, c.FailureDomain) {
+		if n.learn(s, c.FailureDomain) || i >= len(before) || before[i] != n {
 			changed = true
 		}
+		v.lanes = append(v.lanes, n)
 	}
 	if changed || v.holders == nil {
-		v.holders = make(map[string][]*lane)
+		v.holders = make(map[string]*holders)
 		c.lanes.prune()
 	}
 }
@@ -118,6 +128,7 @@
 	}
 	for vm, n := range l.byVM {
 		if !listed[n] && n.inFlight == 0 {
+			n.cache.Clear()
 			delete(l.byVM, vm)
 			continue
 		}
@@ -145,7 +156,7 @@
 	n.reported = r.EngineLoad + float64(r.Waiting)*defaultAnswerTokens
 	n.trueAt = at.Add(-r.LoadAge)
 	n.reportID = id
-	n.candidate = bamboostep.Candidate{VM: n.vm.Name, FailureDomain: n.vm.FailureDomain, Local: n.vm.FailureDomain == ownDomain}
+	n.local = n.vm.FailureDomain == ownDomain
 	if changed {
 		n.learnReplicas(r.Replicas)
 	}
@@ -170,20 +181,62 @@
 
 // holding returns the backend servers that can run a model now; the model of a
 // service is "".
-func (v *view) holding(model string) []*lane {
-	list, ok := v.holders[model]
-	if ok {
-		return list
+func (v *view) holding(model string) *holders {
+	h := v.holders[model]
+	if h != nil {
+		return h
 	}
+	h = &holders{}
 	for _, n := range v.lanes {
 		if n.ready && (model == "" || n.resident[model]) {
-			list = append(list, n)
+			h.add(n, bamboostep.Candidate{VM: n.vm.Name, FailureDomain: n.vm.FailureDomain, Local: n.local})
 		}
 	}
-	if len(list) > 0 {
+	if len(h.lanes) > 0 {
 		delete(v.missing, model)
 	}
-	v.holders[model] = list
+	v.holders[model] = h
+	return h
+}
+
+func (h *holders) add(n *lane, c bamboostep.Candidate) {
+	h.lanes = append(h.lanes, n)
+	h.candidates = append(h.candidates, c)
+}
+
+// update sets what a choice for j reads and may have changed since the last one. The
+// prompt of j has been compared with all caches.
+func (h *holders) update(j *job, now time.Time) {
+	resident := h.residents(j.request.Adapter)
+	for i, n := range h.lanes {
+		at := &h.candidates[i]
+		at.Resident = resident == nil || resident[i]
+		at.InFlight = n.inFlight
+		at.InFlightWork = n.work
+		at.Reported = n.reported
+		at.ReportAge = now.Sub(n.trueAt)
+		at.Suspects = n.suspects
+		at.CachedBlocks = n.cache.Matched()
+	}
+}
+
+// residents returns which holders have the adapter, or nil when none is named.
+func (h *holders) residents(adapter string) []bool {
+	if adapter == "" {
+		return nil
+	}
+	list, ok := h.resident[adapter]
+	if ok {
+		return list
+	}
+	if h.resident == nil {
+		h.resident = make(map[string][]bool)
+	}
+	list = make([]bool, len(h.lanes))
+	for i, n := range h.lanes {
+		list[i] = n.resident[adapter]
+	}
+	h.resident[adapter] = list
 	return list
 }
 
@@ -193,42 +246,38 @@
 	now := c.Clock.Now()
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
-	c.gather(j, now)
-	i, ok := c.pick(j, now)
+	h := c.gather(j, now)
+	i, ok := c.pick(j, now, h.candidates)
 	if !ok {
 		return nil
 	}
-	return c.lanes.enter(c.lanes.chosen[i], &c.lanes.candidates[i], j, now)
+	return c.lanes.enter(h.lanes[i], &h.candidates[i], j, now)
 }
 
-func (c *callers) pick(j *job, now time.Time) (int, bool) {
+func (c *callers) pick(j *job, now time.Time, candidates []bamboostep.Candidate) (int, bool) {
 	if j.verdict.Alone {
-		return dispatch.PickSuspect(j.place, c.lanes.candidates)
+		return dispatch.PickSuspect(j.place, candidates)
 	}
-	return c.Router.Pick(now, j.request, c.lanes.candidates, c.Seed+c.picks.Add(1))
+	return c.Router.Pick(now, j.request, candidates, c.Seed+c.picks.Add(1))
 }
 
-// gather lists the candidates for j.
-func (c *callers) gather(j *job, now time.Time) {
-	l := &c.lanes
-	l.candidates = l.candidates[:0]
-	l.chosen = l.chosen[:0]
-	adapter := j.request.Adapter
-	for _, n := range c.view(j.place, now).holding(j.model) {
-		if j.course.Tried(n.vm.Name) {
-			continue
+// gather returns the candidates for j, which stay as they are until the next call.
+func (c *callers) gather(j *job, now time.Time) *holders {
+	h := c.view(j.place, now).holding(j.model)
+	c.lanes.prefixes.Match(j.request.Prefix)
+	h.update(j, now)
+	if !j.course.TriedAny() {
+		return h
+	}
+	u := &c.lanes.untried
+	u.lanes = u.lanes[:0]
+	u.candidates = u.candidates[:0]
+	for i, n := range h.lanes {
+		if !j.course.Tried(n.vm.Name) {
+			u.add(n, h.candidates[i])
 		}
-		l.chosen = append(l.chosen, n)
-		l.candidates = append(l.candidates, n.candidate)
-		at := &l.candidates[len(l.candidates)-1]
-		at.Resident = adapter == "" || n.resident[adapter]
-		at.InFlight = n.inFlight
-		at.InFlightWork = n.work
-		at.Reported = n.reported
-		at.ReportAge = now.Sub(n.trueAt)
-		at.Suspects = n.suspects
-		at.CachedBlocks = n.cache.Match(j.request.Prefix)
 	}
+	return u
 }
 
 // slot is the place of one attempt in a lane.
@@ -310,7 +359,7 @@
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
 	v := c.view(j.place, now)
-	if len(v.holding(j.model)) > 0 {
+	if len(v.holding(j.model).lanes) > 0 {
 		return j.course.Deadline
 	}
 	since, known := v.missing[j.model]
--- a/entry/callers_route_test.go
+++ b/entry/callers_route_test.go
@@ -4,11 +4,15 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/dispatch"
 )
 
 // stillServer is a backend server whose report is ready made.
@@ -64,6 +68,130 @@
 	}
 }
 
+// setClock is a clock that stands still.
+type setClock struct{ now time.Time }
+
+func (c *setClock) Now() time.Time { return c.now }
+
+// plainGather lists the candidates for j without anything kept from before.
+func plainGather(c *callers, j *job, now time.Time) []bamboostep.Candidate {
+	var list []bamboostep.Candidate
+	for _, s := range c.Fleet.Servers(j.place) {
+		r, at := s.Report()
+		held := make(map[string]bool)
+		for _, p := range r.Replicas {
+			held[p.Name] = p.State == bamboostep.ReplicaResident
+		}
+		if !r.Ready || r.Leaving || (j.model != "" && !held[j.model]) || j.course.Tried(s.VM().Name) {
+			continue
+		}
+		n := c.lanes.byVM[s.VM().Name]
+		list = append(list, bamboostep.Candidate{
+			VM:            s.VM().Name,
+			FailureDomain: s.VM().FailureDomain,
+			Local:         s.VM().FailureDomain == c.FailureDomain,
+			Resident:      j.request.Adapter == "" || held[j.request.Adapter],
+			InFlight:      n.inFlight,
+			InFlightWork:  n.work,
+			Reported:      r.EngineLoad + float64(r.Waiting)*defaultAnswerTokens,
+			ReportAge:     now.Sub(at.Add(-r.LoadAge)),
+			CachedBlocks:  n.cache.Match(j.request.Prefix),
+			Suspects:      n.suspects,
+		})
+	}
+	return list
+}
+
+// Whatever reports, choices and failures came before, the candidates are those
+// that a plain listing gives.
+func TestKeptCandidatesAreThosePlainlyListed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d"}
+		f := newStillFleet(0)
+		clock := &setClock{now: time.Unix(1000, 0)}
+		c := newTestCallers(f, nil)
+		c.Clock = clock
+		c.FailureDomain = "near"
+		c.once.Do(c.init)
+		var slots []*slot
+		var gone []server
+		draw := func(n int, label string) int { return rapid.IntRange(0, n-1).Draw(t, label) }
+		report := func(s *stillServer) {
+			s.report.Sequence++
+			s.report.Ready = draw(8, "ready") > 0
+			s.report.Leaving = draw(8, "leaving") == 0
+			s.report.EngineLoad = float64(draw(500, "load"))
+			s.report.Waiting = draw(3, "waiting")
+			s.report.CacheDropped = []uint64{1, 2, 3}[draw(4, "dropped"):]
+			s.at = clock.now
+			if draw(2, "replicas change") == 0 {
+				return
+			}
+			s.report.Replicas = nil
+			for _, name := range names {
+				states := []bamboostep.ReplicaState{bamboostep.ReplicaResident, bamboostep.ReplicaLoading}
+				if draw(3, "held") > 0 {
+					s.report.Replicas = append(s.report.Replicas, bamboostep.Replica{Name: name, State: states[draw(2, "state")]})
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"come": func(*rapid.T) {
+				domain := []string{"near", "far"}[draw(2, "domain")]
+				s := &stillServer{fakeServer: fakeServer{vm: bamboostep.VM{Name: fmt.Sprint("vm-", draw(6, "vm")), FailureDomain: domain}}}
+				f.list = slices.DeleteFunc(f.list, func(o server) bool { return o.VM().Name == s.vm.Name })
+				s.report.Incarnation = uint64(draw(2, "incarnation"))
+				f.list = append(f.list, s)
+				report(s)
+			},
+			"go": func(*rapid.T) {
+				if len(f.list) > 0 {
+					i := draw(len(f.list), "server")
+					gone = append(gone, f.list[i])
+					f.list = slices.Delete(f.list, i, i+1)
+				}
+			},
+			"come back": func(*rapid.T) {
+				if len(gone) > 0 && !slices.ContainsFunc(f.list, func(o server) bool { return o.VM().Name == gone[0].VM().Name }) {
+					f.list = append(f.list, gone[0])
+					gone = gone[1:]
+				}
+			},
+			"report": func(*rapid.T) {
+				if len(f.list) > 0 {
+					report(f.list[draw(len(f.list), "server")].(*stillServer))
+				}
+			},
+			"end": func(*rapid.T) {
+				if len(slots) > 0 {
+					slots[0].leave()
+					slots = slots[1:]
+				}
+			},
+			"choose": func(t *rapid.T) {
+				clock.now = clock.now.Add(refreshTime)
+				j := &job{place: "engines", model: append(names, "")[draw(5, "model")], work: 100}
+				j.request.Adapter = append(names, "")[draw(5, "adapter")]
+				j.request.Prefix = []uint64{1, 2, 3}[:draw(4, "prefix")]
+				j.verdict.Alone = draw(4, "alone") == 0
+				if draw(3, "tried") == 0 {
+					now, vm := clock.now, fmt.Sprint("vm-", draw(6, "tried vm"))
+					j.course.Deadline = now.Add(time.Hour)
+					j.course.Budget = &dispatch.Budget{}
+					j.course.Failed(now, vm, bamboostep.Failure{Outcome: bamboostep.NotRun})
+				}
+				got := c.gather(j, clock.now).candidates
+				if want := plainGather(c, j, clock.now); !slices.Equal(got, want) {
+					t.Fatalf("candidates for %+v:\ngot  %+v\nwant %+v", j.request, got, want)
+				}
+				if p := c.choose(j); p != nil {
+					slots = append(slots, p)
+				}
+			},
+		})
+	})
+}
+
 // A backend server that went is forgotten, so replaced VMs take no memory.
 func TestGoneBackendServersAreForgotten(t *testing.T) {
 	f := newStillFleet(10)
@@ -79,16 +207,41 @@
 	}
 }
 
-// BenchmarkChoose200 is the whole decision: listing the candidates, scoring them
-// and entering the attempt.
-func BenchmarkChoose200(b *testing.B) {
-	c := newTestCallers(newStillFleet(200), nil)
-	c.once.Do(c.init)
-	j := &job{place: "engines", model: "base", work: 100, request: bamboostep.Request{Prefix: []uint64{1, 2, 3, 4}}}
-	b.ReportAllocs()
-	for b.Loop() {
-		chooseOnce(c, j, b)
+// BenchmarkChoose is the whole decision: listing the candidates, scoring them and
+// entering the attempt.
+func BenchmarkChoose(b *testing.B) {
+	prompt := []uint64{1, 2, 3, 4}
+	tests := map[string]struct {
+		adapter string
+		shared  int // leading blocks of the prompt that every backend server has cached
+	}{
+		"Model":                {},
+		"Adapter":              {adapter: "other-9"},
+		"AdapterSharedPrompts": {adapter: "other-9", shared: 2},
+	}
+	for name, tt := range tests {
+		b.Run(name, func(b *testing.B) {
+			c := newTestCallers(newStillFleet(200), nil)
+			c.once.Do(c.init)
+			j := &job{place: "engines", model: "base", work: 100, request: bamboostep.Request{Adapter: tt.adapter, Prefix: prompt}}
+			chooseOnce(c, j, b)
+			for i, n := range c.lanes.views["engines"].lanes {
+				fillCache(n, i, prompt[:tt.shared])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				chooseOnce(c, j, b)
+			}
+		})
+	}
+}
+
+// fillCache fills the prefix cache of a lane.
+func fillCache(n *lane, number int, prompt []uint64) {
+	for k := range n.cache.Limit {
+		n.cache.Add([]uint64{uint64(number*allCacheBlocks + k + 1000)})
 	}
+	n.cache.Add(prompt)
 }
 
 // BenchmarkChat is one streamed answer of eight tokens, without any network.
