An order to an engine that stands still is given up

Cause: an order was given up only on what the engine's own state showed. Of an engine that stands still no state comes, so its load took a turn at the store for the two minutes of the agent's timeout; at one store two such loads are all.

Ruled out: freeing its memory; the engine may still begin the load, so it stays reserved until the state settles it, as for any lost answer.

Change: an order is given up as well when the state has not been told for the settling time.

--- a/backend/orders.go
+++ b/backend/orders.go
@@ -177,10 +177,13 @@
 	return s.memory.Highest()
 }
 
-// giveUpAnswers stops waiting for answers that must have been lost. mu is held.
+// giveUpAnswers stops waiting for answers that must have been lost.
 func (s *Server) giveUpAnswers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Node.Uptime()
 	for order, cancel := range s.unanswered {
-		if s.memory.Unanswered(order) {
+		if s.memory.Unanswered(now, order) {
 			cancel()
 		}
 	}
--- a/backend/orders_test.go
+++ b/backend/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,6 +93,45 @@
 	}
 }
 
+// freezingEngine stands still for good once it is given an order.
+type freezingEngine struct {
+	muteEngine
+	frozen atomic.Bool
+}
+
+func (e *freezingEngine) Do(ctx context.Context, order bamboostep.Order) error {
+	e.frozen.Store(true)
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (e *freezingEngine) State(ctx context.Context) (bamboostep.EngineState, error) {
+	if !e.frozen.Load() {
+		return e.muteEngine.State(ctx)
+	}
+	<-ctx.Done()
+	return bamboostep.EngineState{}, ctx.Err()
+}
+
+// An order to an engine that stands still is given up as soon, so that it takes
+// no turn at the store. Its memory stays reserved.
+func TestOrderOfFrozenEngineIsGivenUp(t *testing.T) {
+	address, _ := startServer(t, "127.0.0.1:0", &freezingEngine{})
+	c := startClient(t, address)
+	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
+	defer cancel()
+
+	order := bamboostep.Order{Fence: bamboostep.Fence{Term: 1, Sequence: 1}, Kind: bamboostep.LoadModel, Name: "n", Version: "v", MiB: 100}
+	result, took := giveOrder(t, ctx, c, order)
+	if result.Code != "lost" || took > lostAnswerLimit {
+		t.Errorf("got code %q after %v, want lost within %v", result.Code, took, lostAnswerLimit)
+	}
+	order.Fence.Sequence, order.Name = 2, "o"
+	if result, _ = giveOrder(t, ctx, c, order); result.Code != "no_memory" {
+		t.Errorf("another load: got code %q, want no_memory", result.Code)
+	}
+}
+
 // lostAnswerLimit is the settling time of the memory account and some seconds for
 // a busy machine.
 const lostAnswerLimit = 6 * time.Second
--- a/backend/report.go
+++ b/backend/report.go
@@ -30,6 +30,7 @@
 }
 
 func (s *Server) lookAtEngine(ctx context.Context) {
+	defer s.giveUpAnswers()
 	asked := s.Node.Uptime()
 	state, err := s.Engine.State(ctx)
 	if err != nil {
@@ -42,7 +43,6 @@
 	}
 	s.backend.seenAt = asked
 	s.memory.Observe(asked, state)
-	s.giveUpAnswers()
 	s.backend.incarnation = state.Incarnation
 	s.backend.load = state.QueuedTokens
 	s.backend.loadAt = asked - time.Duration(state.AgeMS)*time.Millisecond
--- a/stock/memory.go
+++ b/stock/memory.go
@@ -330,12 +330,18 @@
 }
 
 // Unanswered reports whether the engine's own state has not shown an order at
-// work for the settling time, without its answer having come. The order or its
-// answer then counts as lost: waiting on would hold the replica up for as long as
-// the sender's timeout.
-func (m *Memory) Unanswered(order bamboostep.Order) bool {
+// work for the settling time, or has not been told for as long, without the order's
+// answer having come. The order or its answer then counts as lost: waiting on
+// would hold the replica up for as long as the sender's timeout.
+func (m *Memory) Unanswered(now time.Duration, order bamboostep.Order) bool {
 	h := m.holdings[keyOf(order)]
-	return h != nil && h.quietFrom != 0 && m.spanTo-max(h.quietFrom, m.spanFrom) >= m.settle()
+	if h == nil {
+		return false
+	}
+	if now-max(h.since, m.spanTo) >= m.settle() {
+		return true
+	}
+	return h.quietFrom != 0 && m.spanTo-max(h.quietFrom, m.spanFrom) >= m.settle()
 }
 
 // Finish takes the end of an order that Begin or BeginOwn let through.
