--- a/entry/callers.go
+++ b/entry/callers.go
@@ -113,6 +113,7 @@
 type callers struct {
 	Name          string // of this entry
 	FailureDomain string
+	Region        string // own; empty if none is declared
 	Fleet         fleet
 	Ledger        bamboostep.Ledger
 	Suspects      *dispatch.Suspects
--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -7,6 +7,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/roster"
 )
 
 // This file holds what an entry knows of each backend server (a lane), and the
@@ -39,6 +40,7 @@
 	trueAt    time.Time            // when that was so
 	replicas  []bamboostep.Replica // that resident was made from
 	resident  map[string]bool      // models and adapters
+	elsewhere bool                 // of another region
 	reportID  [2]uint64            // incarnation and sequence of the last report
 	inFlight  int                  // this entry's own attempts
 	work      float64              // their remaining work, tokens
@@ -92,6 +94,7 @@
 		n := c.lanes.lane(s.VM().Name)
 		v.lanes = append(v.lanes, n)
 		if n.learn(s, c.FailureDomain) {
+			n.elsewhere = !roster.SameRegion(c.Region, n.vm.Region)
 			changed = true
 		}
 	}
@@ -193,7 +196,9 @@
 	now := c.Clock.Now()
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
-	c.gather(j, now)
+	if c.gather(j, now, false); len(c.lanes.candidates) == 0 {
+		c.gather(j, now, true)
+	}
 	i, ok := c.pick(j, now)
 	if !ok {
 		return nil
@@ -208,14 +213,14 @@
 	return c.Router.Pick(now, j.request, c.lanes.candidates, c.Seed+c.picks.Add(1))
 }
 
-// gather lists the candidates for j.
-func (c *callers) gather(j *job, now time.Time) {
+// gather lists the candidates for j, those of the own region or those elsewhere.
+func (c *callers) gather(j *job, now time.Time, elsewhere bool) {
 	l := &c.lanes
 	l.candidates = l.candidates[:0]
 	l.chosen = l.chosen[:0]
 	adapter := j.request.Adapter
 	for _, n := range c.view(j.place, now).holding(j.model) {
-		if j.course.Tried(n.vm.Name) {
+		if n.elsewhere != elsewhere || j.course.Tried(n.vm.Name) {
 			continue
 		}
 		l.chosen = append(l.chosen, n)
@@ -290,10 +295,13 @@
 			return p
 		}
 		now := c.Clock.Now()
-		if j.course.Full() || !now.Before(c.waitEnd(j, now)) {
+		searching := c.seek(j) && now.Before(j.course.Deadline)
+		if !searching && (j.course.Full() || !now.Before(c.waitEnd(j, now))) {
 			return nil
 		}
-		j.course.Forget()
+		if !searching || !j.course.Full() {
+			j.course.Forget()
+		}
 		pause := min(leastPause<<min(j.rounds, 8), mostPause)
 		j.rounds++
 		select {
@@ -304,6 +312,21 @@
 	}
 }
 
+// seeker is an optional capability of a fleet: it looks for backend servers in other
+// regions.
+type seeker interface {
+	// Seek asks for backend servers that hold a model, or for those of a place if the
+	// model is "", and reports whether more may come up soon.
+	Seek(place, model string) bool
+}
+
+// seek looks for backend servers in other regions, and reports whether waiting for
+// them makes sense.
+func (c *callers) seek(j *job) bool {
+	s, ok := c.Fleet.(seeker)
+	return ok && s.Seek(j.place, j.model)
+}
+
 // waitEnd returns until when j may wait for a backend server. The wait counts from
 // when the last one went, so in a long outage requests are refused at once.
 func (c *callers) waitEnd(j *job, now time.Time) time.Time {
--- /dev/null
+++ b/entry/elsewhere.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/roster"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+// This file carries out what roster.Reach decides about the agents of other
+// regions, and answers other regions' questions about the agents of this one.
+//
+// A connection that is closed is forgotten with its last report: the backend
+// server is made anew, so that nothing late from the old connection is taken for
+// news of it.
+
+const (
+	// holdersTold bounds how many holders of one model a region names. Few are
+	// enough, since each entry asks for itself and the least loaded come first.
+	holdersTold      = 2
+	directoryTimeout = 2 * time.Second
+)
+
+// directory asks the other regions which of their VMs hold what is wanted. It
+// calls told for each that answers, from any goroutine, and returns once all have
+// answered or ctx has ended.
+type directory func(ctx context.Context, w roster.Want, told func(region string, vms []string))
+
+// Seek implements seeker.
+func (p *serverPool) Seek(place, model string) bool {
+	w := roster.Want{Place: place, Model: model}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	searching, ask, changes := p.Reach.Seek(time.Now(), w)
+	p.change(changes)
+	if ask {
+		p.Recorder.Record(timeline.Event{Kind: "sought_elsewhere", Model: model, Detail: "place " + place})
+	}
+	if ask && p.Directory != nil {
+		go p.ask(w)
+	}
+	return searching
+}
+
+func (p *serverPool) ask(w roster.Want) {
+	ctx, cancel := context.WithTimeout(p.ctx, directoryTimeout)
+	defer cancel()
+	p.Directory(ctx, w, func(region string, vms []string) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.change(p.Reach.Known(time.Now(), w, region, vms))
+	})
+}
+
+// change opens and closes connections. mu is held.
+func (p *serverPool) change(changes []roster.Change) {
+	for _, c := range changes {
+		s := p.remotes[c.VM.Name]
+		switch {
+		case s == nil:
+		case c.Open:
+			p.connect(s)
+		default:
+			p.disconnect(s)
+		}
+	}
+}
+
+// disconnect ends the connection to a VM of another region. mu is held.
+func (p *serverPool) disconnect(s *remoteServer) {
+	s.stop()
+	p.remotes[s.vm.Name] = p.newServer(s.vm)
+	p.apply(p.roster.Lost(s.vm.Name))
+}
+
+// offerElsewhere runs one attempt at a VM of another region, whose connection
+// stays while the attempt is on it.
+func (p *serverPool) offerElsewhere(ctx context.Context, s *remoteServer, offer bamboostep.Offer, startWithin time.Duration, yield func(bamboostep.Answer) error) error {
+	if !p.use(s) {
+		return &bamboostep.FailedError{Failure: bamboostep.Failure{Attempt: offer.Attempt, Outcome: bamboostep.NotRun,
+			Code: "not_connected", Message: "the connection to VM " + s.vm.Name + " was closed"}}
+	}
+	defer p.done(s)
+	return s.client.Offer(ctx, offer, startWithin, yield)
+}
+
+func (p *serverPool) use(s *remoteServer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.remotes[s.vm.Name] == s && p.Reach.Use(s.vm.Name)
+}
+
+func (p *serverPool) done(s *remoteServer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Reach.Done(time.Now(), s.vm.Name)
+}
+
+// Holders returns the VMs of this entry's region that can run a model now, or that
+// run the services of a place if the model is "": the least loaded, and few.
+func (p *serverPool) Holders(w roster.Want) []string {
+	var found []bamboostep.Report
+	for _, s := range p.Servers(w.Place) {
+		r, _ := s.Report()
+		if p.isOfRegion(s.VM()) && r.Ready && !r.Leaving && holds(r, w.Model) {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b bamboostep.Report) int {
+		return cmp.Or(cmp.Compare(a.Waiting, b.Waiting), cmp.Compare(a.EngineLoad, b.EngineLoad), cmp.Compare(a.VM, b.VM))
+	})
+	found = found[:min(len(found), holdersTold)]
+	names := make([]string, len(found))
+	for i, r := range found {
+		names[i] = r.VM
+	}
+	return names
+}
+
+// isOfRegion reports whether a VM is of this entry's region, also where the entry
+// connects to those of all.
+func (p *serverPool) isOfRegion(vm bamboostep.VM) bool {
+	return roster.SameRegion(p.Reach.Region, vm.Region)
+}
+
+func holds(r bamboostep.Report, model string) bool {
+	if model == "" {
+		return true
+	}
+	for _, replica := range r.Replicas {
+		if replica.Name == model && replica.State == bamboostep.ReplicaResident {
+			return true
+		}
+	}
+	return false
+}
+
+var _ seeker = (*serverPool)(nil)
--- /dev/null
+++ b/entry/elsewhere_test.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/backend"
+	"github.com/bamboostep/bamboostep/daemon"
+	"github.com/bamboostep/bamboostep/roster"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+// poolAgents are agents in this process, for a pool under test.
+type poolAgents struct {
+	vms []bamboostep.VM
+
+	mu    sync.Mutex
+	conns map[string]int // by VM
+}
+
+// VMs implements bamboostep.Platform.
+func (a *poolAgents) VMs(context.Context) ([]bamboostep.VM, error) { return a.vms, nil }
+
+func testNode(name string) *wire.Node {
+	return &wire.Node{Hello: wire.Hello{Name: name}, Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}
+}
+
+// noApplication is an application that is there and is never asked.
+type noApplication struct{}
+
+func (noApplication) Serve(context.Context, bamboostep.Offer, func(bamboostep.Answer) error) error {
+	return nil
+}
+
+// start adds one agent of a plain service in each of the regions.
+func (a *poolAgents) start(tb testing.TB, regions ...string) {
+	tb.Helper()
+	a.conns = make(map[string]int)
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	tb.Cleanup(func() { cancel(); all.Wait() })
+	for i, region := range regions {
+		nl, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			tb.Fatal(err)
+		}
+		vm := bamboostep.VM{Name: fmt.Sprintf("vm-%d", i), Address: nl.Addr().String(), Place: "apps", Region: region, State: bamboostep.VMLive}
+		a.vms = append(a.vms, vm)
+		all.Go(func() { a.serve(ctx, vm, nl) })
+	}
+}
+
+func (a *poolAgents) serve(ctx context.Context, vm bamboostep.VM, nl net.Listener) {
+	node := testNode(vm.Name)
+	s := &backend.Server{Node: node, VM: vm, Application: noApplication{}, Concurrency: 1, Queue: 1,
+		Recorder: &timeline.Recorder{Process: vm.Name, Clock: node.Clock}, Registry: prometheus.NewRegistry()}
+	mux := &wire.Mux{}
+	s.Register(mux)
+	l := &wire.Listener{Node: node, Net: nl, Handler: mux,
+		Up:   func(c *wire.Conn) { a.count(vm.Name, 1); s.Up(c) },
+		Down: func(c *wire.Conn) { a.count(vm.Name, -1); s.Down(c) },
+	}
+	var all sync.WaitGroup
+	all.Go(func() { _ = l.Run(ctx) })
+	all.Go(func() { _ = s.Run(ctx) })
+	all.Wait()
+}
+
+func (a *poolAgents) count(vm string, n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conns[vm] += n
+}
+
+// connected returns the VMs that have a connection, as a set.
+func (a *poolAgents) connected() map[string]bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	set := make(map[string]bool)
+	for vm, n := range a.conns {
+		if n > 0 {
+			set[vm] = true
+		}
+	}
+	return set
+}
+
+func startPool(tb testing.TB, a *poolAgents, reach roster.Reach, ask directory) *serverPool {
+	tb.Helper()
+	p := &serverPool{
+		Node:      testNode("entry"),
+		Platform:  a,
+		Recorder:  &timeline.Recorder{Process: "entry", Clock: &timeline.Clock{Wall: daemon.SystemClock{}}},
+		Log:       log.New(io.Discard),
+		Reach:     reach,
+		Directory: ask,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = p.Run(ctx) }()
+	tb.Cleanup(func() { cancel(); <-done })
+	return p
+}
+
+func waitFor(tb testing.TB, what string, is func() bool) {
+	tb.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !is() {
+		if time.Now().After(deadline) {
+			tb.Fatalf("%s did not come about", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// An entry is connected to its own region's agents alone, until a request finds none
+// that could take it; then to the one that another region names.
+func TestPoolConnectsElsewhereOnNeed(t *testing.T) {
+	a := &poolAgents{}
+	a.start(t, "own", "own", "other", "other", "other")
+	asked := make(chan roster.Want, 1)
+	p := startPool(t, a, roster.Reach{Self: "entry", Region: "own"}, func(_ context.Context, w roster.Want, told func(string, []string)) {
+		asked <- w
+		told("other", []string{"vm-3"})
+	})
+	waitFor(t, "the own region's agents", func() bool { return len(p.Servers("apps")) == 2 })
+	if got := a.connected(); len(got) != 2 || !got["vm-0"] || !got["vm-1"] {
+		t.Fatalf("got connections to %v, want vm-0 and vm-1", got)
+	}
+	if !p.Seek("apps", "") {
+		t.Fatal("got no search, want one")
+	}
+	if got, want := <-asked, (roster.Want{Place: "apps"}); got != want {
+		t.Errorf("asked for %v, want %v", got, want)
+	}
+	waitFor(t, "the other region's agent", func() bool { return len(p.Servers("apps")) == 3 })
+	if got := a.connected(); len(got) != 3 || !got["vm-3"] {
+		t.Errorf("got connections to %v, want also vm-3 and no other", got)
+	}
+	waitFor(t, "the end of the search", func() bool { return !p.Seek("apps", "") })
+}
+
+// A region whose entries do not answer is looked through all the same.
+func TestPoolFindsAgentsOfSilentRegion(t *testing.T) {
+	a := &poolAgents{}
+	a.start(t, "other")
+	p := startPool(t, a, roster.Reach{Self: "entry", Region: "own"}, nil)
+	waitFor(t, "a search", func() bool { return p.Seek("apps", "") })
+	if !p.AnyReached() {
+		t.Error("got not ready, want ready though only other regions have VMs")
+	}
+	waitFor(t, "the other region's agent", func() bool { p.Seek("apps", ""); return len(p.Servers("apps")) == 1 })
+}
+
+// A connection that an idle time closes is made anew when it is needed again, and
+// is not closed under an attempt.
+func TestPoolClosesIdleConnections(t *testing.T) {
+	a := &poolAgents{}
+	a.start(t, "other")
+	p := startPool(t, a, roster.Reach{Self: "entry", Region: "own"}, nil)
+	seek := func() bool { p.Seek("apps", ""); return len(p.Servers("apps")) == 1 }
+	waitFor(t, "the other region's agent", seek)
+	tick := func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.change(p.Reach.Tick(time.Now().Add(roster.IdleTime)))
+	}
+	s := p.Servers("apps")[0].(*remoteServer)
+	if !p.use(s) {
+		t.Fatal("got no use of a connected agent")
+	}
+	tick()
+	if got := len(p.Servers("apps")); got != 1 {
+		t.Fatalf("got %d agents under an attempt, want 1", got)
+	}
+	p.done(s)
+	tick()
+	waitFor(t, "the close", func() bool { return len(a.connected()) == 0 })
+	if p.use(s) {
+		t.Error("got the use of a connection that was closed")
+	}
+	waitFor(t, "the agent again", seek)
+}
+
+// A voter is connected to all agents, since it may lead and place everywhere.
+func TestPoolOfVoterConnectsEverywhere(t *testing.T) {
+	a := &poolAgents{}
+	a.start(t, "own", "other")
+	p := startPool(t, a, roster.Reach{Self: "entry", Region: "own", All: true}, nil)
+	waitFor(t, "all agents", func() bool { return len(p.Servers("apps")) == 2 })
+	if got := p.Holders(roster.Want{Place: "apps"}); len(got) > 1 || len(got) == 1 && got[0] != "vm-0" {
+		t.Errorf("got holders %v, want none but vm-0 of its region", got)
+	}
+}
+
+// Candidates of another region are taken only where the own region has none left.
+func TestOwnRegionGoesFirst(t *testing.T) {
+	fleet := newTestFleet(2, speak("to the ridge", -1), speak("noted", -1))
+	for place := range fleet.servers {
+		fleet.servers[place][0].vm.Region = "other"
+		fleet.servers[place][1].vm.Region = "own"
+	}
+	c := newTestCallers(fleet, &fakeLedger{})
+	c.Region = "own"
+	s := startCallers(t, c)
+	far, near := fleet.servers["apps"][0], fleet.servers["apps"][1]
+	for range 10 {
+		if got := call(t, s, "GET", "/checks/1", ""); got.status != 200 {
+			t.Fatalf("got status %d, want 200", got.status)
+		}
+	}
+	if got := len(far.offered()); got != 0 {
+		t.Errorf("got %d offers in another region, want 0", got)
+	}
+	near.mu.Lock()
+	near.offer = func(bamboostep.Offer, func(bamboostep.Answer) error) error {
+		return failure(bamboostep.NotRun, "queue_full")
+	}
+	near.mu.Unlock()
+	if got := call(t, s, "GET", "/checks/2", ""); got.status != 200 {
+		t.Errorf("got status %d with a full region, want 200 from another", got.status)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/dispatch"
 	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/roster"
 	"github.com/bamboostep/bamboostep/stock"
 	"github.com/bamboostep/bamboostep/timeline"
 	"github.com/bamboostep/bamboostep/wire"
@@ -141,6 +142,10 @@
 		Current:   e.feed.Set,
 		OnSuspect: e.noteSuspects,
 		Dropped:   newDropped(e.registry),
+		Reach:     roster.Reach{Self: e.cfg.Name, Region: e.cfg.Region, All: e.cfg.DataDir != ""}, // a voter may lead, and places everywhere
+		Directory: func(ctx context.Context, w roster.Want, told func(string, []string)) {
+			e.peers.AskHolders(ctx, w, told)
+		},
 	}
 }
 
@@ -162,6 +167,10 @@
 		Peers:      e.cfg.Peers,
 		Feed:       e.feed,
 		Recorder:   e.recorder,
+		Region:     e.cfg.Region,
+		Holders:    e.servers.Holders,
+		OwnFleet:   e.fleetStatus,
+		Gather:     e.servers.Timeline,
 		OnSuspects: func(s []bamboostep.Suspect) { e.callers.NoteSuspects(s) },
 		OnDemand:   func(entry string, d []bamboostep.Demand) { e.placement.NoteDemand(entry, d) },
 	}
@@ -169,6 +178,7 @@
 	e.callers = &callers{
 		Name:          e.cfg.Name,
 		FailureDomain: e.cfg.FailureDomain,
+		Region:        e.cfg.Region,
 		Fleet:         e.servers,
 		Ledger:        e.client,
 		Router:        routers[e.cfg.Router](),
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/roster"
 	"github.com/bamboostep/bamboostep/timeline"
 	"github.com/bamboostep/bamboostep/wire"
 )
@@ -20,6 +24,11 @@
 	kindDemand   = "entry.demand"
 	kindTimeline = "entry.timeline"
 	kindRevision = "entry.revision"
+	kindHolders  = "entry.holders"
+	kindFleet    = "entry.fleet"
+
+	holdersAsked  = 2 // entries of a region that are asked for holders
+	agentsTimeout = time.Second
 
 	timelineTimeout = 2 * time.Second
 )
@@ -33,7 +42,8 @@
 }
 
 type timelineMessage struct {
-	Query timeline.Query `msgpack:"query"`
+	Query  timeline.Query `msgpack:"query"`
+	Agents bool           `msgpack:"agents"` // with the events of the region's agents
 }
 
 type timelineReply struct {
@@ -44,13 +54,31 @@
 	Revision uint64 `msgpack:"revision"`
 }
 
+type holdersMessage struct {
+	Place string `msgpack:"place"`
+	Model string `msgpack:"model"`
+}
+
+// fleetReply holds a fleetStatus as JSON, which its types are declared for.
+type fleetReply struct {
+	Fleet []byte `msgpack:"fleet"`
+}
+
+type holdersReply struct {
+	VMs []string `msgpack:"vms"`
+}
+
 // peers is this entry's connections to the other entries. Set the exported
 // fields before Run.
 type peers struct {
 	Node       *wire.Node
 	Mux        *wire.Mux
 	Self       string
+	Region     string // own; empty if none is declared
 	Peers      []peerSettings
+	Holders    func(roster.Want) []string // VMs of the own region that hold what is wanted
+	OwnFleet   func() fleetStatus
+	Gather     func(context.Context, timeline.Query) [][]timeline.Event // events of agents
 	Feed       *catalog.Feed
 	Recorder   *timeline.Recorder
 	OnSuspects func([]bamboostep.Suspect)
@@ -65,6 +93,8 @@
 	p.Mux.On(kindDemand, p.handleDemand)
 	p.Mux.On(kindTimeline, p.handleTimeline)
 	p.Mux.On(kindRevision, p.handleRevision)
+	p.Mux.On(kindHolders, p.handleHolders)
+	p.Mux.On(kindFleet, p.handleFleet)
 	p.links = make(map[string]*wire.Link)
 	for _, peer := range p.Peers {
 		if peer.Name == p.Self {
@@ -109,11 +139,90 @@
 	}
 }
 
-// Timeline collects the events that the other entries keep. An entry that does
-// not answer in time is left out.
+// others returns the connections to entries of other regions, by region. A region
+// without any is left out.
+func (p *peers) others() map[string][]*wire.Conn {
+	regions := make(map[string][]*wire.Conn)
+	for _, peer := range p.Peers {
+		if roster.SameRegion(p.Region, peer.Region) {
+			continue
+		}
+		link := p.links[peer.Name]
+		if link == nil {
+			continue
+		}
+		if c := link.Conn(); c != nil {
+			regions[peer.Region] = append(regions[peer.Region], c)
+		}
+	}
+	return regions
+}
+
+// AskHolders asks a few entries of every other region which of its VMs hold what is
+// wanted, and calls told with each answer.
+func (p *peers) AskHolders(ctx context.Context, w roster.Want, told func(region string, vms []string)) {
+	var all sync.WaitGroup
+	for region, conns := range p.others() {
+		rand.Shuffle(len(conns), func(i, j int) { conns[i], conns[j] = conns[j], conns[i] })
+		for _, c := range conns[:min(len(conns), holdersAsked)] {
+			all.Go(func() {
+				var reply holdersReply
+				if c.Call(ctx, kindHolders, holdersMessage(w), &reply) == nil {
+					told(region, reply.VMs)
+				}
+			})
+		}
+	}
+	all.Wait()
+}
+
+func (p *peers) handleHolders(m *wire.Message) {
+	var body holdersMessage
+	if m.Decode(&body) != nil {
+		return
+	}
+	_ = m.Reply(holdersReply{p.Holders(roster.Want(body))})
+}
+
+// Fleet asks the named entry for the fleet as it sees it.
+func (p *peers) Fleet(ctx context.Context, name string) (fleetStatus, error) {
+	var f fleetStatus
+	link := p.links[name]
+	if link == nil {
+		return f, fmt.Errorf("no other entry is named %q", name)
+	}
+	c := link.Conn()
+	if c == nil {
+		return f, fmt.Errorf("entry %q is not connected", name)
+	}
+	var reply fleetReply
+	if err := c.Call(ctx, kindFleet, nil, &reply); err != nil {
+		return f, err
+	}
+	return f, json.Unmarshal(reply.Fleet, &f)
+}
+
+func (p *peers) handleFleet(m *wire.Message) {
+	go func() {
+		body, err := json.Marshal(p.OwnFleet())
+		if err == nil {
+			err = m.Reply(fleetReply{body})
+		}
+		if err != nil {
+			m.Fail("fleet_not_sent", err)
+		}
+	}()
+}
+
+// Timeline collects the events that the other entries keep, one entry of each other
+// region with those of its agents. An entry that does not answer in time is left out.
 func (p *peers) Timeline(ctx context.Context, q timeline.Query) [][]timeline.Event {
 	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
 	defer cancel()
+	agents := make(map[*wire.Conn]bool)
+	for _, conns := range p.others() {
+		agents[conns[0]] = true
+	}
 	return gather(len(p.links), func(add func([]timeline.Event), all *sync.WaitGroup) {
 		for _, link := range p.links {
 			c := link.Conn()
@@ -122,7 +231,7 @@
 			}
 			all.Go(func() {
 				var reply timelineReply
-				if c.Call(ctx, kindTimeline, timelineMessage{q}, &reply) == nil {
+				if c.Call(ctx, kindTimeline, timelineMessage{q, agents[c]}, &reply) == nil {
 					add(reply.Events)
 				}
 			})
@@ -203,5 +312,15 @@
 	if m.Decode(&body) != nil {
 		return
 	}
-	go m.Reply(timelineReply{p.Recorder.Find(body.Query)})
+	go m.Reply(timelineReply{p.events(body)})
+}
+
+func (p *peers) events(body timelineMessage) []timeline.Event {
+	own := p.Recorder.Find(body.Query)
+	if !body.Agents {
+		return own
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), agentsTimeout)
+	defer cancel()
+	return timeline.Merge(append(p.Gather(ctx, body.Query), own)...)
 }
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -18,8 +18,9 @@
 	"github.com/bamboostep/bamboostep/wire"
 )
 
-// serverPool is this entry's view of the backend servers: a connection to the
-// agent of every VM in the platform's list, and what each last reported.
+// serverPool is this entry's view of the backend servers: the VMs of the platform's
+// list, connections to the agents of those that roster.Reach names, and what each
+// last reported.
 //
 // The roster decides which of them take work. What a request needs is a snapshot
 // that is rebuilt when a VM's state changes and read without a lock, so that
@@ -32,6 +33,8 @@
 	Current   func() *catalog.Set        // newest set, or nil
 	OnSuspect func([]bamboostep.Suspect) // crash suspects that agents report
 	Dropped   prometheus.Counter         // pieces of answers that nothing waited for
+	Reach     roster.Reach               // which agents to connect to; its exported fields are set before Run
+	Directory directory                  // asks other regions what they hold; may be nil
 
 	mu       sync.Mutex
 	ctx      context.Context // of Run; clients live as long
@@ -48,6 +51,8 @@
 type serverSnapshot struct {
 	byPlace map[string][]server        // those that take work
 	staying map[string][]*remoteServer // those that do not leave, reached or not
+
+	onlyElsewhere bool // there are VMs, and all are of other regions
 }
 
 const (
@@ -59,6 +64,7 @@
 // remoteServer is one backend server, behind its agent.
 type remoteServer struct {
 	vm     bamboostep.VM
+	pool   *serverPool // set if the VM is of another region
 	client *backend.Client
 	stop   context.CancelFunc
 	last   atomic.Pointer[reportAt]
@@ -83,6 +89,9 @@
 
 // Offer implements server.
 func (s *remoteServer) Offer(ctx context.Context, offer bamboostep.Offer, startWithin time.Duration, yield func(bamboostep.Answer) error) error {
+	if s.pool != nil {
+		return s.pool.offerElsewhere(ctx, s, offer, startWithin, yield)
+	}
 	return s.client.Offer(ctx, offer, startWithin, yield)
 }
 
@@ -118,10 +127,14 @@
 		return
 	}
 	ts := p.roster.List(vms)
+	now := time.Now()
 	for _, m := range p.roster.Members() {
-		p.ensureClient(m.VM)
+		p.ensureServer(m.VM)
+		p.change(p.Reach.Add(now, m.VM))
 	}
+	p.change(p.Reach.Tick(now))
 	p.apply(ts)
+	p.rebuild()
 }
 
 // noteList records when the platform's list stops being readable, and when it is
@@ -139,17 +152,28 @@
 	p.Recorder.Record(timeline.Event{Kind: "platform_list_read"})
 }
 
-// ensureClient connects to a VM's agent, anew if its address has changed.
-func (p *serverPool) ensureClient(vm bamboostep.VM) {
+// ensureServer makes the backend server of a VM, anew if the VM has another address
+// or region. mu is held.
+func (p *serverPool) ensureServer(vm bamboostep.VM) {
 	s := p.remotes[vm.Name]
-	if s != nil && s.vm.Address == vm.Address {
+	if s != nil && s.vm.Address == vm.Address && s.vm.Region == vm.Region {
 		return
 	}
 	if s != nil {
 		s.stop()
 	}
-	ctx, stop := context.WithCancel(p.ctx)
-	s = &remoteServer{vm: vm, stop: stop}
+	p.remotes[vm.Name] = p.newServer(vm)
+	if p.Reach.Holds(vm.Name) {
+		p.connect(p.remotes[vm.Name])
+	}
+}
+
+// newServer returns a backend server that is not connected.
+func (p *serverPool) newServer(vm bamboostep.VM) *remoteServer {
+	s := &remoteServer{vm: vm, stop: func() {}}
+	if !p.Reach.Own(vm) {
+		s.pool = p
+	}
 	s.client = &backend.Client{
 		Node:      p.Node,
 		VM:        vm,
@@ -160,7 +184,12 @@
 		OnDown:    func() { p.noteDown(s) },
 		Dropped:   p.Dropped,
 	}
-	p.remotes[vm.Name] = s
+	return s
+}
+
+func (p *serverPool) connect(s *remoteServer) {
+	ctx, stop := context.WithCancel(p.ctx)
+	s.stop = stop
 	go s.client.Run(ctx)
 }
 
@@ -169,6 +198,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.remotes[s.vm.Name] == s {
+		p.Reach.Reported(s.vm.Name)
 		p.apply(p.roster.Says(s.vm.Name, r.Leaving))
 	}
 }
@@ -232,6 +262,7 @@
 		return
 	}
 	s.stop()
+	p.Reach.Remove(vm)
 	delete(p.remotes, vm)
 	delete(p.told, vm)
 }
@@ -245,7 +276,9 @@
 			continue
 		}
 		p.told[name] = leaving
-		p.tell(s, leaving)
+		if p.Reach.Holds(name) {
+			p.tell(s, leaving)
+		}
 	}
 }
 
@@ -264,11 +297,15 @@
 		byPlace: make(map[string][]server),
 		staying: make(map[string][]*remoteServer),
 	}
+	own := 0
 	for _, m := range p.roster.Members() {
 		s := p.remotes[m.VM.Name]
 		if s == nil {
 			continue
 		}
+		if s.pool == nil {
+			own++
+		}
 		if m.Stays() {
 			snap.staying[m.VM.Place] = append(snap.staying[m.VM.Place], s)
 		}
@@ -276,6 +313,7 @@
 			snap.byPlace[m.VM.Place] = append(snap.byPlace[m.VM.Place], s)
 		}
 	}
+	snap.onlyElsewhere = own == 0 && len(snap.staying) > 0
 	p.snapshot.Store(snap)
 }
 
@@ -301,16 +339,18 @@
 	return snap.staying[place]
 }
 
-// AnyReached reports whether any VM takes work.
+// AnyReached reports whether any VM takes work. VMs of other regions, which are
+// connected to when they are needed, count where the list has none of the own.
 func (p *serverPool) AnyReached() bool {
 	snap := p.snapshot.Load()
-	return snap != nil && len(snap.byPlace) > 0
+	return snap != nil && (len(snap.byPlace) > 0 || snap.onlyElsewhere)
 }
 
 // poolMember is one VM with its backend server.
 type poolMember struct {
 	roster.Member
-	server *remoteServer
+	server    *remoteServer
+	connected bool // or to be; not so for most VMs of other regions
 }
 
 // Members returns every known VM, by name.
@@ -319,7 +359,7 @@
 	defer p.mu.Unlock()
 	var out []poolMember
 	for _, m := range p.roster.Members() {
-		out = append(out, poolMember{m, p.remotes[m.VM.Name]})
+		out = append(out, poolMember{m, p.remotes[m.VM.Name], p.Reach.Holds(m.VM.Name)})
 	}
 	return out
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -23,6 +23,7 @@
 type entrySettings struct {
 	Name          string            `toml:"name"`
 	FailureDomain string            `toml:"failure_domain"`
+	Region        string            `toml:"region"`         // of the entry; empty where regions are not told apart
 	Callers       string            `toml:"callers"`        // host and port of the callers' HTTP; empty on a VM set aside for control
 	Operators     string            `toml:"operators"`      // host and port of the operators' HTTP, metrics and health
 	Listen        string            `toml:"listen"`         // host and port for the other entries
@@ -44,6 +45,7 @@
 	Name          string `toml:"name"`
 	Address       string `toml:"address"`
 	FailureDomain string `toml:"failure_domain"`
+	Region        string `toml:"region"` // empty where regions are not told apart
 	Voter         bool   `toml:"voter"`
 }
 
@@ -149,6 +151,9 @@
 	if voters == 0 {
 		add("peer", "names no voter")
 	}
+	if self, ok := s.peer(s.Name); ok && self.Region != s.Region {
+		add("region", "is %q, and %q in the list of peers", s.Region, self.Region)
+	}
 	if self, ok := s.peer(s.Name); ok && self.Voter != (s.DataDir != "") {
 		add("data_dir", "must be set on a voter, and only there")
 	}
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -32,6 +32,7 @@
 [[peer]]
 name = "entry-a"
 address = "10.0.1.1:1"
+region = "norte"
 voter = true
 `
 	cfg := defaultSettings()
@@ -40,7 +41,7 @@
 		t.Fatal("got no error")
 	}
 	for _, key := range []string{
-		"failure_domain", "operators", "platform_url", "router", "max_body_bytes", "drain_timeout", "data_dir", "tls.key", "tls.ca",
+		"failure_domain", "region", "operators", "platform_url", "router", "max_body_bytes", "drain_timeout", "data_dir", "tls.key", "tls.ca",
 	} {
 		if want := `key "` + key + `"`; !strings.Contains(err.Error(), want) {
 			t.Errorf("got error without %s:\n%v", want, err)
--- a/entry/status.go
+++ b/entry/status.go
@@ -29,15 +29,50 @@
 		reachable := m.Name == e.cfg.Name || e.peers.Reachable(m.Name)
 		s.Voters = append(s.Voters, operator.VoterStatus{Name: m.Name, Reachable: reachable})
 	}
+	fleet := e.fleetStatus()
+	if !fleet.isWhole() {
+		fleet = e.wholeFleet(fleet)
+	}
+	s.VMs, s.Models = fleet.VMs, fleet.Models
+	return s
+}
+
+// fleetStatus is the state of the VMs and of what they hold.
+type fleetStatus struct {
+	VMs    []operator.VMStatus    `json:"vms"`
+	Models []operator.ModelStatus `json:"models"`
+}
+
+// isWhole reports whether no VM is left out for being in another region.
+func (f fleetStatus) isWhole() bool {
+	return !slices.ContainsFunc(f.VMs, func(v operator.VMStatus) bool { return v.State == operator.VMElsewhere })
+}
+
+// fleetStatus returns the fleet as this entry sees it.
+func (e *entry) fleetStatus() fleetStatus {
+	var f fleetStatus
 	members := e.servers.Members()
 	drained := e.drains()
 	for _, m := range members {
-		s.VMs = append(s.VMs, vmStatus(m, slices.Contains(drained, m.VM.Name)))
+		f.VMs = append(f.VMs, vmStatus(m, slices.Contains(drained, m.VM.Name)))
 	}
 	if set := e.feed.Set(); set != nil {
-		s.Models = modelStatus(set, members)
+		f.Models = modelStatus(set, members)
 	}
-	return s
+	return f
+}
+
+// wholeFleet asks the voters, which see all regions, and returns own if none of them
+// answers.
+func (e *entry) wholeFleet(own fleetStatus) fleetStatus {
+	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+	defer cancel()
+	for _, m := range e.client.State().Members() {
+		if f, err := e.peers.Fleet(ctx, m.Name); err == nil && f.isWhole() {
+			return f
+		}
+	}
+	return own
 }
 
 func (e *entry) drains() []string {
@@ -66,6 +101,7 @@
 		Name:          m.VM.Name,
 		Place:         m.VM.Place,
 		FailureDomain: m.VM.FailureDomain,
+		Region:        m.VM.Region,
 		State:         vmState(m, r.Ready, drained),
 		MemoryMiB:     r.MemoryMiB,
 		ReservedMiB:   r.ReservedMiB,
@@ -78,6 +114,8 @@
 
 func vmState(m poolMember, ready, drained bool) operator.VMState {
 	switch {
+	case !m.connected:
+		return operator.VMElsewhere
 	case m.State == roster.Unreached || m.State == roster.Left:
 		return operator.VMUnreachable
 	case drained:
--- a/interface.go
+++ b/interface.go
@@ -31,6 +31,7 @@
 	Address       string  `json:"address" msgpack:"address"` // host and port of the agent
 	Place         string  `json:"place" msgpack:"place"`
 	FailureDomain string  `json:"failure_domain" msgpack:"failure_domain"`
+	Region        string  `json:"region,omitempty" msgpack:"region"` // empty where regions are not told apart
 	State         VMState `json:"state" msgpack:"state"`
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -92,6 +92,7 @@
 	VMLeaving     VMState = "leaving"
 	VMDrained     VMState = "drained"
 	VMUnreachable VMState = "unreachable"
+	VMElsewhere   VMState = "elsewhere" // in another region, and not connected to for the time being
 )
 
 // VMStatus is the state of one VM.
@@ -99,6 +100,7 @@
 	Name          string  `json:"name"`
 	Place         string  `json:"place"`
 	FailureDomain string  `json:"failure_domain"`
+	Region        string  `json:"region,omitempty"`
 	State         VMState `json:"state"`
 	MemoryMiB     int64   `json:"memory_mib"`
 	ReservedMiB   int64   `json:"reserved_mib"`
--- /dev/null
+++ b/roster/reach_test.go
@@ -0,0 +1,237 @@
+package roster_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/roster"
+)
+
+func regionVM(name, region string) bamboostep.VM {
+	return bamboostep.VM{Name: name, Place: "taller", Region: region, State: bamboostep.VMLive}
+}
+
+// A connection to another region is opened where that region says that what is
+// wanted is held, and closed when it has been idle.
+func ExampleReach() {
+	start := time.Unix(0, 0)
+	r := roster.Reach{Self: "entry-a", Region: "uy-sur"}
+	show := func(what string, changes []roster.Change) {
+		for _, c := range changes {
+			fmt.Println(what, c.VM.Name, c.Open)
+		}
+	}
+	show("listed:", r.Add(start, regionVM("taller-1", "uy-sur")))
+	show("listed:", r.Add(start, regionVM("taller-2", "uy-norte")))
+	w := roster.Want{Place: "taller", Model: "consulta"}
+	searching, ask, _ := r.Seek(start, w)
+	fmt.Println("searching", searching, "ask", ask)
+	show("known:", r.Known(start, w, "uy-norte", []string{"taller-2"}))
+	show("idle:", r.Tick(start.Add(roster.IdleTime)))
+	// Output:
+	// listed: taller-1 true
+	// searching true ask true
+	// known: taller-2 true
+	// idle: taller-2 false
+}
+
+// reachModel follows what the actions of a Reach amount to.
+type reachModel struct {
+	r     roster.Reach
+	now   time.Time
+	vms   map[string]bamboostep.VM
+	open  map[string]bool
+	using map[string]int
+}
+
+func (m *reachModel) act(t *rapid.T, changes []roster.Change) {
+	for _, c := range changes {
+		if m.open[c.VM.Name] == c.Open {
+			t.Fatalf("%q is changed to open = %v, which it is already", c.VM.Name, c.Open)
+		}
+		if !c.Open && m.using[c.VM.Name] > 0 {
+			t.Fatalf("%q is closed under %d requests", c.VM.Name, m.using[c.VM.Name])
+		}
+		if !c.Open && m.r.Own(c.VM) {
+			t.Fatalf("%q is closed in its own region", c.VM.Name)
+		}
+		m.open[c.VM.Name] = c.Open
+	}
+}
+
+func (m *reachModel) check(t *rapid.T) {
+	for name, vm := range m.vms {
+		if m.r.Own(vm) && !m.open[name] {
+			t.Fatalf("%q of the own region is not connected", name)
+		}
+		if got, want := m.r.Holds(name), m.open[name]; got != want {
+			t.Fatalf("%q is held = %v, want %v", name, got, want)
+		}
+	}
+}
+
+func newReachModel(t *rapid.T, vms int) *reachModel {
+	m := &reachModel{now: time.Unix(1000, 0), vms: make(map[string]bamboostep.VM), open: make(map[string]bool), using: make(map[string]int)}
+	m.r = roster.Reach{Self: "entry-a", Region: "a"}
+	for i := range vms {
+		v := regionVM(fmt.Sprintf("vm-%d", i), rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "region"))
+		m.vms[v.Name] = v
+		m.act(t, m.r.Add(m.now, v))
+	}
+	return m
+}
+
+func (m *reachModel) names() []string {
+	var names []string
+	for name := range m.vms {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Whatever comes in whatever order, the own region is connected, nothing is closed
+// under a request, and what is idle elsewhere is closed in the end.
+func TestReachHoldsWhatIsNeeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newReachModel(t, rapid.IntRange(1, 60).Draw(t, "vms"))
+		names := m.names()
+		w := roster.Want{Place: "taller", Model: "consulta"}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			name := rapid.SampledFrom(names).Draw(t, "vm")
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0, 1:
+				_, _, changes := m.r.Seek(m.now, w)
+				m.act(t, changes)
+			case 2:
+				m.act(t, m.r.Known(m.now, w, m.vms[name].Region, []string{name}))
+			case 3:
+				m.r.Reported(name)
+			case 4:
+				got, want := m.r.Use(name), m.open[name]
+				if got != want {
+					t.Fatalf("use of %q = %v, want %v", name, got, want)
+				}
+				if got {
+					m.using[name]++
+				}
+			case 5:
+				if m.using[name] > 0 {
+					m.using[name]--
+					m.r.Done(m.now, name)
+				}
+			case 6:
+				m.act(t, m.r.Tick(m.now))
+			case 7:
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+			}
+			m.check(t)
+		}
+		m.act(t, m.r.Tick(m.now.Add(roster.IdleTime)))
+		for name, vm := range m.vms {
+			if want := m.r.Own(vm) || m.using[name] > 0; m.open[name] != want {
+				t.Fatalf("%q is connected = %v after idle time, want %v", name, m.open[name], want)
+			}
+		}
+	})
+}
+
+// A search ends in time, and until then has looked at every VM of the regions
+// that did not answer, never at more than so many at once.
+func TestSearchLooksEverywhere(t *testing.T) {
+	const step = 10 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		m := newReachModel(t, rapid.IntRange(1, 200).Draw(t, "vms"))
+		w := roster.Want{Place: "taller"}
+		latency := time.Duration(rapid.IntRange(1, 150).Draw(t, "report after ms")) * time.Millisecond
+		answers := rapid.Bool().Draw(t, "region b answers")
+		opened := make(map[string]time.Time)
+		began := m.now
+		for {
+			searching, ask, changes := m.r.Seek(m.now, w)
+			m.act(t, changes)
+			for _, c := range changes {
+				if c.Open {
+					opened[c.VM.Name] = m.now
+				}
+			}
+			if probes := m.countElsewhere(); probes > roster.MaxProbes {
+				t.Fatalf("got %d connections elsewhere, want at most %d", probes, roster.MaxProbes)
+			}
+			if ask && answers {
+				m.act(t, m.r.Known(m.now, w, "b", nil))
+			}
+			if !searching {
+				break
+			}
+			m.now = m.now.Add(step)
+			for name, at := range opened {
+				if m.now.Sub(at) >= latency {
+					m.r.Reported(name)
+				}
+			}
+		}
+		if got, want := m.now.Sub(began), roster.SearchLimit; got > want {
+			t.Fatalf("search took %v, want at most %v", got, want)
+		}
+		for name, vm := range m.vms {
+			elsewhere := vm.Region == "c" || vm.Region == "b" && !answers
+			if _, looked := opened[name]; looked != elsewhere {
+				t.Fatalf("%q of region %q was looked at = %v, want %v", name, vm.Region, looked, elsewhere)
+			}
+		}
+	})
+}
+
+func (m *reachModel) countElsewhere() int {
+	n := 0
+	for name, vm := range m.vms {
+		if m.open[name] && !m.r.Own(vm) {
+			n++
+		}
+	}
+	return n
+}
+
+// A search in a region that is cut off ends once a few of its VMs have not answered,
+// so that a request is not held for what cannot be had.
+func TestSearchGivesUpASilentRegion(t *testing.T) {
+	const within = roster.DirectoryWait + roster.AnswerWait + 2*roster.SearchStep
+	r := roster.Reach{Self: "entry-a", Region: "a"}
+	began := time.Unix(1000, 0)
+	for i := range 400 {
+		r.Add(began, regionVM(fmt.Sprintf("vm-%d", i), "b"))
+	}
+	for now := began; ; now = now.Add(roster.SearchStep) {
+		searching, _, _ := r.Seek(now, roster.Want{Place: "taller"})
+		if !searching {
+			break
+		}
+		if now.Sub(began) > within {
+			t.Fatalf("search still goes on after %v, want an end after %v", now.Sub(began), within)
+		}
+	}
+}
+
+// Without declared regions every VM is connected and nothing is searched.
+func TestReachWithoutRegions(t *testing.T) {
+	for name, r := range map[string]roster.Reach{
+		"entry declares none": {},
+		"entry connects all":  {Region: "a", All: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			if got := r.Add(now, regionVM("vm", "b")); len(got) != 1 || !got[0].Open {
+				t.Errorf("got %v, want an opened connection", got)
+			}
+			if searching, ask, changes := r.Seek(now, roster.Want{Place: "taller"}); searching || ask || len(changes) > 0 {
+				t.Errorf("got searching %v, ask %v, changes %v, want none", searching, ask, changes)
+			}
+		})
+	}
+}
--- a/scenario/cluster/cluster.go
+++ b/scenario/cluster/cluster.go
@@ -34,7 +34,7 @@
 type Cluster struct {
 	Bin         string           // folder of the built programs
 	Dir         string           // folder for settings, data and logs
-	Entries     int              // all of them voters, in failure domains in turn
+	Entries     int              // in failure domains in turn
 	Engines     int              // model engines, each with an agent
 	Services    int              // application services, each with an agent
 	EngineArgs  []string         // more arguments for every engine
@@ -44,12 +44,15 @@
 	Deployment  string           // whose store to stand in for; campanas if empty
 	EnginePlace bamboostep.Place // of the engines; a small one if it has no name
 	Direct      bool             // without relays, so that nothing can be cut
+	Regions     []string         // of the entries and backend servers, in turn; none if empty
+	Voters      int              // the first so many entries; all if 0
 
 	ctx       context.Context
 	processes map[string]*Process
 	order     []string
 	relays    map[string]*relay.Relay // by the process behind it
 	sources   map[string]string       // loopback address of each entry and agent
+	regions   map[string]string       // of each entry and agent
 	callers   map[string]string       // by entry
 	operators map[string]string       // by entry
 	backends  map[string]string       // by engine or service
@@ -78,6 +81,7 @@
 	c.processes = make(map[string]*Process)
 	c.relays = make(map[string]*relay.Relay)
 	c.sources = make(map[string]string)
+	c.regions = make(map[string]string)
 	c.callers = make(map[string]string)
 	c.operators = make(map[string]string)
 	c.backends = make(map[string]string)
@@ -151,6 +155,7 @@
 		return err
 	}
 	c.sources[name] = source
+	c.regions[name] = c.region(i)
 	c.admins[name] = addresses[1]
 	domains := c.EnginePlace.FailureDomains
 	domain := domains[i%len(domains)]
@@ -173,7 +178,7 @@
 	if err != nil {
 		return err
 	}
-	c.vms = append(c.vms, bamboostep.VM{Name: vm, Address: front, Place: place, FailureDomain: domain, State: bamboostep.VMLive})
+	c.vms = append(c.vms, bamboostep.VM{Name: vm, Address: front, Place: place, FailureDomain: domain, Region: c.region(i), State: bamboostep.VMLive})
 	return c.addWithSettings(name, "agent", lines)
 }
 
@@ -200,6 +205,16 @@
 	return os.Rename(file+".new", file)
 }
 
+// region returns the region of the ith process of its kind.
+func (c *Cluster) region(i int) string {
+	if len(c.Regions) == 0 {
+		return ""
+	}
+	return c.Regions[i%len(c.Regions)]
+}
+
+func (c *Cluster) isVoter(i int) bool { return c.Voters == 0 || i < c.Voters }
+
 // SetVMState changes the platform's word on one VM.
 func (c *Cluster) SetVMState(vm string, state bamboostep.VMState) error {
 	for i := range c.vms {
@@ -227,8 +242,10 @@
 		}
 		listens[i] = listen
 		c.sources[name] = source
+		c.regions[name] = c.region(i)
 		peers = append(peers, "[[peer]]", fmt.Sprintf("name = %q", name), fmt.Sprintf("address = %q", front),
-			fmt.Sprintf("failure_domain = %q", failureDomains[i%len(failureDomains)]), "voter = true")
+			fmt.Sprintf("failure_domain = %q", failureDomains[i%len(failureDomains)]),
+			fmt.Sprintf("region = %q", c.region(i)), fmt.Sprintf("voter = %v", c.isVoter(i)))
 	}
 	for i, listen := range listens {
 		if err := c.addEntry(i, listen, peers); err != nil {
@@ -253,8 +270,11 @@
 		fmt.Sprintf("operators = %q", addresses[1]),
 		fmt.Sprintf("listen = %q", listen),
 		fmt.Sprintf("platform_url = %q", c.listURL),
-		fmt.Sprintf("data_dir = %q", c.DataDir(name)),
+		fmt.Sprintf("region = %q", c.region(i)),
 	)
+	if c.isVoter(i) {
+		lines = append(lines, fmt.Sprintf("data_dir = %q", c.DataDir(name)))
+	}
 	return c.addWithSettings(name, "entry", append(lines, peers...))
 }
 
@@ -341,6 +361,28 @@
 	return c.eachWay(a, b, (*relay.Relay).Silence)
 }
 
+// CutRegions silences the network between two regions.
+func (c *Cluster) CutRegions(a, b string) error { return c.eachAcross(a, b, c.Cut) }
+
+// HealRegions lets new connections between two regions through.
+func (c *Cluster) HealRegions(a, b string) error { return c.eachAcross(a, b, c.Heal) }
+
+// eachAcross applies do to every pair of an entry of one region and an entry or agent
+// of the other.
+func (c *Cluster) eachAcross(a, b string, do func(a, b string) error) error {
+	for _, entry := range c.EntryNames() {
+		for name, region := range c.regions {
+			if c.regions[entry] == region || !slices.Contains([]string{a, b}, c.regions[entry]) || !slices.Contains([]string{a, b}, region) {
+				continue
+			}
+			if err := do(entry, name); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func (c *Cluster) eachWay(a, b string, do func(r *relay.Relay, source string)) error {
 	for _, name := range []string{a, b} {
 		if c.relays[name] == nil {
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -27,7 +27,7 @@
 // agent-taller-1, agent-libro-1, store and platform; names of VMs are taller-1 and
 // libro-1.
 //
-//	cluster [engines=3] [services=2] [entries=3] [engine_arg=--fences ...]
+//	cluster [engines=3] [services=2] [entries=3] [voters=3] [region=R ...] [engine_arg=--fences ...]
 //	operate ENTRY ARGS...           the operators' command against one entry
 //	placed ENTRY MODEL...           waits until every model answers
 //	sigkill|start|freeze|thaw P     SIGKILL, start, SIGSTOP, SIGCONT
@@ -36,6 +36,7 @@
 //	race ENTRY ENTRY N              two operators publish from one revision, N times
 //	address ENTRY                   sets $address to where other entries reach it
 //	cut|heal|silence A B            the network between two processes; B may be *
+//	cut_regions|heal_regions R Q    the network between two regions
 //	leaving|live VM                 the platform's word on a VM
 //	call NAME ENTRY chat|stream MODEL PROMPT TOKENS
 //	call NAME ENTRY post PATH BODY
@@ -126,18 +127,21 @@
 
 // scenarioCommands are the commands of the language.
 var scenarioCommands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
-	"cluster":    command(0, (*scenario).startCluster),
-	"operate":    operate,
-	"placed":     command(2, (*scenario).placed),
-	"sigkill":    command(1, (*scenario).sigkill),
-	"start":      command(1, (*scenario).start),
-	"freeze":     command(1, (*scenario).freeze),
-	"thaw":       command(1, (*scenario).thaw),
-	"sigterm":    command(1, (*scenario).sigterm),
-	"wipe":       command(1, (*scenario).wipe),
-	"cut":        command(2, (*scenario).cut),
-	"heal":       command(2, (*scenario).heal),
-	"silence":    command(2, (*scenario).silence),
+	"cluster":      command(0, (*scenario).startCluster),
+	"operate":      operate,
+	"placed":       command(2, (*scenario).placed),
+	"sigkill":      command(1, (*scenario).sigkill),
+	"start":        command(1, (*scenario).start),
+	"freeze":       command(1, (*scenario).freeze),
+	"thaw":         command(1, (*scenario).thaw),
+	"sigterm":      command(1, (*scenario).sigterm),
+	"wipe":         command(1, (*scenario).wipe),
+	"cut":          command(2, (*scenario).cut),
+	"heal":         command(2, (*scenario).heal),
+	"silence":      command(2, (*scenario).silence),
+	"cut_regions":  command(2, (*scenario).cutRegions),
+	"heal_regions": command(2, (*scenario).healRegions),
+
 	"leaving":    command(1, (*scenario).leaving),
 	"live":       command(1, (*scenario).live),
 	"call":       command(4, (*scenario).call),
@@ -205,10 +209,10 @@
 }
 
 func setOption(c *cluster.Cluster, key, value string) error {
-	counts := map[string]*int{"engines": &c.Engines, "services": &c.Services, "entries": &c.Entries}
+	counts := map[string]*int{"engines": &c.Engines, "services": &c.Services, "entries": &c.Entries, "voters": &c.Voters}
 	lists := map[string]*[]string{
 		"engine_arg": &c.EngineArgs, "service_arg": &c.ServiceArgs,
-		"entry_line": &c.EntryLines, "agent_line": &c.AgentLines,
+		"entry_line": &c.EntryLines, "agent_line": &c.AgentLines, "region": &c.Regions,
 	}
 	if n, ok := counts[key]; ok {
 		var err error
@@ -347,6 +351,14 @@
 	return s.eachPair(args, s.cluster.Heal)
 }
 
+func (s *scenario) cutRegions(ts *testscript.TestScript, args []string) error {
+	return s.cluster.CutRegions(args[0], args[1])
+}
+
+func (s *scenario) healRegions(ts *testscript.TestScript, args []string) error {
+	return s.cluster.HealRegions(args[0], args[1])
+}
+
 func (s *scenario) silence(ts *testscript.TestScript, args []string) error {
 	return s.eachPair(args, s.cluster.Silence)
 }
