--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -7,6 +7,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/roster"
 )
 
 // This file holds what an entry knows of each backend server (a lane), and the
@@ -40,13 +41,14 @@
 	trueAt   time.Time // when that was so
 	cache    dispatch.PrefixCache
 
-	server   server
-	vm       bamboostep.VM
-	local    bool // in the entry's own failure domain
-	ready    bool
-	replicas []bamboostep.Replica // that resident was made from
-	resident map[string]bool      // models and adapters
-	reportID [2]uint64            // incarnation and sequence of the last report
+	server    server
+	vm        bamboostep.VM
+	local     bool // in the entry's own failure domain
+	elsewhere bool // of another region
+	ready     bool
+	replicas  []bamboostep.Replica // that resident was made from
+	resident  map[string]bool      // models and adapters
+	reportID  [2]uint64            // incarnation and sequence of the last report
 }
 
 // holders are backend servers that hold a model, as candidates.
@@ -56,11 +58,18 @@
 	resident   map[string][]bool      // by adapter, index by index
 }
 
+// holdersKey names the holders of one model in the own region, or elsewhere. The
+// model of a service is "".
+type holdersKey struct {
+	model     string
+	elsewhere bool
+}
+
 // view is one place as of the last reading of reports.
 type view struct {
 	at      time.Time
 	lanes   []*lane
-	holders map[string]*holders  // by model; those of services by ""
+	holders map[holdersKey]*holders
 	missing map[string]time.Time // models that nobody held, and since when
 }
 
@@ -100,13 +109,14 @@
 	v.lanes = v.lanes[:0]
 	for i, s := range servers {
 		n := c.lanes.lane(s.VM().Name)
+		n.elsewhere = !roster.SameRegion(c.Region, s.VM().Region)
 		if n.learn(s, c.FailureDomain) || i >= len(before) || before[i] != n {
 			changed = true
 		}
 		v.lanes = append(v.lanes, n)
 	}
 	if changed || v.holders == nil {
-		v.holders = make(map[string]*holders)
+		v.holders = make(map[holdersKey]*holders)
 		c.lanes.prune()
 	}
 }
@@ -179,23 +189,24 @@
 	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
 }
 
-// holding returns the backend servers that can run a model now; the model of a
-// service is "".
-func (v *view) holding(model string) *holders {
-	h := v.holders[model]
+// holding returns the backend servers of the own region, or those elsewhere, that can
+// run a model now.
+func (v *view) holding(model string, elsewhere bool) *holders {
+	key := holdersKey{model, elsewhere}
+	h := v.holders[key]
 	if h != nil {
 		return h
 	}
 	h = &holders{}
 	for _, n := range v.lanes {
-		if n.ready && (model == "" || n.resident[model]) {
+		if n.elsewhere == elsewhere && n.ready && (model == "" || n.resident[model]) {
 			h.add(n, bamboostep.Candidate{VM: n.vm.Name, FailureDomain: n.vm.FailureDomain, Local: n.local})
 		}
 	}
 	if len(h.lanes) > 0 {
 		delete(v.missing, model)
 	}
-	v.holders[model] = h
+	v.holders[key] = h
 	return h
 }
 
@@ -261,10 +272,19 @@
 	return c.Router.Pick(now, j.request, candidates, c.Seed+c.picks.Add(1))
 }
 
-// gather returns the candidates for j, which stay as they are until the next call.
+// gather returns the candidates for j, which stay as they are until the next call:
+// those of the own region, or those elsewhere if there are none.
 func (c *callers) gather(j *job, now time.Time) *holders {
-	h := c.view(j.place, now).holding(j.model)
+	v := c.view(j.place, now)
 	c.lanes.prefixes.Match(j.request.Prefix)
+	if h := c.eligible(j, now, v.holding(j.model, false)); len(h.lanes) > 0 {
+		return h
+	}
+	return c.eligible(j, now, v.holding(j.model, true))
+}
+
+// eligible returns the holders that j has not tried.
+func (c *callers) eligible(j *job, now time.Time, h *holders) *holders {
 	h.update(j, now)
 	if !j.course.TriedAny() {
 		return h
@@ -339,10 +359,13 @@
 			return p
 		}
 		now := c.Clock.Now()
-		if j.course.Full() || !now.Before(c.waitEnd(j, now)) {
+		searching := c.seek(j) && now.Before(j.course.Deadline)
+		if !searching && (j.course.Full() || !now.Before(c.waitEnd(j, now))) {
 			return nil
 		}
-		j.course.Forget()
+		if !searching || !j.course.Full() {
+			j.course.Forget()
+		}
 		pause := min(leastPause<<min(j.rounds, 8), mostPause)
 		j.rounds++
 		select {
@@ -353,13 +376,28 @@
 	}
 }
 
+// seeker is an optional capability of a fleet: it looks for backend servers in other
+// regions.
+type seeker interface {
+	// Seek asks for backend servers that hold a model, or for those of a place if the
+	// model is "", and reports whether more may come up soon.
+	Seek(place, model string) bool
+}
+
+// seek looks for backend servers in other regions, and reports whether waiting for
+// them makes sense.
+func (c *callers) seek(j *job) bool {
+	s, ok := c.Fleet.(seeker)
+	return ok && s.Seek(j.place, j.model)
+}
+
 // waitEnd returns until when j may wait for a backend server. The wait counts from
 // when the last one went, so in a long outage requests are refused at once.
 func (c *callers) waitEnd(j *job, now time.Time) time.Time {
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
 	v := c.view(j.place, now)
-	if len(v.holding(j.model).lanes) > 0 {
+	if len(v.holding(j.model, false).lanes)+len(v.holding(j.model, true).lanes) > 0 {
 		return j.course.Deadline
 	}
 	since, known := v.missing[j.model]
