The first leader may be lost before others hold anything of its log

Cause: TestClaimIsGrantedOnce failed about once in 15 to 100 repetitions on a busy machine: for 60 s no voter led. The events showed two voters as followers of a leader that had ended, with an empty log. A voter that was not formed yet became a follower on the first heartbeat, before it had an entry, and so left the formation for good; without a membership it may not campaign. The leader had also formed without ever announcing that it had accepted, so nobody else could. Ruled out: a blocked loop (both voters went on answering not_leader), lost votes (neither ever campaigned), and the test, which stops a leader as one may die. Change: a voter stays unformed until it holds something of the log; one that accepts says so before it can be formed; what a formed voter accepted counts as its word. Each membership still needs the word of every member, so two cannot form. A voter that dies between accepting and announcing still blocks the first start until it is back.

--- a/ledger/core.go
+++ b/ledger/core.go
@@ -289,15 +289,25 @@
 		c.vote = 0
 	}
 	c.leader = leader
-	if leader != "" {
-		c.become("follow")
-	} else {
+	switch {
+	case leader == "":
 		c.become("higher_term")
+	case c.role != roleUnformed:
+		c.become("follow")
 	}
 	c.endLeading()
 	c.resetElection()
 }
 
+// leaveUnformed makes c a follower once it holds something of the log. Until then
+// it could not campaign if the leader that it hears died, so it goes on with the
+// formation.
+func (c *core) leaveUnformed() {
+	if c.role == roleUnformed && c.log.lastIndex() > 0 {
+		c.become("follow")
+	}
+}
+
 // endLeading forgets what only a leader or candidate needs.
 func (c *core) endLeading() {
 	c.votes = nil
--- a/ledger/core_test.go
+++ b/ledger/core_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -115,6 +116,27 @@
 	return s.err
 }
 
+// The first leader is lost for good soon after it leads. The two that remain elect
+// another, also where they have heard from it but hold nothing of its log yet.
+func TestFirstLeaderIsLost(t *testing.T) {
+	const seeds = 200
+	for n := range uint64(seeds) {
+		s := newSim(n, profile{}, sabotage{})
+		s.quiet, s.allAnnounced = true, true
+		s.until("a leader", func() bool { return s.leader() != nil })
+		first := s.leader()
+		s.passTime(time.Duration(n%4) * 10 * time.Millisecond)
+		s.isolate(first)
+		s.pool = slices.DeleteFunc(s.pool, func(m message) bool { return m.From == first.name })
+		s.until("another leader", func() bool {
+			return slices.ContainsFunc(s.nodes, func(n *simNode) bool { return n != first && n.core.role == roleLeader })
+		})
+		if s.err != nil {
+			t.Errorf("seed %d: %v", n, s.err)
+		}
+	}
+}
+
 // A voter that was cut off for long and comes back does not depose the leader,
 // and a leader that is cut off stops leading before long.
 func TestCutOffVoter(t *testing.T) {
--- a/ledger/formation.go
+++ b/ledger/formation.go
@@ -13,10 +13,15 @@
 //     membership is entry 1 of its log.
 //
 // Two different memberships cannot both be formed, because each needs the word
-// of every member. A member that has a log answers with its membership instead,
-// so a voter that lost its disk learns that it is refused. A disk lost between
-// steps 2 and 3 blocks the first start; nothing was accepted from anyone yet, and
-// the operator empties all disks.
+// of every member. A member that has a log answers with what it accepted and with
+// its membership, so a voter that lost its disk learns that it is refused.
+//
+// The first voter that is formed may be elected and lost before another has
+// anything of its log. The others then form by themselves: a voter announces what
+// it accepted before it can be formed, and one that hears from a leader but has an
+// empty log stays unformed. A disk lost between steps 2 and 3 blocks the first
+// start, and so does a voter that dies there until it is back; nothing was
+// accepted from anyone yet, and the operator may empty all disks.
 
 // announcement is what a voter says before or after formation.
 type announcement struct {
@@ -73,11 +78,10 @@
 		}
 		return
 	}
+	c.announced[m.From] = *m.Announce
 	if m.Announce.Formed {
 		c.hearFormed(m)
-		return
 	}
-	c.announced[m.From] = *m.Announce
 	c.tryForm()
 }
 
@@ -86,7 +90,6 @@
 // hearFormed learns that others have a log. If it names another disk for c, then
 // c has lost its own.
 func (c *core) hearFormed(m message) {
-	delete(c.announced, m.From)
 	s, ok := m.Announce.Members.named(c.name)
 	if ok && s.Disk != c.disk {
 		c.eventOnce(eventDiskRefused, "voters know another disk under this name; remove the voter and add it anew")
@@ -123,13 +126,13 @@
 		if m.Name == c.name {
 			a, ok = announcement{Disk: c.disk}, true
 		}
-		if !ok {
+		if !ok || a.Formed {
 			return
 		}
 		seats = append(seats, seat{Member: m, Disk: a.Disk})
 	}
 	c.accepted = newMembership(seats).Seats
-	c.announceDue = c.now
+	c.announce()
 }
 
 func (c *core) allAccepted() bool {
--- a/ledger/replication.go
+++ b/ledger/replication.go
@@ -186,6 +186,7 @@
 	}
 	last := m.Index + uint64(len(m.Entries))
 	c.store(m.Entries)
+	c.leaveUnformed()
 	c.commit = max(c.commit, min(m.Commit, last))
 	if c.commit >= m.Commit {
 		c.currentAt = c.now
--- a/ledger/sim_test.go
+++ b/ledger/sim_test.go
@@ -41,6 +41,8 @@
 	checker  checker
 	quiet    bool // no more faults
 	err      error
+
+	allAnnounced bool // no announcement is dropped
 }
 
 func newSim(seed uint64, p profile, broken sabotage) *sim {
@@ -153,7 +155,7 @@
 
 func (s *sim) send(messages []message) {
 	for _, m := range messages {
-		if m.Kind != messageAnnounce || s.rand.IntN(3) == 0 {
+		if m.Kind != messageAnnounce || s.allAnnounced || s.rand.IntN(3) == 0 {
 			s.pool = append(s.pool, m)
 		}
 	}
--- a/ledger/snapshot.go
+++ b/ledger/snapshot.go
@@ -133,6 +133,7 @@
 	c.log = newMemoryLog(s.Index, s.Term, nil)
 	c.stable, c.commit, c.handedOut = s.Index, s.Index, s.Index
 	c.refreshMembers()
+	c.leaveUnformed()
 	c.out.Snapshot = &s
 	c.out.Committed = nil
 	c.reply(message{Kind: messageAppendReply, OK: true, Index: s.Index}, m)
