--- a/standin/experiment/command.go
+++ b/standin/experiment/command.go
@@ -31,6 +31,7 @@
 			&cli.FloatFlag{Name: "rate_factor", Value: 1, Destination: &cfg.RateFactor, Usage: "of the usual rate of requests"},
 			&cli.StringFlag{Name: "fault", Value: "both", Usage: "without, with or both"},
 			&cli.StringSliceFlag{Name: "system", Usage: "only this system; may be repeated"},
+			&cli.BoolFlag{Name: "keep", Destination: &cfg.Keep, Usage: "keep the folder of every run, with its logs and one line for each request"},
 			&cli.StringFlag{Name: "plot", Usage: "PNG file to write"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
--- a/standin/load/result.go
+++ b/standin/load/result.go
@@ -32,6 +32,7 @@
 	first    *hdrhistogram.Histogram // microseconds
 	between  *hdrhistogram.Histogram // microseconds
 	perBin   map[int]*bin            // by second of the schedule
+	log      io.Writer               // of every request, or nil
 }
 
 type bin struct{ sent, inTime int }
@@ -57,9 +58,12 @@
 	gaps    []time.Duration
 }
 
-func (r *Result) add(at time.Duration, a answer) {
+func (r *Result) add(sent Arrival, a answer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.log != nil {
+		writeLine(r.log, sent, a)
+	}
 	r.outcomes[a.outcome]++
 	if a.first > 0 {
 		r.first.RecordValue(a.first.Microseconds())
@@ -67,10 +71,11 @@
 	for _, g := range a.gaps {
 		r.between.RecordValue(max(1, g.Microseconds()))
 	}
-	b := r.perBin[int(at.Seconds())]
+	second := int(sent.At.Seconds())
+	b := r.perBin[second]
 	if b == nil {
 		b = &bin{}
-		r.perBin[int(at.Seconds())] = b
+		r.perBin[second] = b
 	}
 	b.sent++
 	if a.outcome == InTime {
