Demand fades by half in 2 s

Cause: the requests lost after a shift are those of the hot model in its first five seconds. Change: half-life 2 s.

--- a/entry/callers_demand.go
+++ b/entry/callers_demand.go
@@ -17,7 +17,7 @@
 // follows a shift of demand within a few half-lives.
 
 const (
-	demandHalfLife  = 5 * time.Second
+	demandHalfLife  = 2 * time.Second
 	answerMeanShare = 0.1  // weight of the newest answer in the mean length
 	forgottenBelow  = 1e-9 // faded requests; one fades so far in about five minutes
 )
