Scenario: a failure domain is cut off silently from the others

Cause: control_cut and restart_without_quorum cut entries from entries; nothing proved that a whole failure domain with callers of its own goes on when all its links are silent.

Change: scenario domain_cut cuts every link between the domain of the ledger's leader and the others, with streams and an order under way, and kills one of its two engine VMs. Both sides answer repeatable requests; the cut-off side refuses an order with Retry-After and takes no publish; the majority takes both; after the heal revisions and recorded answers agree. Commands leader_domain, isolate, rejoin; begin_publish takes more arguments and end_publish may be negated.

--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -64,12 +64,15 @@
 //	                                sets $model to one, in the leader's failure domain if
 //	                                possible, $domain to where it is, $vm to a VM and
 //	                                $lost to the entry there, $follower and $other to the rest
+//	leader_domain                   sets $domain to the leader's, and with it $vm and $engine
+//	                                to a VM, $lost, $follower and $other
+//	isolate|rejoin DOMAIN           cuts all links of a failure domain to others, or heals them
 //	lose DOMAIN [ORDER...]          SIGKILLs a whole failure domain at once; notes how often
 //	                                its services had begun the orders
 //	regain DOMAIN                   starts it again, on its disks
-//	holds VM SPAN                   the VM holds a copy of some model in time
-//	begin_publish NAME ENTRY DIR    publishes in the background
-//	end_publish NAME SPAN ENTRY DIR waits for it, and sends it again if it had no answer
+//	holds VM SPAN [MODEL...]        the VM holds the models, or any, in time
+//	begin_publish NAME ENTRY ARGS   publishes in the background
+//	end_publish NAME [SPAN ENTRY DIR] waits for it, and sends it again if it had no answer
 //	reachable MODELS SPAN ENTRIES   every model answers through every entry in time
 //	peak                            no engine ever held more than its memory
 
@@ -180,10 +183,13 @@
 	"peak":       command(0, (*scenario).peak),
 	"sole_copy":  command(0, (*scenario).soleCopy),
 	"holds":      command(2, (*scenario).holds),
+	"isolate":    command(1, (*scenario).isolate),
+	"rejoin":     command(1, (*scenario).rejoin),
 	"lose":       command(1, (*scenario).lose),
 	"regain":     command(1, (*scenario).regain),
 	"reachable":  command(3, (*scenario).reachable),
 
+	"leader_domain":   command(0, (*scenario).leaderDomain),
 	"publish_within":  publishWithin,
 	"begin_publish":   command(3, (*scenario).beginPublish),
 	"end_publish":     endPublish,
--- a/scenario/domain_test.go
+++ b/scenario/domain_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -65,13 +66,14 @@
 	return model, domain, nil
 }
 
-// nameEntries sets $lost to the entry and $vm to an engine's VM of the domain,
-// $follower and $other to the two other entries.
+// nameEntries sets $lost to the entry, $vm to a VM and $engine to its engine in the
+// domain, $follower and $other to the two other entries.
 func (s *scenario) nameEntries(ts *testscript.TestScript, domain string) {
 	var rest []string
 	for _, name := range s.cluster.InDomain(domain) {
-		if vm, ok := strings.CutPrefix(name, "agent-taller-"); ok {
-			ts.Setenv("vm", "taller-"+vm)
+		if number, ok := strings.CutPrefix(name, "engine-"); ok {
+			ts.Setenv("engine", name)
+			ts.Setenv("vm", "taller-"+number)
 		}
 	}
 	for _, name := range s.cluster.EntryNames() {
@@ -85,6 +87,50 @@
 	ts.Setenv("other", rest[1])
 }
 
+// leaderDomain chooses the failure domain of the ledger's leader.
+func (s *scenario) leaderDomain(ts *testscript.TestScript, args []string) error {
+	return cluster.Eventually(placedWithin, "a leader", func() error {
+		leader, err := s.agreedLeader(s.cluster.EntryNames())
+		if err != nil {
+			return err
+		}
+		ts.Setenv("domain", s.cluster.Domain(leader))
+		s.nameEntries(ts, s.cluster.Domain(leader))
+		return nil
+	})
+}
+
+func (s *scenario) isolate(ts *testscript.TestScript, args []string) error {
+	return s.eachBorder(args[0], s.cluster.Cut)
+}
+
+func (s *scenario) rejoin(ts *testscript.TestScript, args []string) error {
+	return s.eachBorder(args[0], s.cluster.Heal)
+}
+
+// eachBorder applies do to every pair of processes of which just one is in the
+// domain.
+func (s *scenario) eachBorder(domain string, do func(a, b string) error) error {
+	for _, inside := range s.listening() {
+		for _, outside := range s.listening() {
+			if s.cluster.Domain(inside) != domain || s.cluster.Domain(outside) == domain {
+				continue
+			}
+			if err := do(inside, outside); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// listening returns the processes that others dial, the entries and agents.
+func (s *scenario) listening() []string {
+	return slices.DeleteFunc(s.cluster.Names(), func(name string) bool {
+		return !strings.HasPrefix(name, "entry-") && !strings.HasPrefix(name, "agent-")
+	})
+}
+
 func (s *scenario) lose(ts *testscript.TestScript, args []string) error {
 	names := s.cluster.InDomain(args[0])
 	if err := s.noteLostRuns(names, args[1:]); err != nil {
@@ -133,8 +179,9 @@
 }
 
 func (s *scenario) beginPublish(ts *testscript.TestScript, args []string) error {
-	cmd := exec.CommandContext(s.ctx, filepath.Join(builtPrograms, "bamboostep"),
-		"publish", "--entry", s.cluster.OperatorsURL(args[1]), ts.MkAbs(args[2]))
+	line := append([]string{"publish", "--entry", s.cluster.OperatorsURL(args[1])}, args[2:]...)
+	cmd := exec.CommandContext(s.ctx, filepath.Join(builtPrograms, "bamboostep"), line...)
+	cmd.Dir = ts.MkAbs(".")
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -154,7 +201,10 @@
 	}
 	err := <-ended
 	ts.Logf("publish %s: %v", args[0], err)
-	if err != nil {
+	switch {
+	case neg && err == nil:
+		ts.Fatalf("publish %s was accepted, want a failure", args[0])
+	case !neg && err != nil:
 		publishWithin(ts, neg, args[1:])
 	}
 }
@@ -188,23 +238,42 @@
 	})
 }
 
+// holds waits until a VM holds copies of the models.
 func (s *scenario) holds(ts *testscript.TestScript, args []string) error {
 	span, err := time.ParseDuration(args[1])
 	if err != nil {
 		return err
 	}
-	return cluster.Eventually(span, "a copy on "+args[0], func() error {
-		status, err := s.cluster.Status(s.ctx, s.cluster.EntryNames()[0])
+	return cluster.Eventually(span, "copies on "+args[0], func() error {
+		held, err := s.heldBy(args[0])
 		if err != nil {
 			return err
 		}
-		for _, m := range status.Models {
-			for _, c := range m.Copies {
-				if c.VM == args[0] && c.State == bamboostep.ReplicaResident {
-					return nil
-				}
+		for _, model := range args[2:] {
+			if !slices.Contains(held, model) {
+				return fmt.Errorf("%s holds %q, want %q too", args[0], held, model)
 			}
 		}
-		return fmt.Errorf("%s holds no model", args[0])
+		if len(held) == 0 {
+			return fmt.Errorf("%s holds no model", args[0])
+		}
+		return nil
 	})
 }
+
+// heldBy returns the models that a VM holds.
+func (s *scenario) heldBy(vm string) ([]string, error) {
+	status, err := s.cluster.Status(s.ctx, s.cluster.EntryNames()[0])
+	if err != nil {
+		return nil, err
+	}
+	var held []string
+	for _, m := range status.Models {
+		for _, c := range m.Copies {
+			if c.VM == vm && c.State == bamboostep.ReplicaResident {
+				held = append(held, m.Name)
+			}
+		}
+	}
+	return held, nil
+}
