Frames are written and read field by field

Cause: each message was encoded twice, body and envelope, and copied three times; reading it copied the body once more and walked it a second time. The codec went over the envelope by reflection.

Change: the envelope is written and read by the codec's own calls, the body straight into the frame; what is read is a part of the frame. An envelope of other than five fields is refused now.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -205,12 +205,8 @@
 func (c *Conn) closedError() error { return &ClosedError{c.peer.Name, c.Err()} }
 
 func (c *Conn) send(kind string, call uint64, reply bool, v any) error {
-	body, err := msgpack.Marshal(v)
-	if err != nil {
-		return fmt.Errorf("message %q: %w", kind, err)
-	}
-	e := envelope{Kind: kind, Call: call, Reply: reply, Stamp: c.node.Clock.Now(), Body: body}
-	frame, err := encodeFrame(e)
+	e := envelope{Kind: kind, Call: call, Reply: reply, Stamp: c.node.Clock.Now()}
+	frame, err := encodeFrame(e, v)
 	if err != nil {
 		return err
 	}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -14,13 +16,15 @@
 // MaxFrameBytes bounds one frame, envelope included.
 const MaxFrameBytes = 8 << 20
 
-const lengthBytes = 4
+const (
+	lengthBytes    = 4
+	envelopeFields = 5
+)
 
-// envelope is what travels in one frame.
+// envelope is what travels in one frame, as an array of its fields. It is written
+// and read field by field, since every message passes here and the codec's way by
+// reflection copies the body once more at each end.
 type envelope struct {
-	//lint:ignore U1000 the codec reads its tag
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Kind  string
 	Call  uint64 // nonzero on a call and on its reply
 	Reply bool
@@ -52,22 +56,32 @@
 	if n == 0 || n > limit {
 		return envelope{}, &FrameError{n, fmt.Sprintf("length is not between 1 and %d", limit)}
 	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	body, err := readBody(r, n)
 	if err != nil {
 		return envelope{}, err
 	}
-	if len(body) < n {
-		return envelope{}, io.ErrUnexpectedEOF
-	}
 	return decodeFrame(body)
 }
 
+func readBody(r *bufio.Reader, n int) ([]byte, error) {
+	if n <= r.Size() {
+		body := make([]byte, n)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err == nil && len(body) < n {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
 func decodeFrame(body []byte) (envelope, error) {
-	var e envelope
 	if err := CheckEncoding(body); err != nil {
 		return envelope{}, &FrameError{len(body), err.Error()}
 	}
-	if err := msgpack.Unmarshal(body, &e); err != nil {
+	e, err := decodeEnvelope(body)
+	if err != nil {
 		return envelope{}, &FrameError{len(body), err.Error()}
 	}
 	if e.Kind == "" {
@@ -76,16 +90,61 @@
 	return e, nil
 }
 
-// encodeFrame returns the frame of e, its length in front.
-func encodeFrame(e envelope) ([]byte, error) {
-	body, err := msgpack.Marshal(&e)
+// decodeEnvelope reads an envelope from one whole msgpack value. The body is a
+// part of data.
+func decodeEnvelope(data []byte) (envelope, error) {
+	var e envelope
+	r := bytes.NewReader(data)
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(r)
+	n, err := dec.DecodeArrayLen()
 	if err != nil {
-		return nil, fmt.Errorf("frame %q: %w", e.Kind, err)
+		return e, err
+	}
+	if n != envelopeFields {
+		return e, fmt.Errorf("envelope has %d fields, want %d", n, envelopeFields)
+	}
+	if e.Kind, err = dec.DecodeString(); err != nil {
+		return e, err
+	}
+	if e.Call, err = dec.DecodeUint64(); err != nil {
+		return e, err
+	}
+	if e.Reply, err = dec.DecodeBool(); err != nil {
+		return e, err
 	}
-	if len(body) > MaxFrameBytes {
-		return nil, &FrameError{len(body), fmt.Sprintf("length is not between 1 and %d", MaxFrameBytes)}
+	stamp, err := dec.DecodeUint64()
+	e.Stamp = timeline.Stamp(stamp)
+	e.Body = data[len(data)-r.Len():]
+	return e, err
+}
+
+// encodeFrame returns the frame of e with the body v, its length in front.
+func encodeFrame(e envelope, v any) ([]byte, error) {
+	var frame bytes.Buffer
+	frame.Write(make([]byte, lengthBytes))
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&frame)
+	if err := e.encode(enc, v); err != nil {
+		return nil, fmt.Errorf("message %q: %w", e.Kind, err)
+	}
+	n := frame.Len() - lengthBytes
+	if n > MaxFrameBytes {
+		return nil, &FrameError{n, fmt.Sprintf("length is not between 1 and %d", MaxFrameBytes)}
 	}
-	frame := make([]byte, lengthBytes, lengthBytes+len(body))
-	binary.BigEndian.PutUint32(frame, uint32(len(body)))
-	return append(frame, body...), nil
+	binary.BigEndian.PutUint32(frame.Bytes(), uint32(n))
+	return frame.Bytes(), nil
+}
+
+func (e *envelope) encode(enc *msgpack.Encoder, v any) error {
+	return cmp.Or(
+		enc.EncodeArrayLen(envelopeFields),
+		enc.EncodeString(e.Kind),
+		enc.EncodeUint64(e.Call),
+		enc.EncodeBool(e.Reply),
+		enc.EncodeUint64(uint64(e.Stamp)),
+		enc.Encode(v),
+	)
 }
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -35,11 +35,7 @@
 	if err := nc.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return Hello{}, err
 	}
-	body, err := msgpack.Marshal(own)
-	if err != nil {
-		return Hello{}, err
-	}
-	frame, err := encodeFrame(envelope{Kind: kindHello, Stamp: clock.Now(), Body: body})
+	frame, err := encodeFrame(envelope{Kind: kindHello, Stamp: clock.Now()}, own)
 	if err != nil {
 		return Hello{}, err
 	}
