Agents leave out reports that say nothing new, and send a quarter as many

Cause: an agent sends 100 load reports a second to all its entries together, also when idle.

Change: a report that differs from the last one sent on a connection in nothing but its number and the age of the load is left out, for at most 5 s; the pings of the connection prove that it stands. At most 25 reports a second to all entries: nothing changes up to five entries, and 47 hear of a load every 1.9 s. Changes of replicas, readiness and leaving go out at once, as before.

Ruled out: leaving out small changes of load (what is small depends on the engine).

What the longer lag does to attainment at 47 entries was not measured.

--- a/backend/bench_test.go
+++ b/backend/bench_test.go
@@ -115,6 +115,8 @@
 				p.last = nil
 			case "change":
 				p.last.Replicas = p.last.Replicas[1:]
+			case "load":
+				p.last.Running++
 			}
 		}
 		s.sendReports()
--- a/backend/load.go
+++ b/backend/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"reflect"
 	"slices"
 	"time"
 
@@ -49,6 +50,16 @@
 		a.MemoryMiB == b.MemoryMiB
 }
 
+// saysNothingNew reports whether r differs from the report before it in nothing but
+// its number and the age of the load.
+func saysNothingNew(last, r bamboostep.Report) bool {
+	last.Sequence = r.Sequence
+	last.LoadAge = r.LoadAge
+	same := sameVM(last, r) && slices.Equal(last.Replicas, r.Replicas) && len(r.CacheDropped) == 0
+	last.Replicas, last.CacheDropped = r.Replicas, r.CacheDropped
+	return same && reflect.DeepEqual(last, r)
+}
+
 func newLoadBody(last, r bamboostep.Report) loadBody {
 	b := loadBody{
 		Sequence:     r.Sequence,
--- a/backend/report.go
+++ b/backend/report.go
@@ -8,11 +8,15 @@
 )
 
 // The time between reports grows with the number of entries, so that what an
-// agent spends on reports does not.
+// agent spends on reports does not. A change of what entries must know at once,
+// such as a replica or readiness, does not wait for that time. A report that says
+// nothing new is left out, but for one now and then, which shows that the load is
+// still so.
 const (
 	minReportInterval = 200 * time.Millisecond
 	minReportGap      = 20 * time.Millisecond // between two reports upon changes
-	maxReportRate     = 100                   // reports a second to all entries together
+	maxReportRate     = 25                    // reports a second to all entries together
+	maxReportAge      = 5 * time.Second       // of the last report sent, though nothing is new
 	maxChangeRate     = 1000                  // the same, upon changes
 	maxDropped        = 256                   // dropped cache blocks that one report names
 )
@@ -116,15 +120,21 @@
 	s.sequence++
 	r := s.currentReport()
 	s.dropped = nil
+	now := s.Node.Uptime()
 	for _, p := range s.conns {
-		p.sendReport(r)
+		p.sendReport(now, r)
 	}
 }
 
-// sendReport sends the whole report first and then what is new in it.
-func (p *peer) sendReport(r bamboostep.Report) {
+// sendReport sends the whole report first and then what is new in it, if anything
+// is.
+func (p *peer) sendReport(now time.Duration, r bamboostep.Report) {
+	if !p.isDue(now, r) {
+		return
+	}
 	last := p.last
 	p.last = &r
+	p.lastAt = now
 	if last == nil || !sameVM(*last, r) {
 		_ = p.conn.Send(kindReport, r)
 		return
@@ -132,6 +142,11 @@
 	_ = p.conn.Send(kindLoad, newLoadBody(*last, r))
 }
 
+// isDue reports whether a report is to be sent.
+func (p *peer) isDue(now time.Duration, r bamboostep.Report) bool {
+	return p.last == nil || now-p.lastAt >= maxReportAge || !saysNothingNew(*p.last, r)
+}
+
 func (s *Server) currentReport() bamboostep.Report {
 	running := len(s.table.active)
 	return bamboostep.Report{
--- a/backend/server.go
+++ b/backend/server.go
@@ -83,8 +83,9 @@
 
 // peer is one connected entry.
 type peer struct {
-	conn *wire.Conn
-	last *bamboostep.Report // last sent, or nil
+	conn   *wire.Conn
+	last   *bamboostep.Report // last sent, or nil
+	lastAt time.Duration      // when, by the node's uptime
 }
 
 // Register registers the message kinds of an agent.
