A request too late for its own region goes to another before it is refused

Cause: admission judged only the place chosen in the own region. A request was refused as overloaded there though another region's backend servers were free; without regions it would have been answered.

Change: a request that would be late looks for a place in another region that is not, with a search if none is connected, and is refused only then. Metric bamboostep_agents_connected, by region. BenchmarkPool measures what the connections cost an entry.

Seen failing first: TestLateRequestGoesElsewhere without the search, status 503.

--- a/entry/callers_admit.go
+++ b/entry/callers_admit.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -28,17 +29,63 @@
 	x.note(timeline.Event{Kind: "request_received", Detail: string(x.class)})
 }
 
-// refuseLate refuses a request whose answer would be too late.
-func (x *exchange) refuseLate(j *job, p *slot) *bamboostep.RefusedError {
+// admit returns a place whose answer is not too late: p, or else one in another
+// region. It leaves p otherwise, and refuses the request if there is none.
+func (x *exchange) admit(ctx context.Context, j *job, p *slot) (*slot, *bamboostep.RefusedError) {
+	_, _, late := x.predictLate(j, p)
+	if !late {
+		return p, nil
+	}
+	if far := x.inTimeElsewhere(ctx, j); far != nil {
+		p.leave()
+		return far, nil
+	}
+	if refused := x.refuseLate(j, p); refused != nil {
+		p.leave()
+		return nil, refused
+	}
+	return p, nil
+}
+
+// inTimeElsewhere looks for a place in another region whose answer is not too late.
+// It waits for a search there to end, and returns nil if there is none.
+func (x *exchange) inTimeElsewhere(ctx context.Context, j *job) *slot {
+	for {
+		if p := x.chooseElsewhere(j); p != nil {
+			if _, _, late := x.predictLate(j, p); !late {
+				return p
+			}
+			p.leave()
+		}
+		if !x.seek(j) || !x.Clock.Now().Before(j.course.Deadline) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(leastPause):
+		}
+	}
+}
+
+// predictLate says how long a request at a place would wait, when to come back, and
+// whether that is too late.
+func (x *exchange) predictLate(j *job, p *slot) (wait, after time.Duration, late bool) {
 	if !j.course.Fresh() || p.queue == 0 {
-		return nil
+		return 0, 0, false
 	}
 	wait, queued, known := x.predictWait(waitKey{j.place, x.class}, p.queue)
 	if !known {
-		return nil
+		return 0, 0, false
 	}
 	after, ok := x.Admission.Admit(x.class, queued, j.startTarget)
-	if ok || x.lateRefusals.Add(1)%probeEvery == 0 {
+	return wait, after, !ok
+}
+
+// refuseLate refuses a request whose answer would be too late.
+func (x *exchange) refuseLate(j *job, p *slot) *bamboostep.RefusedError {
+	wait, after, late := x.predictLate(j, p)
+	if !late || x.lateRefusals.Add(1)%probeEvery == 0 {
 		return nil
 	}
 	x.demand.missed(x.target, x.Clock.Now())
--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -199,6 +199,11 @@
 	if c.gather(j, now, false); len(c.lanes.candidates) == 0 {
 		c.gather(j, now, true)
 	}
+	return c.enterPick(j, now)
+}
+
+// enterPick picks one of the candidates and enters the attempt in its lane.
+func (c *callers) enterPick(j *job, now time.Time) *slot {
 	i, ok := c.pick(j, now)
 	if !ok {
 		return nil
@@ -206,6 +211,15 @@
 	return c.lanes.enter(c.lanes.chosen[i], &c.lanes.candidates[i], j, now)
 }
 
+// chooseElsewhere is choose among the backend servers of other regions alone.
+func (c *callers) chooseElsewhere(j *job) *slot {
+	now := c.Clock.Now()
+	c.lanes.mu.Lock()
+	defer c.lanes.mu.Unlock()
+	c.gather(j, now, true)
+	return c.enterPick(j, now)
+}
+
 func (c *callers) pick(j *job, now time.Time) (int, bool) {
 	if j.verdict.Alone {
 		return dispatch.PickSuspect(j.place, c.lanes.candidates)
--- a/entry/callers_run.go
+++ b/entry/callers_run.go
@@ -76,11 +76,7 @@
 		return nil, j.course.GiveUp(http.StatusServiceUnavailable, "no_backend_server", noServerRetryAfter,
 			fmt.Sprintf("no backend server of place %q can take the request", j.place))
 	}
-	if refused := x.refuseLate(j, p); refused != nil {
-		p.leave()
-		return nil, refused
-	}
-	return p, nil
+	return x.admit(ctx, j, p)
 }
 
 const noServerRetryAfter = 3 * time.Second
--- a/entry/elsewhere.go
+++ b/entry/elsewhere.go
@@ -121,6 +121,20 @@
 	return names
 }
 
+// Connected returns the number of agents that are connected, of other regions or of
+// this entry's own.
+func (p *serverPool) Connected(elsewhere bool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, s := range p.remotes {
+		if p.isOfRegion(s.vm) != elsewhere && s.client.Up() {
+			n++
+		}
+	}
+	return n
+}
+
 // isOfRegion reports whether a VM is of this entry's region, also where the entry
 // connects to those of all.
 func (p *serverPool) isOfRegion(vm bamboostep.VM) bool {
--- /dev/null
+++ b/entry/elsewhere_bench_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep/internal/measure"
+	"github.com/bamboostep/bamboostep/roster"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+const poolSpan = 5 * time.Second
+
+// BenchmarkPool measures an entry before the idle agents of the letter's fleet, at a
+// tenth of its size: the bytes that the entry writes and reads, and the processor time
+// of all ends together, agents' own work included, with connections to all agents and
+// to those of its own region, one of eight.
+func BenchmarkPool(b *testing.B) {
+	for name, region := range map[string]string{"all": "", "region": "r0"} {
+		b.Run(name, func(b *testing.B) { benchmarkPool(b, region) })
+	}
+}
+
+func benchmarkPool(b *testing.B, region string) {
+	const agents, regions = 160, 8
+	sent, read := prometheus.NewRegistry(), prometheus.NewRegistry()
+	a := &poolAgents{metrics: wire.NewMetrics(read), entryMetrics: wire.NewMetrics(sent)}
+	names := strings.Fields("r0 r1 r2 r3 r4 r5 r6 r7")
+	var of []string
+	for i := range agents {
+		of = append(of, names[i%regions])
+	}
+	a.start(b, of...)
+	p := startPool(b, a, roster.Reach{Self: "entry", Region: region}, nil)
+	want := agents
+	if region != "" {
+		want = agents / regions
+	}
+	waitFor(b, "all connections", func() bool { return len(p.Servers("apps")) == want })
+	time.Sleep(time.Second) // the whole reports at the start are over
+	for b.Loop() {
+		sentBefore, readBefore, cpuBefore := measure.SentBytes(b, sent), measure.SentBytes(b, read), measure.CPUTime(b)
+		time.Sleep(poolSpan)
+		b.ReportMetric((measure.SentBytes(b, sent)-sentBefore)/poolSpan.Seconds(), "sent-B/s")
+		b.ReportMetric((measure.SentBytes(b, read)-readBefore)/poolSpan.Seconds(), "read-B/s")
+		b.ReportMetric(float64((measure.CPUTime(b)-cpuBefore).Microseconds())/poolSpan.Seconds(), "cpu-us/s")
+		b.ReportMetric(float64(want), "connections")
+	}
+}
--- a/entry/elsewhere_test.go
+++ b/entry/elsewhere_test.go
@@ -22,7 +22,9 @@
 
 // poolAgents are agents in this process, for a pool under test.
 type poolAgents struct {
-	vms []bamboostep.VM
+	vms          []bamboostep.VM
+	metrics      *wire.Metrics // of all agents together; may be nil
+	entryMetrics *wire.Metrics // of the pool under test; may be nil
 
 	mu    sync.Mutex
 	conns map[string]int // by VM
@@ -62,6 +64,7 @@
 
 func (a *poolAgents) serve(ctx context.Context, vm bamboostep.VM, nl net.Listener) {
 	node := testNode(vm.Name)
+	node.Metrics = a.metrics
 	s := &backend.Server{Node: node, VM: vm, Application: noApplication{}, Concurrency: 1, Queue: 1,
 		Recorder: &timeline.Recorder{Process: vm.Name, Clock: node.Clock}, Registry: prometheus.NewRegistry()}
 	mux := &wire.Mux{}
@@ -97,8 +100,10 @@
 
 func startPool(tb testing.TB, a *poolAgents, reach roster.Reach, ask directory) *serverPool {
 	tb.Helper()
+	node := testNode("entry")
+	node.Metrics = a.entryMetrics
 	p := &serverPool{
-		Node:      testNode("entry"),
+		Node:      node,
 		Platform:  a,
 		Recorder:  &timeline.Recorder{Process: "entry", Clock: &timeline.Clock{Wall: daemon.SystemClock{}}},
 		Log:       log.New(io.Discard),
@@ -231,3 +236,38 @@
 		t.Errorf("got status %d with a full region, want 200 from another", got.status)
 	}
 }
+
+// A request that would be late in its own region goes to another one rather than be
+// refused, as it would without regions.
+func TestLateRequestGoesElsewhere(t *testing.T) {
+	started, finish := make(chan bool), make(chan bool)
+	fleet := newTestFleet(2, speak("over the gutter", -1), nil)
+	near, far := fleet.servers["engines"][0], fleet.servers["engines"][1]
+	near.vm.Region, far.vm.Region = "own", "other"
+	near.offer = func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+		started <- true
+		<-finish
+		return speak("over the gutter", -1)(o, yield)
+	}
+	c := newTestCallers(fleet, nil)
+	c.Region = "own"
+	for range 10 {
+		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 0, 10*time.Millisecond)
+		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 100, 5*time.Second)
+	}
+	s := startCallers(t, c)
+	ask := func() reply { return call(t, s, "POST", "/v1/completions", `{"model":"base","prompt":"how?"}`) }
+	first := make(chan reply)
+	go func() { first <- ask() }()
+	<-started
+	if got := ask(); got.status != 200 {
+		t.Errorf("got status %d, want 200 from another region", got.status)
+	}
+	if got := len(far.offered()); got != 1 {
+		t.Errorf("got %d offers in another region, want 1", got)
+	}
+	close(finish)
+	if got := <-first; got.status != 200 {
+		t.Errorf("got status %d for the first request, want 200", got.status)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -147,6 +147,18 @@
 			e.peers.AskHolders(ctx, w, told)
 		},
 	}
+	e.registerConnected()
+}
+
+func (e *entry) registerConnected() {
+	for region, elsewhere := range map[string]bool{"own": false, "other": true} {
+		e.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace:   "bamboostep",
+			Name:        "agents_connected",
+			Help:        "Agents that this entry is connected to, by their region.",
+			ConstLabels: prometheus.Labels{"region": region},
+		}, func() float64 { return float64(e.servers.Connected(elsewhere)) }))
+	}
 }
 
 func newDropped(r prometheus.Registerer) prometheus.Counter {
