--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -257,7 +257,15 @@
 	now := c.Clock.Now()
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
-	h := c.gather(j, now)
+	h := c.gather(j, now, false)
+	if len(h.lanes) == 0 {
+		h = c.gather(j, now, true)
+	}
+	return c.enterPick(j, now, h)
+}
+
+// enterPick picks one of the candidates and enters the attempt in its lane.
+func (c *callers) enterPick(j *job, now time.Time, h *holders) *slot {
 	i, ok := c.pick(j, now, h.candidates)
 	if !ok {
 		return nil
@@ -265,6 +273,14 @@
 	return c.lanes.enter(h.lanes[i], &h.candidates[i], j, now)
 }
 
+// chooseElsewhere is choose among the backend servers of other regions alone.
+func (c *callers) chooseElsewhere(j *job) *slot {
+	now := c.Clock.Now()
+	c.lanes.mu.Lock()
+	defer c.lanes.mu.Unlock()
+	return c.enterPick(j, now, c.gather(j, now, true))
+}
+
 func (c *callers) pick(j *job, now time.Time, candidates []bamboostep.Candidate) (int, bool) {
 	if j.verdict.Alone {
 		return dispatch.PickSuspect(j.place, candidates)
@@ -272,19 +288,11 @@
 	return c.Router.Pick(now, j.request, candidates, c.Seed+c.picks.Add(1))
 }
 
-// gather returns the candidates for j, which stay as they are until the next call:
-// those of the own region, or those elsewhere if there are none.
-func (c *callers) gather(j *job, now time.Time) *holders {
-	v := c.view(j.place, now)
+// gather returns the candidates for j that it has not tried, of the own region or
+// elsewhere. They stay as they are until the next call.
+func (c *callers) gather(j *job, now time.Time, elsewhere bool) *holders {
+	h := c.view(j.place, now).holding(j.model, elsewhere)
 	c.lanes.prefixes.Match(j.request.Prefix)
-	if h := c.eligible(j, now, v.holding(j.model, false)); len(h.lanes) > 0 {
-		return h
-	}
-	return c.eligible(j, now, v.holding(j.model, true))
-}
-
-// eligible returns the holders that j has not tried.
-func (c *callers) eligible(j *job, now time.Time, h *holders) *holders {
 	h.update(j, now)
 	if !j.course.TriedAny() {
 		return h
--- a/entry/callers_route_test.go
+++ b/entry/callers_route_test.go
@@ -180,7 +180,7 @@
 					j.course.Budget = &dispatch.Budget{}
 					j.course.Failed(now, vm, bamboostep.Failure{Outcome: bamboostep.NotRun})
 				}
-				got := c.gather(j, clock.now).candidates
+				got := c.gather(j, clock.now, false).candidates
 				if want := plainGather(c, j, clock.now); !slices.Equal(got, want) {
 					t.Fatalf("candidates for %+v:\ngot  %+v\nwant %+v", j.request, got, want)
 				}
