Orders are refused at once while the ledger is out of reach

Ruled out: a shorter wait for every claim, which would refuse orders during each change of leader. Change: once nothing has been proved current for 4 s, a claim or settlement gets 0.1 s.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -127,6 +127,7 @@
 	Limits        callerLimits
 
 	once    sync.Once
+	began   time.Time // when the first request came
 	metrics *callerMetrics
 	budget  *dispatch.Budget
 	demand  demandTable
@@ -139,6 +140,7 @@
 var _ http.Handler = (*callers)(nil)
 
 func (c *callers) init() {
+	c.began = c.Clock.Now()
 	c.Limits = c.Limits.withDefaults()
 	c.budget = &dispatch.Budget{}
 	if c.Router == nil {
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -33,7 +33,9 @@
 // check that may differ between two sendings, and a claim that was granted and
 // not used is settled as not run. While the ledger cannot be reached this entry
 // cannot know of earlier sendings, and the outcome is unknown; sending again is
-// safe, and Retry-After says when.
+// safe, and Retry-After says when. A ledger that has just been lost is waited for,
+// since a new leader comes soon; one that has been out of reach for longer is not,
+// so that its callers hear at once.
 
 const (
 	heldPause          = 200 * time.Millisecond
@@ -42,7 +44,9 @@
 	clockMargin        = 10 * time.Second // between the clocks of two entries
 	maxNameBytes       = 1024
 	settlePause        = 100 * time.Millisecond
-	settleTime         = time.Minute // a settlement is tried again for so long
+	lostAfter          = 4 * time.Second        // without a proof, the ledger counts as out of reach
+	lostClaimTime      = 100 * time.Millisecond // of a claim or settlement while the ledger is out of reach
+	settleTime         = time.Minute            // a settlement is tried again for so long
 )
 
 func (x *exchange) serveClaimed(s bamboostep.Service, j *job) {
@@ -174,11 +178,38 @@
 }
 
 func (x *exchange) claimOnce(ctx context.Context, claim bamboostep.Claim) (bamboostep.ClaimResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, x.Limits.ClaimTime)
+	ctx, cancel := context.WithTimeout(ctx, x.claimTime())
 	defer cancel()
 	return x.Ledger.Claim(ctx, claim)
 }
 
+// prover is an optional capability of a ledger: it knows when it was last in reach.
+type prover interface {
+	// Current returns when what is known of the ledger was last proved to be current.
+	Current() time.Time
+}
+
+// claimTime returns how long a claim or settlement may take: short once the ledger
+// has been out of reach for longer than an election takes.
+func (c *callers) claimTime() time.Duration {
+	p, ok := c.Ledger.(prover)
+	if !ok {
+		return c.Limits.ClaimTime
+	}
+	lost := c.Clock.Now().Sub(later(c.began, p.Current()))
+	if lost > lostAfter {
+		return min(c.Limits.ClaimTime, lostClaimTime)
+	}
+	return c.Limits.ClaimTime
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // heldRefusal answers a resend while the name is held. The holder ends within a
 // bounded time; after that it must have died, and coming back does not help.
 func (x *exchange) heldRefusal(result bamboostep.ClaimResult) *bamboostep.RefusedError {
@@ -267,7 +298,7 @@
 }
 
 func (x *exchange) settleOnce(ctx context.Context, s bamboostep.Settlement) error {
-	ctx, cancel := context.WithTimeout(ctx, x.Limits.ClaimTime)
+	ctx, cancel := context.WithTimeout(ctx, x.claimTime())
 	defer cancel()
 	return x.Ledger.Settle(ctx, s)
 }
--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -1,9 +1,13 @@
 package main
 
 import (
+	"context"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/bamboostep/bamboostep"
 )
@@ -83,3 +87,40 @@
 		})
 	}
 }
+
+// lostLedger is a ledger out of reach: no call of it ends by itself.
+type lostLedger struct {
+	bamboostep.Ledger
+	current time.Time
+}
+
+func (l *lostLedger) Current() time.Time { return l.current }
+
+func (l *lostLedger) Claim(ctx context.Context, _ bamboostep.Claim) (bamboostep.ClaimResult, error) {
+	<-ctx.Done()
+	return bamboostep.ClaimResult{}, &bamboostep.UnavailableError{Operation: "claim", Known: true, Cause: ctx.Err()}
+}
+
+// A ledger that has just been lost is waited for; once it has been lost for longer,
+// orders are refused at once and told when to come back.
+func TestOrderIsRefusedAtOnceWithoutLedger(t *testing.T) {
+	const atOnce = 200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		l := &lostLedger{current: time.Now()}
+		c := newTestCallers(newTestFleet(1, nil, nil), l)
+		c.Limits.ClaimTime = defaultClaimTime
+		for _, want := range []time.Duration{defaultClaimTime, defaultClaimTime, atOnce, atOnce} {
+			r := httptest.NewRequest("POST", "/orders", strings.NewReader("three sheets"))
+			rec := httptest.NewRecorder()
+			began := time.Now()
+			c.ServeHTTP(rec, r)
+			if got := time.Since(began); got > want {
+				t.Errorf("order was refused after %v, want within %v", got, want)
+			}
+			if rec.Code != 503 || rec.Header().Get("Retry-After") == "" {
+				t.Errorf("got status %d, Retry-After %q, want 503 and when to come back", rec.Code, rec.Header().Get("Retry-After"))
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
