A repeatable request leaves a silent VM within 3 s

TestAnswerSurvivesSilentConnection did not see it, because new connections work there.

Ruled out: a shorter silence limit (pings are bounded by their cost, and a busy VM must not count as silent).

Change: where another attempt may be made, another connection is waited for 0.5 s. An attempt that may not be repeated, or a service's answer that has begun, waits for 3 s as before. Offer.Repeatable says so and does not go over the wire. The tests of orders run in parallel.

--- a/backend/offer.go
+++ b/backend/offer.go
@@ -14,7 +14,8 @@
 // The hard point is what may be said when the connection ends. While the same
 // agent process can be reached again within reconnectLimit, the stream resumes at
 // its offset, and an offer that never arrived is found out there: the agent
-// writes a tombstone and answers "not run". Another incarnation of the agent
+// writes a tombstone and answers "not run". A request that can go on elsewhere waits
+// for less, since nothing is lost by another attempt. Another incarnation of the agent
 // knows nothing of the attempt, so nothing but "unknown" can be said, or "ran" if
 // part of the answer came.
 
@@ -216,7 +217,17 @@
 
 func (o *offering) loseConn() {
 	o.conn = nil
-	o.lost = time.After(reconnectLimit)
+	o.lost = time.After(o.reconnectTime())
+}
+
+// reconnectTime returns how long another connection is waited for. What can go on
+// elsewhere does so within 3 s of when its connection went silent.
+func (o *offering) reconnectTime() time.Duration {
+	service := o.offer.Request.Service != ""
+	if !o.offer.Repeatable || service && o.stream.header {
+		return reconnectLimit
+	}
+	return moveLimit
 }
 
 func (o *offering) fail(code, message string) error {
--- a/backend/orders_test.go
+++ b/backend/orders_test.go
@@ -47,6 +47,7 @@
 // timeout of an order: once the engine's own state has shown its end for a while,
 // the wait is over and the state counts.
 func TestLostAnswerIsGivenUp(t *testing.T) {
+	t.Parallel()
 	e := &muteEngine{held: make(map[string]bamboostep.Replica)}
 	address, _ := startServer(t, "127.0.0.1:0", e)
 	c := startClient(t, address)
@@ -69,6 +70,7 @@
 // An order that never reaches the engine is given up as soon, and its memory is
 // free for another one.
 func TestLostOrderIsGivenUp(t *testing.T) {
+	t.Parallel()
 	e := &muteEngine{held: make(map[string]bamboostep.Replica), loses: true}
 	address, _ := startServer(t, "127.0.0.1:0", e)
 	c := startClient(t, address)
@@ -116,6 +118,7 @@
 // An order to an engine that stands still is given up as soon, so that it takes
 // no turn at the store. Its memory stays reserved.
 func TestOrderOfFrozenEngineIsGivenUp(t *testing.T) {
+	t.Parallel()
 	address, _ := startServer(t, "127.0.0.1:0", &freezingEngine{})
 	c := startClient(t, address)
 	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
@@ -190,6 +193,7 @@
 // An unload that waits for an attempt to end lets later orders pass, and is still
 // done afterwards, by an engine that fences as well.
 func TestOrderThatWaitedIsNotFenced(t *testing.T) {
+	t.Parallel()
 	e := &fencingEngine{gatedEngine: gatedEngine{gate: make(chan string)}}
 	address, _ := startServer(t, "127.0.0.1:0", e)
 	c := startClient(t, address)
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -26,10 +26,11 @@
 
 const (
 	maxStartWithin = time.Minute
-	reconnectLimit = 3 * time.Second // how long a stream waits for another connection
-	cancelLimit    = 5 * time.Second // how long a cancelled offer waits to learn whether it ran
-	ackEvery       = 64 << 10        // bytes
-	windowBytes    = 256 << 10       // output that an agent keeps unacknowledged for one attempt
+	reconnectLimit = 3 * time.Second        // how long a stream waits for another connection
+	moveLimit      = 500 * time.Millisecond // the same, where another attempt may be made
+	cancelLimit    = 5 * time.Second        // how long a cancelled offer waits to learn whether it ran
+	ackEvery       = 64 << 10               // bytes
+	windowBytes    = 256 << 10              // output that an agent keeps unacknowledged for one attempt
 )
 
 // The codes of failures that both ends use.
--- a/backend/relay_test.go
+++ b/backend/relay_test.go
@@ -15,6 +15,7 @@
 
 	mu    sync.Mutex
 	pipes []*pipe
+	cut   bool // new connections are silent too
 }
 
 type pipe struct {
@@ -42,8 +43,8 @@
 				near.Close()
 				continue
 			}
-			p := &pipe{}
 			r.mu.Lock()
+			p := &pipe{silent: r.cut}
 			r.pipes = append(r.pipes, p)
 			r.mu.Unlock()
 			go p.pass(near, far, true)
@@ -75,6 +76,14 @@
 	}
 }
 
+// cutOff makes the connections of now and later silent.
+func (r *relay) cutOff() {
+	r.mu.Lock()
+	r.cut = true
+	r.mu.Unlock()
+	r.fallSilent()
+}
+
 func (r *relay) fallSilent() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/backend/server_test.go
+++ b/backend/server_test.go
@@ -121,8 +121,11 @@
 }
 
 func offer(ctx context.Context, c *backend.Client, id bamboostep.AttemptID) *answer {
+	return offerWith(ctx, c, bamboostep.Offer{Attempt: id, Request: bamboostep.Request{Model: "m"}})
+}
+
+func offerWith(ctx context.Context, c *backend.Client, o bamboostep.Offer) *answer {
 	a := &answer{err: make(chan error, 1)}
-	o := bamboostep.Offer{Attempt: id, Request: bamboostep.Request{Model: "m"}}
 	go func() {
 		a.err <- c.Offer(ctx, o, 10*time.Second, func(p bamboostep.Answer) error {
 			a.mu.Lock()
@@ -202,6 +205,46 @@
 	}
 }
 
+// An attempt that may be repeated is given up within three seconds when its VM is
+// cut off silently, before the first token and after it, so that its request goes on
+// elsewhere. One that may not be waits longer for the answer.
+func TestRepeatableAttemptLeavesSilentVM(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		words      []string
+		repeatable bool
+		want       bamboostep.Outcome
+	}{
+		"before the first token":       {nil, true, bamboostep.Unknown},
+		"after the first token":        {[]string{"one "}, true, bamboostep.Ran},
+		"one that may not be repeated": {nil, false, bamboostep.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := &gatedEngine{gate: make(chan string, 1)}
+			address, _ := startServer(t, "127.0.0.1:0", e)
+			r, through := startRelay(t, address)
+			c := startClient(t, through)
+
+			a := offerWith(context.Background(), c, bamboostep.Offer{Attempt: "1", Request: bamboostep.Request{Model: "m"}, Repeatable: tt.repeatable})
+			for _, w := range tt.words {
+				e.gate <- w
+			}
+			until(t, "the attempt runs", func() bool { return e.started() == 1 && a.got() == strings.Join(tt.words, "") })
+			r.cutOff()
+			began := time.Now()
+			f := a.wait(t)
+			if f.Outcome != tt.want {
+				t.Errorf("got %+v, want outcome %q", f, tt.want)
+			}
+			if took := time.Since(began); (took <= 3*time.Second) != tt.repeatable {
+				t.Errorf("given up after %v, want within 3s: %v", took, tt.repeatable)
+			}
+		})
+	}
+}
+
 // An offer lingers on a silent connection until its cancel has come by another.
 // The entry says "not run", and the offer that arrives then starts nothing.
 func TestOfferDelayedPastItsCancel(t *testing.T) {
--- a/entry/callers_attempt.go
+++ b/entry/callers_attempt.go
@@ -76,7 +76,13 @@
 // offer runs the offer and returns its error, or errShut if that does not come
 // soon after the attempt was given up.
 func (a *attempt) offer(ctx context.Context, within time.Duration) error {
-	offer := bamboostep.Offer{Attempt: a.id, Request: a.job.request, Prior: a.job.prior, Alone: a.job.verdict.Alone}
+	offer := bamboostep.Offer{
+		Attempt:    a.id,
+		Request:    a.job.request,
+		Prior:      a.job.prior,
+		Alone:      a.job.verdict.Alone,
+		Repeatable: a.job.course.Repeatable,
+	}
 	if !a.slot.resident {
 		offer.Load = a.job.load
 	}
--- a/message.go
+++ b/message.go
@@ -36,6 +36,8 @@
 	Prior   []byte    `msgpack:"prior"`    // answer text that the caller already has; the engine goes on after it
 	Alone   bool      `msgpack:"alone"`    // a crash suspect: run it only where no unsuspected request runs
 	Load    Order     `msgpack:"load"`     // how to load the adapter where it is not resident; its Fence is unset
+
+	Repeatable bool `msgpack:"-"` // the entry may make another attempt whatever became of this one
 }
 
 // Answer is one piece of an attempt's answer. Pieces of one attempt are ordered
