--- a/entry/callers.go
+++ b/entry/callers.go
@@ -18,6 +18,7 @@
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/catalog"
 	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/internal/worker"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -133,6 +134,7 @@
 	demand  demandTable
 	lanes   lanes
 	picks   atomic.Uint64
+	workers *worker.Pool
 
 	lateRefusals atomic.Uint64 // made or due, for being late
 }
@@ -143,6 +145,7 @@
 	c.began = c.Clock.Now()
 	c.Limits = c.Limits.withDefaults()
 	c.budget = &dispatch.Budget{}
+	c.workers = worker.NewPool()
 	if c.Router == nil {
 		c.Router = dispatch.Balanced{}
 	}
