--- a/entry/placement.go
+++ b/entry/placement.go
@@ -25,6 +25,7 @@
 	orderTimeout  = 60 * time.Second
 	demandMaxAge  = 5 * time.Second
 	silentVMLimit = 4 * time.Second
+	freedDelay    = 250 * time.Millisecond // until a report shows the memory that an unload freed
 )
 
 // placement runs the placer while this entry leads. Set the exported fields
@@ -48,6 +49,7 @@
 	term     uint64
 	sequence uint64
 	moves    *prometheus.CounterVec
+	freed    chan struct{} // a model was unloaded, so that a load may be waiting for its memory
 }
 
 type demandAt struct {
@@ -71,6 +73,7 @@
 func (p *placement) Run(ctx context.Context) error {
 	p.pending = make(map[pendingKey]bamboostep.Order)
 	p.queues = make(map[string][]queuedMove)
+	p.freed = make(chan struct{}, 1)
 	p.moves = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "bamboostep",
 		Subsystem: "placement",
@@ -84,7 +87,10 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-p.freed:
+			t.Reset(freedDelay)
 		case now := <-t.C:
+			t.Reset(roundInterval)
 			p.round(ctx, now)
 		}
 	}
@@ -296,11 +302,23 @@
 	}
 	if code == "" {
 		code = "done"
+		p.noteFreed(move.Order)
 	}
 	p.moves.WithLabelValues(string(move.Order.Kind), move.Reason, code).Inc()
 	p.record("order_"+code, move, result.Error)
 }
 
+// noteFreed has the next round come soon after a model was unloaded.
+func (p *placement) noteFreed(o bamboostep.Order) {
+	if o.Kind != bamboostep.UnloadModel {
+		return
+	}
+	select {
+	case p.freed <- struct{}{}:
+	default:
+	}
+}
+
 func (p *placement) record(kind string, move bamboostep.Move, detail string) {
 	if detail == "" {
 		detail = string(move.Order.Kind) + " for " + move.Reason
--- a/entry/placement_test.go
+++ b/entry/placement_test.go
@@ -1,11 +1,54 @@
 package main
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bamboostep/bamboostep"
 )
 
+// TestRoundFollowsAnUnload has the round that may use freed memory come before the
+// next regular one. Unloaded adapters do not count: nothing waits for their memory.
+func TestRoundFollowsAnUnload(t *testing.T) {
+	tests := map[string]struct {
+		kind bamboostep.OrderKind
+		want int32 // rounds after half an interval more
+	}{
+		"model":   {bamboostep.UnloadModel, 2},
+		"adapter": {bamboostep.UnloadAdapter, 1},
+		"load":    {bamboostep.LoadModel, 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var rounds atomic.Int32
+				p := &placement{
+					Registry: prometheus.NewRegistry(),
+					Demand:   func() []bamboostep.Demand { return nil },
+					Leader:   func() (string, uint64, bool) { return "other", 1, false },
+					Send:     func(string, []bamboostep.Demand) { rounds.Add(1) },
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go p.Run(ctx)
+				time.Sleep(roundInterval)
+				synctest.Wait()
+				p.noteFreed(bamboostep.Order{Kind: tt.kind})
+				time.Sleep(roundInterval / 2)
+				synctest.Wait()
+				if got := rounds.Load(); got != tt.want {
+					t.Errorf("rounds: got %d, want %d", got, tt.want)
+				}
+			})
+		})
+	}
+}
+
 // The orders of one VM leave in the order they were chosen in, each under a higher
 // fence than the one before, and those of a term that is over do not leave at all.
 func TestOrdersOfOneVMLeaveInOrder(t *testing.T) {
--- a/stock/placer.go
+++ b/stock/placer.go
@@ -38,16 +38,18 @@
 // Placer is the placement policy. Its state is only the memory of what it did of
 // late, so a new leader may start with an empty one. Calls must not overlap.
 type Placer struct {
-	added     map[string]time.Time // model -> when a copy was last added for its demand
-	repacking map[string]bool      // places on their way to the fixed packing
+	arrivals  map[string]arrival // by model
+	rooms     map[string]room    // by VM
+	repacking map[string]bool    // places on their way to the fixed packing
 }
 
 var _ bamboostep.Placer = (*Placer)(nil)
 
 // Place implements bamboostep.Placer.
 func (p *Placer) Place(now time.Time, fleet bamboostep.Fleet) []bamboostep.Move {
-	if p.added == nil {
-		p.added = make(map[string]time.Time)
+	if p.arrivals == nil {
+		p.arrivals = make(map[string]arrival)
+		p.rooms = make(map[string]room)
 		p.repacking = make(map[string]bool)
 	}
 	return eachPlace(fleet, func(v *view) {
--- a/stock/placer_test.go
+++ b/stock/placer_test.go
@@ -106,6 +106,50 @@
 	}
 }
 
+// TestRoomStaysForDemand lets demand end right after copies were unloaded for it.
+// The memory is used for the copy it was freed for, not for what was there before.
+func TestRoomStaysForDemand(t *testing.T) {
+	f := newTestFleet(6, 5, 1900)
+	p := &Placer{}
+	f.settle(p, 100)
+	f.Demand["m0"] = bamboostep.Demand{Name: "m0", Rate: 20, Work: 400, LateShare: 0.5}
+	now := time.Unix(200, 0)
+	freed := make(map[string]bool)
+	for _, m := range p.Place(now, f.Fleet) {
+		freed[m.VM] = freed[m.VM] || m.Order.Kind == bamboostep.UnloadModel
+		f.start(m)
+	}
+	f.finish(func() bool { return true })
+	f.Demand["m0"] = bamboostep.Demand{Name: "m0", Rate: 20, Work: 400}
+	loaded := 0
+	for _, m := range p.Place(now.Add(time.Second), f.Fleet) {
+		if m.Order.Kind != bamboostep.LoadModel || !freed[m.VM] {
+			continue
+		}
+		loaded++
+		if got, want := m.Order.Name, "m0"; got != want {
+			t.Errorf("loaded on %q: got %q, want %q", m.VM, got, want)
+		}
+	}
+	if loaded == 0 {
+		t.Errorf("loads on the freed workers %v: got none", freed)
+	}
+}
+
+// TestNoCopiesForNeighbour keeps a model that is late, but has next to no work
+// itself, from getting copies.
+func TestNoCopiesForNeighbour(t *testing.T) {
+	f := newTestFleet(6, 5, 1900)
+	f.settle(&Placer{}, 100)
+	f.Demand["m0"] = bamboostep.Demand{Name: "m0", Rate: 20, Work: 4000}
+	f.Demand["m1"] = bamboostep.Demand{Name: "m1", Rate: 2, Work: 40, LateShare: 1}
+	before := f.copies("m1", "")
+	moves, _ := f.settle(&Placer{}, 5)
+	if got := f.copies("m1", ""); got > before {
+		t.Errorf("copies after %d moves: got %d, want %d", moves, got, before)
+	}
+}
+
 // TestPlacerProperties runs rounds over a fleet that may be packed as tightly as
 // Fits allows, with changes that end late, versions that change and workers that
 // are lost, and asks after each round that no load was refused for memory, that
--- a/stock/room.go
+++ b/stock/room.go
@@ -15,13 +15,13 @@
 
 // makeRoom starts to make room for a copy of m.
 func (v *view) makeRoom(m *model) {
-	if v.roomIsComing(m) || v.unloadSurplus(m, keepDeclared) {
+	if v.roomIsComing(m) || v.unloadSurplus(m, keepDeclared) != nil {
 		return
 	}
-	if m.present() == 0 && v.unloadSurplus(m, keepOne) {
+	if m.present() == 0 && v.unloadSurplus(m, keepOne) != nil {
 		return
 	}
-	if v.unloadSurplus(m, m.keepAllButOld) {
+	if v.unloadSurplus(m, m.keepAllButOld) != nil {
 		return
 	}
 	if !v.relocate(m) {
@@ -58,17 +58,18 @@
 
 // unloadSurplus unloads copies from the worker where the least work is lost, as
 // long as each model keeps what floor says. Where copies alone do not free enough,
-// adapters go too: they are back within milliseconds of being asked for.
-func (v *view) unloadSurplus(m *model, floor func(*replica) int) bool {
+// adapters go too: they are back within milliseconds of being asked for. It returns
+// the worker, or nil if there is none.
+func (v *view) unloadSurplus(m *model, floor func(*replica) int) *worker {
 	for _, adapters := range []bool{false, true} {
-		if v.unloadLeastWork(m, floor, adapters) {
-			return true
+		if w := v.unloadLeastWork(m, floor, adapters); w != nil {
+			return w
 		}
 	}
-	return false
+	return nil
 }
 
-func (v *view) unloadLeastWork(m *model, floor func(*replica) int, adapters bool) bool {
+func (v *view) unloadLeastWork(m *model, floor func(*replica) int, adapters bool) *worker {
 	var best *surplus
 	for _, w := range v.workers {
 		if m.on(w) {
@@ -83,7 +84,7 @@
 		}
 	}
 	if best == nil {
-		return false
+		return nil
 	}
 	for _, a := range best.adapters {
 		v.dropStrange(best.worker, a, reasonRoom)
@@ -92,12 +93,16 @@
 		v.addUnload(r, reasonRoom)
 	}
 	best.worker.setAside(m)
-	return true
+	return best.worker
 }
 
 // setAside keeps memory for m that is not free yet from other models of this
-// round. What is left may be below zero until the unloads have ended.
-func (w *worker) setAside(m *model) { w.free -= m.size }
+// round, and from another copy of m. What is left may be below zero until the unloads
+// have ended.
+func (w *worker) setAside(m *model) {
+	w.free -= m.size
+	w.kept = append(w.kept, m)
+}
 
 // surplus is what could go from one worker.
 type surplus struct {
--- a/stock/view.go
+++ b/stock/view.go
@@ -32,6 +32,7 @@
 	load    float64
 	copies  []*replica
 	strange []bamboostep.Replica // of models that are not declared
+	kept    []*model             // that memory was set aside for
 	awaited bool                 // a repacking needs memory here that is not free
 }
 
@@ -87,7 +88,11 @@
 	return n
 }
 
+// on reports whether w has a copy of the declared version, or memory kept for one.
 func (m *model) on(w *worker) bool {
+	if slices.Contains(w.kept, m) {
+		return true
+	}
 	for _, r := range m.copies {
 		if r.worker == w && r.current() {
 			return true
