Entries link to their own region, the voters, and two entries of each other region

Change: roster.Mesh, a pure state machine, names the links to hold: all of the own region, all voters, and of every other region two drawn by a hash of both names, with others taken in besides while they do not answer, six at most. Voters, and entries without a declared region, link to all as before. An entry that hears of crash suspects from another region tells its own, once. A time line asks one entry of each other region for all of it, so that no event comes twice. status of an entry that is no voter asks a voter, also for the entries. Idle links, polls and pushes of the feed are as before.

Ruled out: one entry a region that speaks for it; the voters as the only hub (docs/DESIGN.md).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -180,6 +180,7 @@
 		Feed:       e.feed,
 		Recorder:   e.recorder,
 		Region:     e.cfg.Region,
+		All:        e.cfg.DataDir != "",
 		Holders:    e.servers.Holders,
 		OwnFleet:   e.fleetStatus,
 		Gather:     e.servers.Timeline,
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,9 +17,13 @@
 	"github.com/bamboostep/bamboostep/wire"
 )
 
-// The entries among themselves: each keeps a connection to every other and
-// passes on new revisions (package catalog's feed), crash suspects, its callers'
-// demand (to the leader, which places by it), and its part of a time line.
+// The entries among themselves: each keeps connections to those that roster.Mesh
+// names and passes on new revisions (package catalog's feed), crash suspects, its
+// callers' demand (to the leader, which places by it), and its part of a time line.
+//
+// Where regions are declared, an entry is connected to few of another region. What
+// all entries must hear is passed on there: an entry that hears of a crash from
+// another region tells its own, once.
 
 const (
 	kindSuspects = "entry.suspects"
@@ -28,7 +34,7 @@
 	kindFleet    = "entry.fleet"
 
 	holdersAsked  = 2 // entries of a region that are asked for holders
-	agentsTimeout = time.Second
+	regionTimeout = time.Second
 
 	timelineTimeout = 2 * time.Second
 )
@@ -43,7 +49,7 @@
 
 type timelineMessage struct {
 	Query  timeline.Query `msgpack:"query"`
-	Agents bool           `msgpack:"agents"` // with the events of the region's agents
+	Region bool           `msgpack:"region"` // with those of the region's other entries and agents
 }
 
 type timelineReply struct {
@@ -83,10 +89,22 @@
 	Recorder   *timeline.Recorder
 	OnSuspects func([]bamboostep.Suspect)
 	OnDemand   func(entry string, demand []bamboostep.Demand)
+	All        bool // connect to every entry
 
-	links map[string]*wire.Link
+	mu    sync.Mutex
+	mesh  roster.Mesh
+	links map[string]*peerLink
+	news  suspectNews
 }
 
+// peerLink is the connection to one entry.
+type peerLink struct {
+	wire.Link
+	stop context.CancelFunc
+}
+
+const meshInterval = 500 * time.Millisecond
+
 // Register adds the entries' message kinds to the process's listener.
 func (p *peers) Register() {
 	p.Mux.On(kindSuspects, p.handleSuspects)
@@ -95,46 +113,157 @@
 	p.Mux.On(kindRevision, p.handleRevision)
 	p.Mux.On(kindHolders, p.handleHolders)
 	p.Mux.On(kindFleet, p.handleFleet)
-	p.links = make(map[string]*wire.Link)
+	p.mesh = roster.Mesh{Self: p.Self, Region: p.Region, All: p.All}
 	for _, peer := range p.Peers {
-		if peer.Name == p.Self {
-			continue
-		}
-		p.links[peer.Name] = &wire.Link{
-			Node:    p.Node,
-			Address: peer.Address,
-			Handler: p.Mux,
-			Up:      p.Feed.Subscribe,
-		}
+		p.mesh.Peers = append(p.mesh.Peers, roster.Peer{Name: peer.Name, Region: peer.Region, Voter: peer.Voter})
 	}
+	p.links = make(map[string]*peerLink)
 }
 
 // Run keeps the connections open until ctx ends.
 func (p *peers) Run(ctx context.Context) error {
 	var all sync.WaitGroup
-	for _, link := range p.links {
-		all.Go(func() { link.Run(ctx) })
+	defer all.Wait()
+	t := time.NewTicker(meshInterval)
+	defer t.Stop()
+	for {
+		p.connect(ctx, &all)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// connect opens and closes what the mesh says.
+func (p *peers) connect(ctx context.Context, all *sync.WaitGroup) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.mesh.Tick(time.Now()) {
+		if !c.Open {
+			p.links[c.Name].stop()
+			delete(p.links, c.Name)
+			continue
+		}
+		link := p.newLink(c.Name)
+		linkCtx, stop := context.WithCancel(ctx)
+		link.stop = stop
+		p.links[c.Name] = link
+		all.Go(func() { _ = link.Run(linkCtx) })
+	}
+}
+
+func (p *peers) newLink(name string) *peerLink {
+	link := &peerLink{}
+	link.Node = p.Node
+	link.Address = p.peer(name).Address
+	link.Handler = p.Mux
+	link.Up = func(c *wire.Conn) {
+		p.note(name, link, true)
+		p.Feed.Subscribe(c)
+	}
+	link.Down = func(*wire.Conn) { p.note(name, link, false) }
+	return link
+}
+
+// note tells the mesh what became of a link, unless the link was closed.
+func (p *peers) note(name string, link *peerLink, up bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.links[name] != link:
+	case up:
+		p.mesh.Up(name)
+	default:
+		p.mesh.Down(time.Now(), name)
+	}
+}
+
+// peer returns the settings of an entry, empty ones for an unknown name.
+func (p *peers) peer(name string) peerSettings {
+	i := slices.IndexFunc(p.Peers, func(s peerSettings) bool { return s.Name == name })
+	if i < 0 {
+		return peerSettings{}
+	}
+	return p.Peers[i]
+}
+
+// conns returns the connections that stand, by entry.
+func (p *peers) conns() map[string]*wire.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := make(map[string]*wire.Conn, len(p.links))
+	for name, link := range p.links {
+		if c := link.Conn(); c != nil {
+			conns[name] = c
+		}
+	}
+	return conns
+}
+
+// conn returns the connection to an entry, or nil.
+func (p *peers) conn(name string) *wire.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if link := p.links[name]; link != nil {
+		return link.Conn()
 	}
-	all.Wait()
 	return nil
 }
 
-// ShareSuspects sends crash suspects to the other entries.
+// ShareSuspects sends crash suspects to the entries that this one is connected to.
 func (p *peers) ShareSuspects(suspects []bamboostep.Suspect) {
-	for _, link := range p.links {
-		if c := link.Conn(); c != nil {
+	p.isNews(suspects)
+	for _, c := range p.conns() {
+		_ = c.Send(kindSuspects, suspectsMessage{suspects})
+	}
+}
+
+// isNews reports whether any of the suspects were not heard of lately, and notes them.
+func (p *peers) isNews(suspects []bamboostep.Suspect) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.news.note(time.Now(), suspects)
+}
+
+// passOn tells the own region what an entry of another one said.
+func (p *peers) passOn(from string, suspects []bamboostep.Suspect) {
+	if roster.SameRegion(p.Region, p.peer(from).Region) || !p.isNews(suspects) {
+		return
+	}
+	for name, c := range p.conns() {
+		if roster.SameRegion(p.Region, p.peer(name).Region) {
 			_ = c.Send(kindSuspects, suspectsMessage{suspects})
 		}
 	}
 }
 
+// suspectNews remembers for a while which suspects were heard of.
+type suspectNews struct {
+	heard map[bamboostep.Suspect]time.Time
+}
+
+const newsKept = time.Minute
+
+func (n *suspectNews) note(now time.Time, suspects []bamboostep.Suspect) bool {
+	maps.DeleteFunc(n.heard, func(_ bamboostep.Suspect, at time.Time) bool { return now.Sub(at) > newsKept })
+	if n.heard == nil {
+		n.heard = make(map[bamboostep.Suspect]time.Time)
+	}
+	news := false
+	for _, s := range suspects {
+		if _, known := n.heard[s]; !known {
+			news = true
+			n.heard[s] = now
+		}
+	}
+	return news
+}
+
 // SendDemand sends this entry's demand to the named leader.
 func (p *peers) SendDemand(leader string, demand []bamboostep.Demand) {
-	link := p.links[leader]
-	if link == nil {
-		return
-	}
-	if c := link.Conn(); c != nil {
+	if c := p.conn(leader); c != nil {
 		_ = c.Send(kindDemand, demandMessage{demand})
 	}
 }
@@ -142,16 +271,10 @@
 // others returns the connections to entries of other regions, by region. A region
 // without any is left out.
 func (p *peers) others() map[string][]*wire.Conn {
+	conns := p.conns()
 	regions := make(map[string][]*wire.Conn)
 	for _, peer := range p.Peers {
-		if roster.SameRegion(p.Region, peer.Region) {
-			continue
-		}
-		link := p.links[peer.Name]
-		if link == nil {
-			continue
-		}
-		if c := link.Conn(); c != nil {
+		if c := conns[peer.Name]; c != nil && !roster.SameRegion(p.Region, peer.Region) {
 			regions[peer.Region] = append(regions[peer.Region], c)
 		}
 	}
@@ -187,11 +310,7 @@
 // Fleet asks the named entry for the fleet as it sees it.
 func (p *peers) Fleet(ctx context.Context, name string) (fleetStatus, error) {
 	var f fleetStatus
-	link := p.links[name]
-	if link == nil {
-		return f, fmt.Errorf("no other entry is named %q", name)
-	}
-	c := link.Conn()
+	c := p.conn(name)
 	if c == nil {
 		return f, fmt.Errorf("entry %q is not connected", name)
 	}
@@ -214,24 +333,39 @@
 	}()
 }
 
-// Timeline collects the events that the other entries keep, one entry of each other
-// region with those of its agents. An entry that does not answer in time is left out.
+// Timeline collects the events that the other entries keep, those of another region
+// with its agents' by way of one of its entries. What does not answer in time is left
+// out.
 func (p *peers) Timeline(ctx context.Context, q timeline.Query) [][]timeline.Event {
 	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
 	defer cancel()
-	agents := make(map[*wire.Conn]bool)
+	asked := p.ownRegion()
 	for _, conns := range p.others() {
-		agents[conns[0]] = true
+		asked[conns[0]] = true
 	}
-	return gather(len(p.links), func(add func([]timeline.Event), all *sync.WaitGroup) {
-		for _, link := range p.links {
-			c := link.Conn()
-			if c == nil {
-				continue
-			}
+	return askEvents(ctx, q, asked)
+}
+
+// ownRegion returns the connections to entries of the own region. None is asked for
+// its region.
+func (p *peers) ownRegion() map[*wire.Conn]bool {
+	own := make(map[*wire.Conn]bool)
+	for name, c := range p.conns() {
+		if roster.SameRegion(p.Region, p.peer(name).Region) {
+			own[c] = false
+		}
+	}
+	return own
+}
+
+// askEvents asks entries for their events; the value says whether one is to answer
+// for its region.
+func askEvents(ctx context.Context, q timeline.Query, asked map[*wire.Conn]bool) [][]timeline.Event {
+	return gather(len(asked), func(add func([]timeline.Event), all *sync.WaitGroup) {
+		for c, region := range asked {
 			all.Go(func() {
 				var reply timelineReply
-				if c.Call(ctx, kindTimeline, timelineMessage{q, agents[c]}, &reply) == nil {
+				if c.Call(ctx, kindTimeline, timelineMessage{q, region}, &reply) == nil {
 					add(reply.Events)
 				}
 			})
@@ -241,8 +375,7 @@
 
 // Reachable reports whether a connection to the named entry stands.
 func (p *peers) Reachable(name string) bool {
-	link := p.links[name]
-	return link != nil && link.Conn() != nil
+	return p.conn(name) != nil
 }
 
 // Revisions asks the other entries which revision they have in force. An entry
@@ -251,11 +384,7 @@
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	revisions := make(map[string]uint64)
-	for name, link := range p.links {
-		c := link.Conn()
-		if c == nil {
-			continue
-		}
+	for name, c := range p.conns() {
 		all.Go(func() {
 			var reply revisionReply
 			if c.Call(ctx, kindRevision, nil, &reply) != nil {
@@ -289,6 +418,7 @@
 	var body suspectsMessage
 	if m.Decode(&body) == nil {
 		p.OnSuspects(body.Suspects)
+		p.passOn(m.Conn().Peer().Name, body.Suspects)
 	}
 }
 
@@ -317,10 +447,11 @@
 
 func (p *peers) events(body timelineMessage) []timeline.Event {
 	own := p.Recorder.Find(body.Query)
-	if !body.Agents {
+	if !body.Region {
 		return own
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), agentsTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), regionTimeout)
 	defer cancel()
-	return timeline.Merge(append(p.Gather(ctx, body.Query), own)...)
+	lists := append(askEvents(ctx, body.Query, p.ownRegion()), own)
+	return timeline.Merge(append(lists, p.Gather(ctx, body.Query)...)...)
 }
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -364,12 +365,12 @@
 	return out
 }
 
-// Timeline collects the events that the agents keep. An agent that does not
-// answer in time is left out.
+// Timeline collects the events that the agents of the own region keep. An agent that
+// does not answer in time is left out.
 func (p *serverPool) Timeline(ctx context.Context, q timeline.Query) [][]timeline.Event {
 	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
 	defer cancel()
-	members := p.Members()
+	members := slices.DeleteFunc(p.Members(), func(m poolMember) bool { return !p.isOfRegion(m.VM) })
 	return gather(len(members), func(add func([]timeline.Event), all *sync.WaitGroup) {
 		for _, m := range members {
 			all.Go(func() {
--- a/entry/status.go
+++ b/entry/status.go
@@ -11,7 +11,10 @@
 	"github.com/bamboostep/bamboostep/roster"
 )
 
-const statusTimeout = time.Second
+const (
+	statusTimeout = time.Second
+	fleetTimeout  = 2 * time.Second
+)
 
 // status is the state of the system as this entry sees it. Other entries are
 // asked for their revision; one that does not answer counts as unreachable.
@@ -23,34 +26,29 @@
 		ProvenAt: e.feed.ProvenAt(),
 		Leader:   name,
 		Term:     term,
-		Entries:  e.entryStatus(),
 	}
 	for _, m := range e.client.State().Members() {
 		reachable := m.Name == e.cfg.Name || e.peers.Reachable(m.Name)
 		s.Voters = append(s.Voters, operator.VoterStatus{Name: m.Name, Reachable: reachable})
 	}
-	fleet := e.fleetStatus()
-	if !fleet.isWhole() {
-		fleet = e.wholeFleet(fleet)
+	fleet, whole := e.wholeFleet()
+	if !whole {
+		fleet = e.fleetStatus()
 	}
-	s.VMs, s.Models = fleet.VMs, fleet.Models
+	s.Entries, s.VMs, s.Models = fleet.Entries, fleet.VMs, fleet.Models
 	return s
 }
 
-// fleetStatus is the state of the VMs and of what they hold.
+// fleetStatus is the state of the entries, of the VMs and of what they hold.
 type fleetStatus struct {
-	VMs    []operator.VMStatus    `json:"vms"`
-	Models []operator.ModelStatus `json:"models"`
-}
-
-// isWhole reports whether no VM is left out for being in another region.
-func (f fleetStatus) isWhole() bool {
-	return !slices.ContainsFunc(f.VMs, func(v operator.VMStatus) bool { return v.State == operator.VMElsewhere })
+	Entries []operator.EntryStatus `json:"entries"`
+	VMs     []operator.VMStatus    `json:"vms"`
+	Models  []operator.ModelStatus `json:"models"`
 }
 
 // fleetStatus returns the fleet as this entry sees it.
 func (e *entry) fleetStatus() fleetStatus {
-	var f fleetStatus
+	f := fleetStatus{Entries: e.entryStatus()}
 	members := e.servers.Members()
 	drained := e.drains()
 	for _, m := range members {
@@ -62,17 +60,20 @@
 	return f
 }
 
-// wholeFleet asks the voters, which see all regions, and returns own if none of them
-// answers.
-func (e *entry) wholeFleet(own fleetStatus) fleetStatus {
-	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
+// wholeFleet asks the voters, which are connected to all regions, for the fleet. It
+// reports false where this entry sees as much itself, or none of them answers.
+func (e *entry) wholeFleet() (fleetStatus, bool) {
+	if e.cfg.DataDir != "" || e.cfg.Region == "" {
+		return fleetStatus{}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fleetTimeout)
 	defer cancel()
 	for _, m := range e.client.State().Members() {
-		if f, err := e.peers.Fleet(ctx, m.Name); err == nil && f.isWhole() {
-			return f
+		if f, err := e.peers.Fleet(ctx, m.Name); err == nil {
+			return f, true
 		}
 	}
-	return own
+	return fleetStatus{}, false
 }
 
 func (e *entry) drains() []string {
--- /dev/null
+++ b/roster/mesh_test.go
@@ -0,0 +1,135 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bamboostep/bamboostep/roster"
+)
+
+func drawMesh(t *rapid.T) roster.Mesh {
+	m := roster.Mesh{Self: "entry-0", Region: "a"}
+	for i := range rapid.IntRange(1, 60).Draw(t, "entries") {
+		m.Peers = append(m.Peers, roster.Peer{
+			Name:   fmt.Sprintf("entry-%d", i),
+			Region: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "region"),
+			Voter:  i%10 == 1,
+		})
+	}
+	return m
+}
+
+// Whatever comes up and goes down, the own region and the voters are connected, and
+// of every other region a few are, while the first few of it can be reached.
+func TestMeshReachesEveryRegion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawMesh(t)
+		now := time.Unix(1000, 0)
+		open := make(map[string]bool)
+		dead := make(map[string]bool)
+		tick := func() {
+			for _, c := range m.Tick(now) {
+				if open[c.Name] == c.Open {
+					t.Fatalf("%q is changed to open = %v, which it is already", c.Name, c.Open)
+				}
+				open[c.Name] = c.Open
+				if c.Open && !dead[c.Name] {
+					m.Up(c.Name)
+				}
+			}
+			checkMesh(t, m, open)
+		}
+		tick()
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			one := rapid.SampledFrom(m.Peers).Draw(t, "peer")
+			whole := rapid.Bool().Draw(t, "whole region")
+			isDead := rapid.Bool().Draw(t, "dead")
+			for _, p := range m.Peers {
+				if p != one && !(whole && p.Region == one.Region) {
+					continue
+				}
+				dead[p.Name] = isDead
+				switch {
+				case open[p.Name] && isDead:
+					m.Down(now, p.Name)
+				case open[p.Name]:
+					m.Up(p.Name)
+				}
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond)
+			tick()
+		}
+		for range roster.MostPeersElsewhere {
+			now = now.Add(roster.PeerWait)
+			tick()
+		}
+		checkReached(t, m, open, dead)
+	})
+}
+
+func checkMesh(t *rapid.T, m roster.Mesh, open map[string]bool) {
+	elsewhere := make(map[string]int)
+	for _, p := range m.Peers {
+		switch {
+		case p.Name == m.Self:
+			if open[p.Name] {
+				t.Fatal("the entry is connected to itself")
+			}
+		case p.Voter || p.Region == m.Region:
+			if !open[p.Name] {
+				t.Fatalf("%q of region %q, voter %v, is not connected", p.Name, p.Region, p.Voter)
+			}
+		case open[p.Name]:
+			elsewhere[p.Region]++
+		}
+	}
+	for region, n := range elsewhere {
+		if n > roster.MostPeersElsewhere {
+			t.Fatalf("got %d connections to region %q, want at most %d", n, region, roster.MostPeersElsewhere)
+		}
+	}
+}
+
+// checkReached checks that each other region has its few live connections, or that
+// the most that are allowed are tried.
+func checkReached(t *rapid.T, m roster.Mesh, open, dead map[string]bool) {
+	live, tried, all := make(map[string]int), make(map[string]int), make(map[string]int)
+	for _, p := range m.Peers {
+		if p.Name == m.Self || p.Voter || p.Region == m.Region {
+			continue
+		}
+		all[p.Region]++
+		if open[p.Name] {
+			tried[p.Region]++
+		}
+		if open[p.Name] && !dead[p.Name] {
+			live[p.Region]++
+		}
+	}
+	for region, n := range all {
+		if live[region] > roster.PeersElsewhere {
+			t.Fatalf("region %q has %d live connections, want at most %d", region, live[region], roster.PeersElsewhere)
+		}
+		if live[region] < roster.PeersElsewhere && tried[region] < min(n, roster.MostPeersElsewhere) {
+			t.Fatalf("region %q has %d live connections after %d of %d", region, live[region], tried[region], n)
+		}
+	}
+}
+
+// Without declared regions, and for a voter, every entry is connected.
+func TestMeshWithoutRegions(t *testing.T) {
+	peers := []roster.Peer{{Name: "a", Region: "x"}, {Name: "b", Region: "y"}, {Name: "c", Region: "y"}, {Name: "d", Region: "y"}, {Name: "e", Region: "y"}}
+	for name, m := range map[string]roster.Mesh{
+		"none declared": {Self: "a", Peers: peers},
+		"voter":         {Self: "a", Region: "x", All: true, Peers: peers},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got, want := len(m.Tick(time.Unix(0, 0))), 4; got != want {
+				t.Errorf("got %d connections, want %d", got, want)
+			}
+		})
+	}
+}
