A late request does not wait out a search in other regions

Cause: a request that would be late in its own region waited for the search in other regions up to its deadline, 30 times its target, before it was refused as overloaded, though by then no answer could be in time. Found by reading. Ruled out: no wait at all, which would refuse a request that a region 0.1 s away answers in time. Change: it waits only while the answer can still be in time.

--- a/entry/callers_admit.go
+++ b/entry/callers_admit.go
@@ -48,8 +48,10 @@
 }
 
 // inTimeElsewhere looks for a place in another region whose answer is not too late.
-// It waits for a search there to end, and returns nil if there is none.
+// It waits for a search there to end while the answer can still be in time, and
+// returns nil if there is none.
 func (x *exchange) inTimeElsewhere(ctx context.Context, j *job) *slot {
+	inTimeUntil := x.started.Add(j.startTarget)
 	for {
 		if p := x.chooseElsewhere(j); p != nil {
 			if _, _, late := x.predictLate(j, p); !late {
@@ -57,7 +59,7 @@
 			}
 			p.leave()
 		}
-		if !x.seek(j) || !x.Clock.Now().Before(j.course.Deadline) {
+		if !x.seek(j) || !x.Clock.Now().Before(inTimeUntil) {
 			return nil
 		}
 		select {
--- a/entry/elsewhere_test.go
+++ b/entry/elsewhere_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -271,3 +272,42 @@
 		t.Errorf("got status %d for the first request, want 200", got.status)
 	}
 }
+
+// seekingFleet searches other regions without end.
+type seekingFleet struct{ *fakeFleet }
+
+func (seekingFleet) Seek(string, string) bool { return true }
+
+// A late request waits for a search in other regions only while its answer could
+// still be in time; then it is refused at once.
+func TestLateRequestDoesNotWaitOutTheSearch(t *testing.T) {
+	started, finish := make(chan bool), make(chan bool)
+	fleet := newTestFleet(1, func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+		started <- true
+		<-finish
+		return speak("over the gutter", -1)(o, yield)
+	}, nil)
+	c := newTestCallers(seekingFleet{fleet}, nil)
+	for range 10 {
+		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 0, 10*time.Millisecond)
+		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 100, 5*time.Second)
+	}
+	s := startCallers(t, c)
+	ask := func() reply { return call(t, s, "POST", "/v1/completions", `{"model":"base","prompt":"how?"}`) }
+	first := make(chan reply)
+	go func() { first <- ask() }()
+	<-started
+	target := time.Duration(testObjects.Models[0].FirstTokenMS) * time.Millisecond
+	began := time.Now()
+	got := ask()
+	if got.status != 503 || !strings.Contains(got.body, "overloaded") {
+		t.Errorf("got status %d, %s, want 503 overloaded", got.status, got.body)
+	}
+	if took := time.Since(began); took > 2*target {
+		t.Errorf("refused after %v, want within twice the target of %v", took, target)
+	}
+	close(finish)
+	if got := <-first; got.status != 200 {
+		t.Errorf("got status %d for the first request, want 200", got.status)
+	}
+}
