--- a/backend/handlers.go
+++ b/backend/handlers.go
@@ -20,11 +20,10 @@
 }
 
 func (s *Server) handleOffer(m *wire.Message) {
-	var body offerBody
-	if m.Decode(&body) != nil {
+	var offer bamboostep.Offer
+	if m.Decode(&offer) != nil {
 		return
 	}
-	offer := body.offer()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision = max(s.revision, offer.Request.Revision)
