--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -328,3 +328,21 @@
 		t.Errorf("got error %v, want three problems", err)
 	}
 }
+
+// A body that is not JSON is refused by the agent itself, and the request did not
+// run.
+func TestBodyThatIsNotJSONDoesNotRun(t *testing.T) {
+	e := newEngine("http://127.0.0.1:0", "vm-1", 1)
+	for _, body := range []string{"", "{", "{} {}", "{}"} {
+		offer := bamboostep.Offer{Attempt: "1", Request: bamboostep.Request{Model: "m", Body: []byte(body)}}
+		err := e.Generate(t.Context(), offer, func(bamboostep.Answer) error { return nil })
+		want := "bad_request"
+		if body == "{}" {
+			want = "backend_down"
+		}
+		var failed *bamboostep.FailedError
+		if !errors.As(err, &failed) || failed.Failure.Code != want || failed.Failure.Outcome != bamboostep.NotRun {
+			t.Errorf("body %q: got error %v, want %s and not run", body, err, want)
+		}
+	}
+}
