Overhead: both kinds of request do the same work in the client

Cause: the clock of a request through the entry also ran while the client made the JSON of the request and parsed the answer's; a direct one made its JSON but threw the answer away. The parsing was counted as the path's.

Change: bodies are made before the clock starts, and both kinds read the answer to its end and throw it away.

--- a/scenario/overhead.go
+++ b/scenario/overhead.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,7 +16,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/bamboostep/bamboostep/catalog"
-	"github.com/bamboostep/bamboostep/scenario/caller"
 	"github.com/bamboostep/bamboostep/scenario/cluster"
 )
 
@@ -25,7 +23,8 @@
 // request, over calling the engine stand-in directly. Both kinds of request are
 // sent in turn, open loop, in one run, so that both meet the same machine. The
 // engine steps fast and each answer is one token, since what is measured is the
-// path and not the engine. No relay stands between the processes, as the relays of
+// path and not the engine. Both kinds go through the same client, which does the
+// same work for both while the clock runs. No relay stands between the processes, as the relays of
 // the scenarios would add a hop to the path that no deployment has.
 
 const (
@@ -125,13 +124,12 @@
 	if err != nil {
 		return nil, err
 	}
+	entryURL := o.cluster.CallersURL("entry-a") + "/v1/chat/completions"
 	var mu sync.Mutex
 	var all sync.WaitGroup
-	send := func(h *hdrhistogram.Histogram, request func() error) {
+	send := func(h *hdrhistogram.Histogram, url string, body []byte) {
 		all.Go(func() {
-			began := time.Now()
-			err := request()
-			took := time.Since(began)
+			took, err := o.post(ctx, url, body)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -149,10 +147,11 @@
 	half := time.Second / time.Duration(2*rate)
 	for i := range rate * int(span.Seconds()) {
 		prompt := fmt.Sprintf("%s %d", overheadPrompt, i)
+		direct, through := o.directBody(prompt), o.throughBody(prompt)
 		pauseUntil(began.Add(time.Duration(2*i) * half))
-		send(r.direct, func() error { return o.direct(ctx, engineURL, prompt) })
+		send(r.direct, engineURL, direct)
 		pauseUntil(began.Add(time.Duration(2*i+1) * half))
-		send(r.through, func() error { return o.through(ctx, prompt) })
+		send(r.through, entryURL, through)
 	}
 	all.Wait()
 	cpuAfter, memory, err := o.usage()
@@ -171,57 +170,49 @@
 	}
 }
 
-// holder returns the base URL of an engine that holds the model.
+// holder returns the URL to generate at of an engine that holds the model.
 func (o *overhead) holder(ctx context.Context) (string, error) {
 	for i := range o.cluster.Engines {
-		url := o.cluster.BackendURL(fmt.Sprintf("engine-%d", i+1))
-		if o.direct(ctx, url, overheadPrompt) == nil {
+		url := o.cluster.BackendURL(fmt.Sprintf("engine-%d", i+1)) + "/generate"
+		if _, err := o.post(ctx, url, o.directBody(overheadPrompt)); err == nil {
 			return url, nil
 		}
 	}
 	return "", fmt.Errorf("no engine holds model %q", o.model)
 }
 
-type generateRequest struct {
-	Attempt string          `json:"attempt"`
-	Model   string          `json:"model"`
-	Request json.RawMessage `json:"request"`
+// directBody is the body of a request to an engine.
+func (o *overhead) directBody(prompt string) []byte {
+	return fmt.Appendf(nil, `{"attempt":%q,"model":%q,"request":{"messages":[{"role":"user","content":%q}],"max_tokens":1}}`,
+		"direct "+prompt, o.model, prompt)
 }
 
-func (o *overhead) direct(ctx context.Context, engineURL, prompt string) error {
-	request := fmt.Sprintf(`{"messages":[{"role":"user","content":%q}],"max_tokens":1}`, prompt)
-	body, err := json.Marshal(generateRequest{"direct " + prompt, o.model, json.RawMessage(request)})
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, engineURL+"/generate", bytes.NewReader(body))
+// throughBody is the body of a request to an entry.
+func (o *overhead) throughBody(prompt string) []byte {
+	return fmt.Appendf(nil, `{"model":%q,"messages":[{"role":"user","content":%q}],"max_tokens":1}`, o.model, prompt)
+}
+
+// post sends a request and returns how long it took until the whole answer had come.
+func (o *overhead) post(ctx context.Context, url string, body []byte) (time.Duration, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return 0, err
 	}
+	req.Header.Set("Content-Type", "application/json")
+	began := time.Now()
 	resp, err := o.client.Do(req)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return err
+		return 0, err
 	}
+	took := time.Since(began)
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("engine answered with status %d", resp.StatusCode)
-	}
-	return nil
-}
-
-func (o *overhead) through(ctx context.Context, prompt string) error {
-	c := &caller.Caller{BaseURL: o.cluster.CallersURL("entry-a"), Client: o.client}
-	a, err := c.Chat(ctx, o.model, prompt, 1)
-	if err != nil {
-		return err
+		return took, fmt.Errorf("%s answered with status %d", url, resp.StatusCode)
 	}
-	if a.Status != http.StatusOK {
-		return fmt.Errorf("entry answered: %s", a)
-	}
-	return nil
+	return took, nil
 }
 
 // usage returns the processor time that the entry has used, in seconds, and its
