--- a/stock/demand.go
+++ b/stock/demand.go
@@ -15,7 +15,6 @@
 
 const (
 	demandHorizon = 60 * time.Second // how long an added copy is assumed to be of use
-	demandSettle  = 2 * time.Second  // until a copy that has just come shows in the late requests
 	loadsPerModel = 2                // copies of one model that load at one time
 	hotWork       = 0.7              // work of one copy of a hot model, in mean loads of a worker
 	evictionRatio = 0.7              // a copy that carries more of the added one's work stays
@@ -28,7 +27,7 @@
 	p.useRooms(now, v)
 	mean := v.meanLoad()
 	hot := slices.DeleteFunc(slices.Clone(v.models), func(m *model) bool {
-		return p.settling(now, m) || m.gain(0) <= v.place.MoveWeight || m.workOfOne() < hotWork*mean
+		return m.gain(0) <= v.place.MoveWeight || m.workOfOne() < hotWork*mean
 	})
 	slices.SortStableFunc(hot, func(a, b *model) int { return cmp.Compare(b.gain(0), a.gain(0)) })
 	for _, m := range hot {
@@ -78,25 +77,6 @@
 	return n
 }
 
-// arrival is how many copies of a model answered when that last changed.
-type arrival struct {
-	resident int
-	at       time.Time
-}
-
-// settling notes how many copies of m answer and reports whether more do than a
-// short while ago.
-func (p *Placer) settling(now time.Time, m *model) bool {
-	last, known := p.arrivals[m.Name]
-	n := m.resident()
-	if known && n > last.resident {
-		last.at = now
-	}
-	last.resident = n
-	p.arrivals[m.Name] = last
-	return !last.at.IsZero() && now.Sub(last.at) < demandSettle
-}
-
 // gain estimates how many requests more would be in time over the horizon with
 // one more copy of m, beside so many that are planned already.
 func (m *model) gain(planned int) float64 {
--- a/stock/placer.go
+++ b/stock/placer.go
@@ -38,17 +38,15 @@
 // Placer is the placement policy. Its state is only the memory of what it did of
 // late, so a new leader may start with an empty one. Calls must not overlap.
 type Placer struct {
-	arrivals  map[string]arrival // by model
-	rooms     map[string]room    // by VM
-	repacking map[string]bool    // places on their way to the fixed packing
+	rooms     map[string]room // by VM
+	repacking map[string]bool // places on their way to the fixed packing
 }
 
 var _ bamboostep.Placer = (*Placer)(nil)
 
 // Place implements bamboostep.Placer.
 func (p *Placer) Place(now time.Time, fleet bamboostep.Fleet) []bamboostep.Move {
-	if p.arrivals == nil {
-		p.arrivals = make(map[string]arrival)
+	if p.rooms == nil {
 		p.rooms = make(map[string]room)
 		p.repacking = make(map[string]bool)
 	}
