A connection to an agent on which nothing is awaited is pinged rarely

Change: package wire asks who dialled whether anything is awaited. If so, the connection is pinged after 0.7 s of quiet and abandoned after 2 s, counted from its use on; if not, after 2.5 and 5 s. However often it is used, a silent one is never kept for longer than one at rest. An agent's listener is patient (4 and 8 s), since the entries watch. Links of the ledger and among entries are as before.

Ruled out: counting what was sent without an answer (reports need none, and an entry that waits for a stream has sent nothing of late); a longer limit for all (streams must move within 3 s).

Seen failing first: TestSilenceIsNoticedInTime without counting from the use on (abandoned after 2.25 s though it answers), without the limit of a rest (kept for 5.5 s), without the limit in use (kept for 2.5 s).

Cost: a VM that is lost silently while no request goes there is noticed within 5.3 s instead of 2.3.

--- a/agent/run.go
+++ b/agent/run.go
@@ -47,7 +47,7 @@
 	server.Registry = registry
 	mux := &wire.Mux{}
 	server.Register(mux)
-	listener := &wire.Listener{Node: node, Net: nl, Handler: mux, Up: server.Up, Down: server.Down}
+	listener := &wire.Listener{Node: node, Net: nl, Handler: mux, Up: server.Up, Down: server.Down, Patient: true}
 	admin := &daemon.Admin{Address: cfg.Admin, Registry: registry, Recorder: recorder, Ready: server.Ready}
 	recorder.Record(timeline.Event{Kind: "agent_started", VM: cfg.Name, Detail: nl.Addr().String()})
 	return runAll(ctx, server, listener, admin)
--- a/backend/client.go
+++ b/backend/client.go
@@ -40,13 +40,20 @@
 	mux.On(kindReport, c.handleReport)
 	mux.On(kindLoad, c.handleLoad)
 	mux.On(kindSuspects, c.handleSuspects)
-	link := &wire.Link{Node: c.Node, Address: c.VM.Address, Handler: mux, Up: c.setUp, Down: c.setDown}
+	link := &wire.Link{Node: c.Node, Address: c.VM.Address, Handler: mux, Up: c.setUp, Down: c.setDown, Busy: c.busy}
 	return link.Run(ctx)
 }
 
 // Up reports whether the connection stands.
 func (c *Client) Up() bool { return c.current() != nil }
 
+// busy reports whether an offer is under way.
+func (c *Client) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.inboxes) > 0
+}
+
 func (c *Client) current() *wire.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/elsewhere_test.go
+++ b/entry/elsewhere_test.go
@@ -69,7 +69,7 @@
 		Recorder: &timeline.Recorder{Process: vm.Name, Clock: node.Clock}, Registry: prometheus.NewRegistry()}
 	mux := &wire.Mux{}
 	s.Register(mux)
-	l := &wire.Listener{Node: node, Net: nl, Handler: mux,
+	l := &wire.Listener{Node: node, Net: nl, Handler: mux, Patient: true,
 		Up:   func(c *wire.Conn) { a.count(vm.Name, 1); s.Up(c) },
 		Down: func(c *wire.Conn) { a.count(vm.Name, -1); s.Down(c) },
 	}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -14,11 +14,8 @@
 )
 
 const (
-	dialerQuiet    = 700 * time.Millisecond  // a connection that brought nothing for so long is pinged by who dialled it,
-	listenerQuiet  = 1200 * time.Millisecond // and by its other end, which the first ping mostly spares its own
-	uptimeMaxAge   = 10 * time.Second        // the peer's uptime is asked for anew at this age
-	silenceLimit   = 2 * time.Second         // a connection that brought nothing for so long is abandoned
-	queueLimit     = 32 << 20                // bytes waiting to be written before the peer counts as stuck
+	uptimeMaxAge   = 10 * time.Second // the peer's uptime is asked for anew at this age
+	queueLimit     = 32 << 20         // bytes waiting to be written before the peer counts as stuck
 	readBufferSize = 4 << 10
 
 	kindPing = "ping"
@@ -95,7 +92,8 @@
 	node    *Node
 	peer    Hello
 	handler Handler
-	quiet   time.Duration // before a ping
+	busy    func() bool // whether anything is awaited from the peer; nil if always
+	silence silence     // of the check loop
 
 	mu       sync.Mutex
 	queue    [][]byte
@@ -284,17 +282,28 @@
 // only a quiet one is pinged, and the answer to one side's ping spares the other
 // side its own.
 func (c *Conn) check(now time.Time) {
-	silence := now.Sub(time.Unix(0, c.lastRead.Load()))
-	if silence > silenceLimit {
+	heard := time.Unix(0, c.lastRead.Load())
+	ping, abandon := c.silence.check(now, heard, c.isBusy())
+	if abandon {
 		c.node.Metrics.countSilent()
-		c.close(&SilentError{silence})
+		c.close(&SilentError{now.Sub(heard)})
 		return
 	}
-	if silence > c.quiet || c.uptimeIsOld(now) {
+	if ping || c.uptimeIsOld(now) {
 		_ = c.send(kindPing, 0, false, nil)
 	}
 }
 
+// isBusy reports whether anything is awaited from the peer.
+func (c *Conn) isBusy() bool {
+	if c.busy == nil || c.busy() {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls) > 0
+}
+
 func (c *Conn) uptimeIsOld(now time.Time) bool {
 	p := c.uptime.Load()
 	return p == nil || now.Sub(p.at) > uptimeMaxAge
--- a/wire/node.go
+++ b/wire/node.go
@@ -60,7 +60,7 @@
 	return h
 }
 
-func (n *Node) open(nc net.Conn, handler Handler, quiet time.Duration) (*Conn, *bufio.Reader, error) {
+func (n *Node) open(nc net.Conn, handler Handler, busy func() bool, s silence) (*Conn, *bufio.Reader, error) {
 	n.uptime()
 	r := bufio.NewReaderSize(nc, readBufferSize)
 	peer, err := exchangeHello(nc, r, n.hello(), n.Clock)
@@ -77,7 +77,8 @@
 		node:    n,
 		peer:    peer,
 		handler: handler,
-		quiet:   quiet,
+		busy:    busy,
+		silence: s,
 		wake:    make(chan struct{}, 1),
 		calls:   make(map[uint64]chan envelope),
 		done:    make(chan struct{}),
@@ -92,6 +93,7 @@
 	Handler Handler
 	Up      func(c *Conn) // called before the first message of a connection; may be nil
 	Down    func(c *Conn) // called after its last message; may be nil
+	Patient bool          // leaves it to who dials to notice a silent connection soon
 }
 
 // Run accepts until ctx ends, then closes the listener and all its connections.
@@ -115,7 +117,11 @@
 	if l.Node.TLS != nil {
 		nc = tls.Server(nc, l.Node.TLS)
 	}
-	c, r, err := l.Node.open(nc, l.Handler, listenerQuiet)
+	watch := silence{busy: listenerLimits}
+	if l.Patient {
+		watch.busy = patientLimits
+	}
+	c, r, err := l.Node.open(nc, l.Handler, nil, watch)
 	if err != nil {
 		return
 	}
@@ -142,6 +148,7 @@
 	Handler Handler
 	Up      func(c *Conn) // may be nil
 	Down    func(c *Conn) // may be nil
+	Busy    func() bool   // whether anything is awaited on the connection; nil if always
 
 	mu   sync.Mutex
 	conn *Conn
@@ -183,7 +190,7 @@
 	if l.Node.TLS != nil {
 		nc = tls.Client(nc, l.clientTLS())
 	}
-	c, r, err := l.Node.open(nc, l.Handler, dialerQuiet)
+	c, r, err := l.Node.open(nc, l.Handler, l.Busy, silence{busy: dialerLimits, idle: idleLimits})
 	if err != nil {
 		return
 	}
--- /dev/null
+++ b/wire/silence_test.go
@@ -0,0 +1,75 @@
+package wire
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bamboostep/bamboostep/internal/seed"
+)
+
+func init() { seed.Rapid() }
+
+// Whenever something is awaited, a connection that has gone silent is abandoned in
+// time, and one that answers pings never is.
+func TestSilenceIsNoticedInTime(t *testing.T) {
+	const latency = 300 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		s := silence{busy: dialerLimits, idle: idleLimits}
+		start := time.Unix(1000, 0)
+		now, heard, pinged := start, start, time.Time{}
+		var busySince, deadSince time.Time
+		wasBusy := false
+		for range rapid.IntRange(1, 200).Draw(t, "checks") {
+			now = now.Add(checkInterval)
+			busy := rapid.IntRange(0, 9).Draw(t, "changes") == 0 != wasBusy
+			if busy && !wasBusy {
+				busySince = now
+			}
+			wasBusy = busy
+			if deadSince.IsZero() && rapid.IntRange(0, 29).Draw(t, "dies") == 0 {
+				deadSince = now
+			}
+			if !pinged.IsZero() && deadSince.IsZero() && now.Sub(pinged) >= latency {
+				heard, pinged = pinged.Add(latency), time.Time{}
+			}
+			ping, abandon := s.check(now, heard, busy)
+			if abandon && deadSince.IsZero() {
+				t.Fatalf("a connection that answers is abandoned after %v", now.Sub(heard))
+			}
+			if abandon {
+				return
+			}
+			if ping && pinged.IsZero() {
+				pinged = now
+			}
+			silent := now.Sub(deadSince)
+			if !deadSince.IsZero() && silent > idleLimits.abandon+checkInterval {
+				t.Fatalf("silent for %v and kept", silent)
+			}
+			if !deadSince.IsZero() && busy && min(silent, now.Sub(busySince)) > dialerLimits.abandon+checkInterval {
+				t.Fatalf("silent for %v, awaited for %v and kept", silent, now.Sub(busySince))
+			}
+		}
+	})
+}
+
+// A connection that rested is not abandoned by its next use.
+func TestRestedConnectionMayBeUsed(t *testing.T) {
+	s := silence{busy: dialerLimits, idle: idleLimits}
+	start := time.Unix(1000, 0)
+	rested := start.Add(idleLimits.ping)
+	if _, abandon := s.check(rested, start, false); abandon {
+		t.Error("got a resting connection abandoned")
+	}
+	if _, abandon := s.check(rested, start, true); abandon {
+		t.Error("got a connection abandoned as it is used again")
+	}
+	if ping, _ := s.check(rested.Add(dialerLimits.ping+1), start, true); !ping {
+		t.Error("got no ping of a connection that is used and quiet")
+	}
+	if _, abandon := s.check(rested.Add(dialerLimits.abandon+1), start, true); !abandon {
+		t.Error("got a silent connection kept")
+	}
+}
