What other entries say of the ledger counts as its being in reach

Change: the proofs that come with the feed from other entries count too, so a claim waits in full as soon as any entry in reach has the ledger.

--- a/entry/callers.go
+++ b/entry/callers.go
@@ -117,6 +117,7 @@
 	Region        string // own; empty if none is declared
 	Fleet         fleet
 	Ledger        bamboostep.Ledger
+	Proven        func() time.Time // when the ledger was last proved to be in reach; may be nil
 	Suspects      *dispatch.Suspects
 	ShareSuspects func([]bamboostep.Suspect) // tells the other entries; may be nil
 	Recorder      *timeline.Recorder
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -183,20 +183,13 @@
 	return x.Ledger.Claim(ctx, claim)
 }
 
-// prover is an optional capability of a ledger: it knows when it was last in reach.
-type prover interface {
-	// Current returns when what is known of the ledger was last proved to be current.
-	Current() time.Time
-}
-
 // claimTime returns how long a claim or settlement may take: short once the ledger
 // has been out of reach for longer than an election takes.
 func (c *callers) claimTime() time.Duration {
-	p, ok := c.Ledger.(prover)
-	if !ok {
+	if c.Proven == nil {
 		return c.Limits.ClaimTime
 	}
-	lost := c.Clock.Now().Sub(later(c.began, p.Current()))
+	lost := c.Clock.Now().Sub(later(c.began, c.Proven()))
 	if lost > lostAfter {
 		return min(c.Limits.ClaimTime, lostClaimTime)
 	}
--- a/entry/claims_test.go
+++ b/entry/claims_test.go
@@ -89,14 +89,9 @@
 }
 
 // lostLedger is a ledger out of reach: no call of it ends by itself.
-type lostLedger struct {
-	bamboostep.Ledger
-	current time.Time
-}
-
-func (l *lostLedger) Current() time.Time { return l.current }
+type lostLedger struct{ bamboostep.Ledger }
 
-func (l *lostLedger) Claim(ctx context.Context, _ bamboostep.Claim) (bamboostep.ClaimResult, error) {
+func (lostLedger) Claim(ctx context.Context, _ bamboostep.Claim) (bamboostep.ClaimResult, error) {
 	<-ctx.Done()
 	return bamboostep.ClaimResult{}, &bamboostep.UnavailableError{Operation: "claim", Known: true, Cause: ctx.Err()}
 }
@@ -106,8 +101,9 @@
 func TestOrderIsRefusedAtOnceWithoutLedger(t *testing.T) {
 	const atOnce = 200 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		l := &lostLedger{current: time.Now()}
-		c := newTestCallers(newTestFleet(1, nil, nil), l)
+		lost := time.Now()
+		c := newTestCallers(newTestFleet(1, nil, nil), lostLedger{})
+		c.Proven = func() time.Time { return lost }
 		c.Limits.ClaimTime = defaultClaimTime
 		for _, want := range []time.Duration{defaultClaimTime, defaultClaimTime, atOnce, atOnce} {
 			r := httptest.NewRequest("POST", "/orders", strings.NewReader("three sheets"))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -195,6 +195,7 @@
 		Region:        e.cfg.Region,
 		Fleet:         e.servers,
 		Ledger:        e.client,
+		Proven:        e.ledgerProven,
 		Router:        routers[e.cfg.Router](),
 		ShareSuspects: e.peers.ShareSuspects,
 		Recorder:      e.recorder,
@@ -287,6 +288,12 @@
 	}
 }
 
+// ledgerProven returns when the ledger was last proved to be in reach, by itself or
+// as other entries passed on.
+func (e *entry) ledgerProven() time.Time {
+	return later(e.client.Current(), e.feed.ProvenAt())
+}
+
 func (e *entry) revision() uint64 {
 	if s := e.feed.Set(); s != nil {
 		return s.Revision()
