--- /dev/null
+++ b/entry/links.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+// This file opens and closes the connections to other entries that roster.Mesh
+// names.
+
+const meshInterval = 500 * time.Millisecond
+
+// peerLink is the connection to one entry.
+type peerLink struct {
+	wire.Link
+	stop context.CancelFunc
+}
+
+// Run keeps the connections open until ctx ends.
+func (p *peers) Run(ctx context.Context) error {
+	var all sync.WaitGroup
+	defer all.Wait()
+	t := time.NewTicker(meshInterval)
+	defer t.Stop()
+	for {
+		p.connect(ctx, &all)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// connect opens and closes what the mesh says.
+func (p *peers) connect(ctx context.Context, all *sync.WaitGroup) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.mesh.Tick(time.Now()) {
+		if !c.Open {
+			p.links[c.Name].stop()
+			delete(p.links, c.Name)
+			continue
+		}
+		link := p.newLink(c.Name)
+		linkCtx, stop := context.WithCancel(ctx)
+		link.stop = stop
+		p.links[c.Name] = link
+		all.Go(func() { _ = link.Run(linkCtx) })
+	}
+}
+
+func (p *peers) newLink(name string) *peerLink {
+	link := &peerLink{}
+	link.Node = p.Node
+	link.Address = p.peer(name).Address
+	link.Handler = p.Mux
+	link.Busy = func() bool { return false } // only calls are awaited
+	link.Up = func(c *wire.Conn) {
+		p.note(name, link, true)
+		p.Feed.Subscribe(c)
+	}
+	link.Down = func(*wire.Conn) { p.note(name, link, false) }
+	return link
+}
+
+// note tells the mesh what became of a link, unless the link was closed.
+func (p *peers) note(name string, link *peerLink, up bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.links[name] != link:
+	case up:
+		p.mesh.Up(name)
+	default:
+		p.mesh.Down(time.Now(), name)
+	}
+}
+
+// peer returns the settings of an entry, empty ones for an unknown name.
+func (p *peers) peer(name string) peerSettings {
+	i := slices.IndexFunc(p.Peers, func(s peerSettings) bool { return s.Name == name })
+	if i < 0 {
+		return peerSettings{}
+	}
+	return p.Peers[i]
+}
+
+// conns returns the connections that stand, by entry.
+func (p *peers) conns() map[string]*wire.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := make(map[string]*wire.Conn, len(p.links))
+	for name, link := range p.links {
+		if c := link.Conn(); c != nil {
+			conns[name] = c
+		}
+	}
+	return conns
+}
+
+// conn returns the connection to an entry, or nil.
+func (p *peers) conn(name string) *wire.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if link := p.links[name]; link != nil {
+		return link.Conn()
+	}
+	return nil
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -4,9 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -97,14 +95,6 @@
 	news  suspectNews
 }
 
-// peerLink is the connection to one entry.
-type peerLink struct {
-	wire.Link
-	stop context.CancelFunc
-}
-
-const meshInterval = 500 * time.Millisecond
-
 // Register adds the entries' message kinds to the process's listener.
 func (p *peers) Register() {
 	p.Mux.On(kindSuspects, p.handleSuspects)
@@ -120,148 +110,6 @@
 	p.links = make(map[string]*peerLink)
 }
 
-// Run keeps the connections open until ctx ends.
-func (p *peers) Run(ctx context.Context) error {
-	var all sync.WaitGroup
-	defer all.Wait()
-	t := time.NewTicker(meshInterval)
-	defer t.Stop()
-	for {
-		p.connect(ctx, &all)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-	}
-}
-
-// connect opens and closes what the mesh says.
-func (p *peers) connect(ctx context.Context, all *sync.WaitGroup) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.mesh.Tick(time.Now()) {
-		if !c.Open {
-			p.links[c.Name].stop()
-			delete(p.links, c.Name)
-			continue
-		}
-		link := p.newLink(c.Name)
-		linkCtx, stop := context.WithCancel(ctx)
-		link.stop = stop
-		p.links[c.Name] = link
-		all.Go(func() { _ = link.Run(linkCtx) })
-	}
-}
-
-func (p *peers) newLink(name string) *peerLink {
-	link := &peerLink{}
-	link.Node = p.Node
-	link.Address = p.peer(name).Address
-	link.Handler = p.Mux
-	link.Busy = func() bool { return false } // only calls are awaited
-	link.Up = func(c *wire.Conn) {
-		p.note(name, link, true)
-		p.Feed.Subscribe(c)
-	}
-	link.Down = func(*wire.Conn) { p.note(name, link, false) }
-	return link
-}
-
-// note tells the mesh what became of a link, unless the link was closed.
-func (p *peers) note(name string, link *peerLink, up bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case p.links[name] != link:
-	case up:
-		p.mesh.Up(name)
-	default:
-		p.mesh.Down(time.Now(), name)
-	}
-}
-
-// peer returns the settings of an entry, empty ones for an unknown name.
-func (p *peers) peer(name string) peerSettings {
-	i := slices.IndexFunc(p.Peers, func(s peerSettings) bool { return s.Name == name })
-	if i < 0 {
-		return peerSettings{}
-	}
-	return p.Peers[i]
-}
-
-// conns returns the connections that stand, by entry.
-func (p *peers) conns() map[string]*wire.Conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	conns := make(map[string]*wire.Conn, len(p.links))
-	for name, link := range p.links {
-		if c := link.Conn(); c != nil {
-			conns[name] = c
-		}
-	}
-	return conns
-}
-
-// conn returns the connection to an entry, or nil.
-func (p *peers) conn(name string) *wire.Conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if link := p.links[name]; link != nil {
-		return link.Conn()
-	}
-	return nil
-}
-
-// ShareSuspects sends crash suspects to the entries that this one is connected to.
-func (p *peers) ShareSuspects(suspects []bamboostep.Suspect) {
-	p.isNews(suspects)
-	for _, c := range p.conns() {
-		_ = c.Send(kindSuspects, suspectsMessage{suspects})
-	}
-}
-
-// isNews reports whether any of the suspects were not heard of lately, and notes them.
-func (p *peers) isNews(suspects []bamboostep.Suspect) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.news.note(time.Now(), suspects)
-}
-
-// passOn tells the own region what an entry of another one said.
-func (p *peers) passOn(from string, suspects []bamboostep.Suspect) {
-	if roster.SameRegion(p.Region, p.peer(from).Region) || !p.isNews(suspects) {
-		return
-	}
-	for name, c := range p.conns() {
-		if roster.SameRegion(p.Region, p.peer(name).Region) {
-			_ = c.Send(kindSuspects, suspectsMessage{suspects})
-		}
-	}
-}
-
-// suspectNews remembers for a while which suspects were heard of.
-type suspectNews struct {
-	heard map[bamboostep.Suspect]time.Time
-}
-
-const newsKept = time.Minute
-
-func (n *suspectNews) note(now time.Time, suspects []bamboostep.Suspect) bool {
-	maps.DeleteFunc(n.heard, func(_ bamboostep.Suspect, at time.Time) bool { return now.Sub(at) > newsKept })
-	if n.heard == nil {
-		n.heard = make(map[bamboostep.Suspect]time.Time)
-	}
-	news := false
-	for _, s := range suspects {
-		if _, known := n.heard[s]; !known {
-			news = true
-			n.heard[s] = now
-		}
-	}
-	return news
-}
-
 // SendDemand sends this entry's demand to the named leader.
 func (p *peers) SendDemand(leader string, demand []bamboostep.Demand) {
 	if c := p.conn(leader); c != nil {
