An entry links to the leader also where its settings do not know it as a voter

Cause: a voter that was added by the operators' command is no voter in the other entries' settings. If it led, entries of other regions that were not linked to it could not send it their demand.

Change: roster.Mesh keeps a link to the leader as last heard. TestPoolConnectsElsewhereOnNeed failed once in nine runs: it read the agents' count of connections, which may follow the entry's. It waits for that count now and checks the same set.

Seen failing first: TestMeshReachesTheLeader.

--- a/entry/elsewhere_test.go
+++ b/entry/elsewhere_test.go
@@ -98,6 +98,19 @@
 	return set
 }
 
+// waitConnected waits until the agents know of their connections, which may be after
+// the entry does, and checks that no other agent has one.
+func (a *poolAgents) waitConnected(tb testing.TB, vms ...string) {
+	tb.Helper()
+	waitFor(tb, "connections as many as wanted", func() bool { return len(a.connected()) >= len(vms) })
+	got := a.connected()
+	for _, vm := range vms {
+		if !got[vm] || len(got) != len(vms) {
+			tb.Fatalf("got connections to %v, want %v", got, vms)
+		}
+	}
+}
+
 func startPool(tb testing.TB, a *poolAgents, reach roster.Reach, ask directory) *serverPool {
 	tb.Helper()
 	node := testNode("entry")
@@ -139,9 +152,7 @@
 		told("other", []string{"vm-3"})
 	})
 	waitFor(t, "the own region's agents", func() bool { return len(p.Servers("apps")) == 2 })
-	if got := a.connected(); len(got) != 2 || !got["vm-0"] || !got["vm-1"] {
-		t.Fatalf("got connections to %v, want vm-0 and vm-1", got)
-	}
+	a.waitConnected(t, "vm-0", "vm-1")
 	if !p.Seek("apps", "") {
 		t.Fatal("got no search, want one")
 	}
@@ -149,9 +160,7 @@
 		t.Errorf("asked for %v, want %v", got, want)
 	}
 	waitFor(t, "the other region's agent", func() bool { return len(p.Servers("apps")) == 3 })
-	if got := a.connected(); len(got) != 3 || !got["vm-3"] {
-		t.Errorf("got connections to %v, want also vm-3 and no other", got)
-	}
+	a.waitConnected(t, "vm-0", "vm-1", "vm-3")
 	waitFor(t, "the end of the search", func() bool { return !p.Seek("apps", "") })
 }
 
--- a/entry/links.go
+++ b/entry/links.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// follow keeps a connection to the leader of the ledger.
+func (p *peers) follow(leader string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mesh.Leader = leader
+}
+
 // peer returns the settings of an entry, empty ones for an unknown name.
 func (p *peers) peer(name string) peerSettings {
 	i := slices.IndexFunc(p.Peers, func(s peerSettings) bool { return s.Name == name })
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -112,6 +112,7 @@
 
 // SendDemand sends this entry's demand to the named leader.
 func (p *peers) SendDemand(leader string, demand []bamboostep.Demand) {
+	p.follow(leader)
 	if c := p.conn(leader); c != nil {
 		_ = c.Send(kindDemand, demandMessage{demand})
 	}
--- a/roster/mesh.go
+++ b/roster/mesh.go
@@ -47,6 +47,7 @@
 	Region string // own; empty if none is declared
 	All    bool   // every peer is to be connected
 	Peers  []Peer
+	Leader string // of the ledger as last heard; may be a voter that Peers does not know as one
 
 	links map[string]*meshLink
 }
@@ -101,7 +102,7 @@
 	for _, p := range m.Peers {
 		switch {
 		case p.Name == m.Self:
-		case m.All || p.Voter || SameRegion(m.Region, p.Region):
+		case m.All || p.Voter || p.Name == m.Leader || SameRegion(m.Region, p.Region):
 			wanted[p.Name] = true
 		default:
 			elsewhere[p.Region] = append(elsewhere[p.Region], p)
--- a/roster/mesh_test.go
+++ b/roster/mesh_test.go
@@ -133,3 +133,33 @@
 		})
 	}
 }
+
+// The leader is connected also where the settings do not know it as a voter, and as
+// long as it leads.
+func TestMeshReachesTheLeader(t *testing.T) {
+	m := roster.Mesh{Self: "entry-0", Region: "a"}
+	for i := range 40 {
+		m.Peers = append(m.Peers, roster.Peer{Name: fmt.Sprintf("entry-%d", i), Region: []string{"a", "b"}[i%2]})
+	}
+	now := time.Unix(0, 0)
+	open := make(map[string]bool)
+	tick := func() {
+		for _, c := range m.Tick(now) {
+			open[c.Name] = c.Open
+		}
+	}
+	tick()
+	for _, p := range m.Peers {
+		if p.Region == "b" && !open[p.Name] {
+			m.Leader = p.Name
+		}
+	}
+	leader := m.Leader
+	if tick(); !open[leader] {
+		t.Errorf("leader %q is not connected", leader)
+	}
+	m.Leader = "entry-0"
+	if tick(); open[leader] {
+		t.Errorf("%q is connected though it leads no more", leader)
+	}
+}
