--- a/entry/callers.go
+++ b/entry/callers.go
@@ -18,6 +18,7 @@
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/catalog"
 	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/internal/worker"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -127,11 +128,13 @@
 	Limits        callerLimits
 
 	once    sync.Once
+	began   time.Time // when the first request came
 	metrics *callerMetrics
 	budget  *dispatch.Budget
 	demand  demandTable
 	lanes   lanes
 	picks   atomic.Uint64
+	workers *worker.Pool
 
 	lateRefusals atomic.Uint64 // made or due, for being late
 }
@@ -139,8 +142,10 @@
 var _ http.Handler = (*callers)(nil)
 
 func (c *callers) init() {
+	c.began = c.Clock.Now()
 	c.Limits = c.Limits.withDefaults()
 	c.budget = &dispatch.Budget{}
+	c.workers = worker.NewPool()
 	if c.Router == nil {
 		c.Router = dispatch.Balanced{}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,6 +141,7 @@
 		Log:       e.log,
 		Current:   e.feed.Set,
 		OnSuspect: e.noteSuspects,
+		OnReport:  func(r bamboostep.Report) { e.placement.NoteReport(r) },
 		Dropped:   newDropped(e.registry),
 		Reach:     roster.Reach{Self: e.cfg.Name, Region: e.cfg.Region, All: e.cfg.DataDir != ""}, // a voter may lead, and places everywhere
 		Directory: func(ctx context.Context, w roster.Want, told func(string, []string)) {
@@ -321,6 +322,7 @@
 	if err != nil {
 		return err
 	}
+	defer e.recorder.Flush()
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	g, parts := errgroup.WithContext(parts)
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -33,6 +33,7 @@
 	Log       *log.Logger
 	Current   func() *catalog.Set        // newest set, or nil
 	OnSuspect func([]bamboostep.Suspect) // crash suspects that agents report
+	OnReport  func(bamboostep.Report)    // every report, once Report returns it; may be nil
 	Dropped   prometheus.Counter         // pieces of answers that nothing waited for
 	Reach     roster.Reach               // which agents to connect to; its exported fields are set before Run
 	Directory directory                  // asks other regions what they hold; may be nil
@@ -196,6 +197,9 @@
 
 func (p *serverPool) noteReport(s *remoteServer, r bamboostep.Report) {
 	s.last.Store(&reportAt{r, time.Now()})
+	if p.OnReport != nil {
+		p.OnReport(r)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.remotes[s.vm.Name] == s {
