Scenario regions: a caller comes back after the heal when it is told to

Cause: an order through the side that had no quorum, sent 0.1 s after the heal, was refused once in five runs with ledger_unavailable and a Retry-After: the entry dials the leader at most every 2 s, and a dial begun during the cut takes 2 s more. The script asked for success at once, which nothing promises.

--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -40,6 +40,7 @@
 //	leaving|live VM                 the platform's word on a VM
 //	call NAME ENTRY chat|stream MODEL PROMPT TOKENS
 //	call NAME ENTRY post PATH BODY
+//	call_within SPAN NAME ...       as call, sent again until its answer has status 200
 //	begin NAME ...                  as call, in the background; finish NAME waits
 //	expect NAME whole | status N | code CODE | outcome O | same OTHER | before SPAN | retry_after
 //	load NAME ENTRIES MODEL RATE    requests at a steady rate until unload NAME,
@@ -157,6 +158,7 @@
 	"cut":          command(2, (*scenario).cut),
 	"heal":         command(2, (*scenario).heal),
 	"silence":      command(2, (*scenario).silence),
+	"call_within":  command(5, (*scenario).callWithin),
 	"cut_regions":  command(2, (*scenario).cutRegions),
 	"heal_regions": command(2, (*scenario).healRegions),
 
@@ -423,6 +425,21 @@
 	return s.finish(ts, args)
 }
 
+// callWithin calls again until the status is 200, as a caller does that is told when
+// to come back.
+func (s *scenario) callWithin(ts *testscript.TestScript, args []string) error {
+	span, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	return cluster.Eventually(span, "status 200 for "+args[1], func() error {
+		if err := s.call(ts, args[1:]); err != nil {
+			return err
+		}
+		return s.expect(ts, []string{args[1], "status", "200"})
+	})
+}
+
 func (s *scenario) begin(ts *testscript.TestScript, args []string) error {
 	send, want, err := s.request(args[1], args[2:])
 	if err != nil {
