A stream that outlasts a drain takes its KV cache along

Cause: an attempt handed over at the end of a drain went on elsewhere by its text alone, so that the engine there computed the whole prompt anew. Engines export and import caches, and nothing called it. The agent's export also cut a cache off at its size limit without an error.

Change: the failure that ends a handed-over attempt brings the cache and the next offer carries it, as optional capability bamboostep.Exporter. Whatever fails, the engine goes on from the text. The stand-in's caches have a size (kv_bytes_per_token).

On real engines the gain depends on how small their caches are.

--- a/agent/engine.go
+++ b/agent/engine.go
@@ -30,8 +30,8 @@
 )
 
 const (
-	maxKVBytes = 64 << 20 // one attempt's exported KV cache
-	maxTail    = 4 << 10  // bytes read after the end of an answer
+	maxKVBytes = 4 << 20 // one attempt's exported KV cache
+	maxTail    = 4 << 10 // bytes read after the end of an answer
 )
 
 func newEngine(base, vm string, concurrency int) *engine {
@@ -219,7 +219,19 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, refusal(resp)
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxKVBytes))
+	kv, err := io.ReadAll(io.LimitReader(resp.Body, maxKVBytes+1))
+	if err == nil && len(kv) > maxKVBytes {
+		err = &kvSizeError{attempt}
+	}
+	return kv, err
+}
+
+// kvSizeError says that an exported KV cache is too large to be moved.
+type kvSizeError struct{ Attempt bamboostep.AttemptID }
+
+// Error implements error.
+func (e *kvSizeError) Error() string {
+	return fmt.Sprintf("KV cache of attempt %q has over %d bytes", e.Attempt, maxKVBytes)
 }
 
 // ImportKV implements bamboostep.Exporter.
--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -45,6 +45,7 @@
 
 func (s *Server) serve(ctx context.Context, offer bamboostep.Offer, yield func(bamboostep.Answer) error) error {
 	if s.Engine != nil {
+		s.importKV(ctx, offer)
 		return s.Engine.Generate(ctx, offer, yield)
 	}
 	return s.Application.Serve(ctx, offer, yield)
@@ -111,6 +112,7 @@
 	switch {
 	case ctx.Err() != nil:
 		f.Code = s.stopCode()
+		f.KV = s.exported(offer.Attempt)
 	case f.Code == codeBackendDown:
 		s.setUp(false)
 	case f.Code == codeBackendBroke:
@@ -129,6 +131,13 @@
 	return codeCancelled
 }
 
+// exported returns the KV cache that goes with an attempt that is handed over.
+func (s *Server) exported(id bamboostep.AttemptID) *bamboostep.KV {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.exports.caches[id]
+}
+
 // crashed finds out whether the engine or application has died since the attempt
 // started, and if so names the attempts that were running.
 func (s *Server) crashed(offer bamboostep.Offer, incarnation string) bool {
--- a/backend/server.go
+++ b/backend/server.go
@@ -62,6 +62,7 @@
 
 	unanswered map[bamboostep.Order]context.CancelFunc // given to the engine
 
+	exports  exports
 	drained  bool // an operator's drain mark
 	stopping bool
 	backend  backendState
@@ -206,17 +207,6 @@
 	})
 }
 
-// handOver stops the attempts that outlasted the drain. Their entries hear that
-// the VM is leaving, and go on elsewhere with what they have of the answers.
-func (s *Server) handOver() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id := range s.table.active {
-		s.stopAttempt(id)
-	}
-	return len(s.table.active)
-}
-
 // idle reports whether no attempt or order runs and every answer has been fetched.
 func (s *Server) idle() bool {
 	s.mu.Lock()
--- a/backend/server_test.go
+++ b/backend/server_test.go
@@ -59,6 +59,13 @@
 }
 
 func startServer(t *testing.T, address string, e bamboostep.Engine) (listening string, stop func()) {
+	t.Helper()
+	listening, stop, _ = startDrainable(t, address, e, 0)
+	return listening, stop
+}
+
+// startDrainable starts a server that can also be drained, with its connections up.
+func startDrainable(t *testing.T, address string, e bamboostep.Engine, drainTimeout time.Duration) (listening string, stop, drain func()) {
 	t.Helper()
 	nl, err := net.Listen("tcp", address)
 	if err != nil {
@@ -74,6 +81,8 @@
 		Concurrency: 4,
 		Queue:       4,
 		Recorder:    &timeline.Recorder{Process: "vm-1", Clock: clock},
+
+		DrainTimeout: drainTimeout,
 	}
 	mux := &wire.Mux{}
 	s.Register(mux)
@@ -81,10 +90,11 @@
 	l := &wire.Listener{Node: node, Net: nl, Handler: mux, Up: s.Up, Down: s.Down}
 	var all sync.WaitGroup
 	all.Go(func() { l.Run(ctx) })
-	go s.Run(ctx)
+	serving, drain := context.WithCancel(ctx)
+	go s.Run(serving)
 	stop = func() { cancel(); all.Wait() }
 	t.Cleanup(stop)
-	return nl.Addr().String(), stop
+	return nl.Addr().String(), stop, drain
 }
 
 func startClient(t *testing.T, address string) *backend.Client {
--- a/entry/callers_attempt.go
+++ b/entry/callers_attempt.go
@@ -81,6 +81,7 @@
 		Request:    a.job.request,
 		Prior:      a.job.prior,
 		Alone:      a.job.verdict.Alone,
+		KV:         a.job.kv,
 		Repeatable: a.job.course.Repeatable,
 	}
 	if !a.slot.resident {
--- a/entry/callers_run.go
+++ b/entry/callers_run.go
@@ -27,9 +27,10 @@
 	stallTime   time.Duration    // limit between two pieces
 	course      dispatch.Course
 	verdict     dispatch.Verdict
-	resumable   bool   // an answer that broke off is continued elsewhere
-	prior       []byte // answer text that came so far
-	rounds      int    // times that every backend server had been tried
+	resumable   bool           // an answer that broke off is continued elsewhere
+	prior       []byte         // answer text that came so far
+	kv          *bamboostep.KV // of the attempt that was handed over last, or nil
+	rounds      int            // times that every backend server had been tried
 }
 
 // run makes attempts until one has brought the whole answer through yield, or
@@ -95,6 +96,9 @@
 		}
 		return nil
 	}
+	if end.failure.Outcome != bamboostep.NotRun {
+		j.kv = end.failure.KV
+	}
 	if end.failure.Crashed {
 		x.noteCrash(j, p, end.failure)
 	}
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -99,6 +99,35 @@
 	}
 }
 
+// The KV cache of an attempt that was handed over goes to the next one, also when
+// a server in between refuses it, and to none after that.
+func TestCacheGoesWithTheRequest(t *testing.T) {
+	kv := &bamboostep.KV{Version: "v1", Data: []byte("cache")}
+	ends := []bamboostep.Failure{
+		{Outcome: bamboostep.Ran, Code: "leaving", KV: kv},
+		{Outcome: bamboostep.NotRun, Code: "leaving"},
+		{Outcome: bamboostep.Ran, Code: "backend_broke_off"},
+	}
+	var offers []bamboostep.Offer // one at a time
+	engine := func(offer bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+		offers = append(offers, offer)
+		if n := len(offers); n <= len(ends) {
+			return &bamboostep.FailedError{Failure: ends[n-1]}
+		}
+		return speak("one two", -1)(offer, yield)
+	}
+	s := startCallers(t, newTestCallers(newTestFleet(4, engine, nil), &fakeLedger{}))
+	r := call(t, s, "POST", "/v1/chat/completions", `{"model":"base","messages":[{"role":"user","content":"x"}]}`)
+	if r.status != http.StatusOK || len(offers) != 4 {
+		t.Fatalf("got status %d after %d offers, want 200 after 4: %s", r.status, len(offers), r.body)
+	}
+	for i, want := range []*bamboostep.KV{nil, kv, kv, nil} {
+		if got := offers[i].KV; got != want {
+			t.Errorf("offer %d: got cache %v, want %v", i, got, want)
+		}
+	}
+}
+
 func TestAdapterIsLoadedWhereMissing(t *testing.T) {
 	f := newTestFleet(1, speak(spoken, -1), nil)
 	s := startCallers(t, newTestCallers(f, nil))
--- a/message.go
+++ b/message.go
@@ -32,10 +32,11 @@
 type Offer struct {
 	Attempt AttemptID `msgpack:"attempt"`
 	Request Request   `msgpack:"request"`
-	StartBy int64     `msgpack:"start_by"` // agent clock, microseconds since the agent's start; the agent starts nothing later
-	Prior   []byte    `msgpack:"prior"`    // answer text that the caller already has; the engine goes on after it
-	Alone   bool      `msgpack:"alone"`    // a crash suspect: run it only where no unsuspected request runs
-	Load    Order     `msgpack:"load"`     // how to load the adapter where it is not resident; its Fence is unset
+	StartBy int64     `msgpack:"start_by"`     // agent clock, microseconds since the agent's start; the agent starts nothing later
+	Prior   []byte    `msgpack:"prior"`        // answer text that the caller already has; the engine goes on after it
+	Alone   bool      `msgpack:"alone"`        // a crash suspect: run it only where no unsuspected request runs
+	Load    Order     `msgpack:"load"`         // how to load the adapter where it is not resident; its Fence is unset
+	KV      *KV       `msgpack:"kv,omitempty"` // saves computing anew what comes before the answer's rest; nil if there is none
 
 	Repeatable bool `msgpack:"-"` // the entry may make another attempt whatever became of this one
 }
@@ -71,7 +72,15 @@
 	Code       string        `msgpack:"code"` // stable, snake case
 	Message    string        `msgpack:"message"`
 	RetryAfter time.Duration `msgpack:"retry_after"`
-	Crashed    bool          `msgpack:"crashed"` // the backend server died while the attempt ran
+	Crashed    bool          `msgpack:"crashed"`      // the backend server died while the attempt ran
+	KV         *KV           `msgpack:"kv,omitempty"` // of an attempt that its agent handed over; nil if there is none
+}
+
+// KV is the exported KV cache of one attempt.
+type KV struct {
+	Version string `msgpack:"version"` // of the model it was made by
+	Adapter string `msgpack:"adapter"` // version of the adapter, if there is one
+	Data    []byte `msgpack:"data"`
 }
 
 // Fence orders the orders of all leaders: first by the ledger's term, then by
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -37,7 +37,7 @@
 //	address ENTRY                   sets $address to where other entries reach it
 //	cut|heal|silence A B            the network between two processes; B may be *
 //	leaving|live VM                 the platform's word on a VM
-//	call NAME ENTRY chat|stream MODEL PROMPT TOKENS
+//	call NAME ENTRY chat|stream MODEL PROMPT TOKENS    a prompt N*WORD has N words
 //	call NAME ENTRY post PATH BODY
 //	begin NAME ...                  as call, in the background; finish NAME waits
 //	expect NAME whole | status N | code CODE | outcome O | same OTHER | before SPAN | retry_after
@@ -54,6 +54,7 @@
 //	underway N SPAN                 the engines run N requests in time
 //	crashed N                       just N engines have exited by themselves
 //	restart_crashed                 starts them again
+//	busiest                         sets $vm to the VM whose engine runs most
 //	kill_busy                       kills the engine that runs most
 //	healthy ENTRY                   waits until the entry answers
 //	answering P                     waits until an engine or service answers
@@ -194,6 +195,7 @@
 	"begin_publish":   command(3, (*scenario).beginPublish),
 	"end_publish":     endPublish,
 	"restart_crashed": command(0, (*scenario).restartCrashed),
+	"busiest":         command(0, (*scenario).busiest),
 	"kill_busy":       command(0, (*scenario).killBusy),
 }
 
@@ -443,11 +445,22 @@
 	if err != nil {
 		return nil, "", err
 	}
-	want := engine.Reference(args[1], "", args[2], n)
+	prompt := expandPrompt(args[2])
+	want := engine.Reference(args[1], "", prompt, n)
 	if args[0] == "stream" {
-		return func(ctx context.Context) (caller.Answer, error) { return c.Stream(ctx, args[1], args[2], n) }, want, nil
+		return func(ctx context.Context) (caller.Answer, error) { return c.Stream(ctx, args[1], prompt, n) }, want, nil
 	}
-	return func(ctx context.Context) (caller.Answer, error) { return c.Chat(ctx, args[1], args[2], n) }, want, nil
+	return func(ctx context.Context) (caller.Answer, error) { return c.Chat(ctx, args[1], prompt, n) }, want, nil
+}
+
+// expandPrompt writes out a prompt of the form N*WORD.
+func expandPrompt(prompt string) string {
+	count, word, ok := strings.Cut(prompt, "*")
+	n, err := strconv.Atoi(count)
+	if !ok || err != nil {
+		return prompt
+	}
+	return strings.Repeat(word+" ", n)
 }
 
 func (s *scenario) finish(ts *testscript.TestScript, args []string) error {
--- a/scenario/watch_test.go
+++ b/scenario/watch_test.go
@@ -136,18 +136,33 @@
 }
 
 func (s *scenario) killBusy(ts *testscript.TestScript, args []string) error {
+	name, err := s.busiestEngine(ts)
+	if err != nil {
+		return err
+	}
+	return s.sigkill(ts, []string{name})
+}
+
+// busiest sets $vm to the VM whose engine runs most.
+func (s *scenario) busiest(ts *testscript.TestScript, args []string) error {
+	name, err := s.busiestEngine(ts)
+	ts.Setenv("vm", strings.Replace(name, "engine", "taller", 1))
+	return err
+}
+
+func (s *scenario) busiestEngine(ts *testscript.TestScript) (string, error) {
 	busiest, most := "", -1
 	for _, name := range s.engineNames() {
 		stats, err := s.cluster.Stats(s.ctx, name)
 		if err != nil {
-			return err
+			return "", err
 		}
 		if stats.Running > most {
 			busiest, most = name, stats.Running
 		}
 	}
-	ts.Logf("killing %s, which runs %d", busiest, most)
-	return s.sigkill(ts, []string{busiest})
+	ts.Logf("%s runs %d", busiest, most)
+	return busiest, nil
 }
 
 func (s *scenario) healthy(ts *testscript.TestScript, args []string) error {
--- a/standin/engine/command.go
+++ b/standin/engine/command.go
@@ -32,6 +32,7 @@
 		&cli.DurationFlag{Name: "step", Value: 10 * time.Millisecond, Destination: &e.Step, Usage: "time of one step"},
 		&cli.DurationFlag{Name: "step_per_sequence", Value: 500 * time.Microsecond, Destination: &e.StepPerSeq, Usage: "more for each running sequence"},
 		&cli.DurationFlag{Name: "prefill_per_token", Value: 100 * time.Microsecond, Destination: &e.PrefillToken, Usage: "more for each prompt token not cached"},
+		&cli.IntFlag{Name: "kv_bytes_per_token", Destination: &e.KVBytes, Usage: "size of an exported KV cache, for each token"},
 		&cli.IntFlag{Name: "max_batch", Value: 16, Destination: &e.MaxBatch, Usage: "sequences that run at once"},
 		&cli.IntFlag{Name: "max_waiting", Value: 256, Destination: &e.MaxWaiting, Usage: "sequences that wait"},
 		&cli.IntFlag{Name: "cache_blocks", Value: 4096, Destination: &e.CacheBlocks, Usage: "blocks in the prefix cache"},
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -25,6 +25,7 @@
 	Step         time.Duration // time of one step of the batch
 	StepPerSeq   time.Duration // more for each running sequence
 	PrefillToken time.Duration // more for each prompt token that is not cached
+	KVBytes      int           // size of an exported KV cache, for each token
 	MaxBatch     int           // sequences that run at once
 	MaxWaiting   int           // sequences that wait; more are refused as full
 	CacheBlocks  int           // capacity of the prefix cache
--- a/standin/engine/kv.go
+++ b/standin/engine/kv.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/standin/internal/listen"
@@ -13,6 +14,7 @@
 type kvCache struct {
 	Seed   uint64 `json:"seed"`
 	Tokens int    `json:"tokens"`
+	Filler string `json:"filler"` // makes it as large as KVBytes says
 }
 
 func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
@@ -26,8 +28,10 @@
 		return
 	}
 	e.mu.Lock()
-	kv := kvCache{s.seed, s.next}
+	kv := kvCache{Seed: s.seed, Tokens: s.next}
+	size := (s.promptTokens + s.next) * e.KVBytes
 	e.mu.Unlock()
+	kv.Filler = strings.Repeat("x", size)
 	listen.WriteJSON(w, http.StatusOK, kv)
 }
 
--- a/stock/reconcile.go
+++ b/stock/reconcile.go
@@ -155,6 +155,19 @@
 	return false
 }
 
+// OnlyVersion returns the version of the named model or adapter that can serve,
+// and false if there is none or several.
+func (m *Memory) OnlyVersion(name string) (version string, ok bool) {
+	n := 0
+	for key, h := range m.holdings {
+		if key.name == name && h.state == resident {
+			version = key.version
+			n++
+		}
+	}
+	return version, n == 1
+}
+
 // Use notes that an attempt uses the named replica.
 func (m *Memory) Use(now time.Duration, name string) {
 	for key, h := range m.holdings {
