A begun answer waits for its lost model to be loaded again

Cause: when no VM holds a model, requests wait 3 s and are refused.

Ruled out: waiting longer before the first token; a refusal that says when to come back is the better answer there.

Change: an answer that has begun waits up to 15 s, the time in which a lost model must be back.

Figures: TestBegunAnswerOutlastsALostModel failed before ("Fold " after 3.1 s), passes after.

--- a/entry/callers_route.go
+++ b/entry/callers_route.go
@@ -280,6 +280,8 @@
 const (
 	leastPause = 10 * time.Millisecond // before all backend servers are tried again
 	mostPause  = 200 * time.Millisecond
+
+	restoreTime = 15 * time.Second // in which the only copy of a model, once lost, is back
 )
 
 // chooseWithin waits a while for a backend server. It returns nil when none came up
@@ -305,7 +307,9 @@
 }
 
 // waitEnd returns until when j may wait for a backend server. The wait counts from
-// when the last one went, so in a long outage requests are refused at once.
+// when the last one went, so in a long outage requests are refused at once. An
+// answer that has begun cannot be refused any more, and waits for a lost model to be
+// loaded again.
 func (c *callers) waitEnd(j *job, now time.Time) time.Time {
 	c.lanes.mu.Lock()
 	defer c.lanes.mu.Unlock()
@@ -318,5 +322,8 @@
 		since = now
 		v.missing[j.model] = now
 	}
+	if len(j.prior) > 0 {
+		return since.Add(restoreTime)
+	}
 	return since.Add(c.Limits.NoServerWait)
 }
--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -268,6 +268,52 @@
 	}
 }
 
+// An answer that has begun is not broken off because its model has no copy, as long
+// as one is back in the time that a lost model takes.
+func TestBegunAnswerOutlastsALostModel(t *testing.T) {
+	tests := map[string]struct {
+		outage time.Duration
+		whole  bool
+	}{
+		"back in time": {14 * time.Second, true},
+		"not back":     {time.Minute, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(1, nil, nil)
+				s := f.servers["engines"][0]
+				s.offer = func(offer bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+					if s.isDown() {
+						return failure(bamboostep.NotRun, "no_connection")
+					}
+					if len(offer.Prior) > 0 {
+						return speak(spoken, -1)(offer, yield)
+					}
+					s.setDown(true)
+					time.AfterFunc(tt.outage, func() { s.setDown(false) })
+					return speak(spoken, 1)(offer, yield)
+				}
+				c := newTestCallers(f, nil)
+				c.Limits.NoServerWait = 3 * time.Second
+				rec := httptest.NewRecorder()
+				began := time.Now()
+				body := `{"model":"base","messages":[{}],"stream":true}`
+				func() {
+					defer func() { recover() }() // how a begun answer is broken off
+					c.ServeHTTP(rec, httptest.NewRequest("POST", "/v1/chat/completions", strings.NewReader(body)))
+				}()
+				took := time.Since(began)
+				text, done := streamText(t, rec.Body.String())
+				if (text == spoken && done) != tt.whole || took > 20*time.Second {
+					t.Errorf("got %q, done %v after %v, want it whole %v and ended within 20s", text, done, took, tt.whole)
+				}
+				time.Sleep(tt.outage) // lets the timer end
+			})
+		})
+	}
+}
+
 // slowWriter is a caller that reads one event in four seconds.
 type slowWriter struct{ *httptest.ResponseRecorder }
 
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -57,6 +57,12 @@
 	return s.down
 }
 
+func (s *fakeServer) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
 func (s *fakeServer) Report() (bamboostep.Report, time.Time) {
 	r := bamboostep.Report{VM: s.vm.Name, Ready: true, Incarnation: 1, Sequence: 1}
 	for _, name := range s.replicas {
