--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/dispatch"
 	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/roster"
 	"github.com/bamboostep/bamboostep/stock"
 	"github.com/bamboostep/bamboostep/timeline"
 	"github.com/bamboostep/bamboostep/wire"
@@ -142,6 +143,22 @@
 		OnSuspect: e.noteSuspects,
 		OnReport:  func(r bamboostep.Report) { e.placement.NoteReport(r) },
 		Dropped:   newDropped(e.registry),
+		Reach:     roster.Reach{Self: e.cfg.Name, Region: e.cfg.Region, All: e.cfg.DataDir != ""}, // a voter may lead, and places everywhere
+		Directory: func(ctx context.Context, w roster.Want, told func(string, []string)) {
+			e.peers.AskHolders(ctx, w, told)
+		},
+	}
+	e.registerConnected()
+}
+
+func (e *entry) registerConnected() {
+	for region, elsewhere := range map[string]bool{"own": false, "other": true} {
+		e.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace:   "bamboostep",
+			Name:        "agents_connected",
+			Help:        "Agents that this entry is connected to, by their region.",
+			ConstLabels: prometheus.Labels{"region": region},
+		}, func() float64 { return float64(e.servers.Connected(elsewhere)) }))
 	}
 }
 
@@ -163,6 +180,11 @@
 		Peers:      e.cfg.Peers,
 		Feed:       e.feed,
 		Recorder:   e.recorder,
+		Region:     e.cfg.Region,
+		All:        e.cfg.DataDir != "",
+		Holders:    e.servers.Holders,
+		OwnFleet:   e.fleetStatus,
+		Gather:     e.servers.Timeline,
 		OnSuspects: func(s []bamboostep.Suspect) { e.callers.NoteSuspects(s) },
 		OnDemand:   func(entry string, d []bamboostep.Demand) { e.placement.NoteDemand(entry, d) },
 	}
@@ -170,6 +192,7 @@
 	e.callers = &callers{
 		Name:          e.cfg.Name,
 		FailureDomain: e.cfg.FailureDomain,
+		Region:        e.cfg.Region,
 		Fleet:         e.servers,
 		Ledger:        e.client,
 		Router:        routers[e.cfg.Router](),
@@ -299,6 +322,7 @@
 	if err != nil {
 		return err
 	}
+	defer e.recorder.Flush()
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	g, parts := errgroup.WithContext(parts)
--- a/entry/status.go
+++ b/entry/status.go
@@ -11,7 +11,10 @@
 	"github.com/bamboostep/bamboostep/roster"
 )
 
-const statusTimeout = time.Second
+const (
+	statusTimeout = time.Second
+	fleetTimeout  = 2 * time.Second
+)
 
 // status is the state of the system as this entry sees it. Other entries are
 // asked for their revision; one that does not answer counts as unreachable.
@@ -23,21 +26,54 @@
 		ProvenAt: e.feed.ProvenAt(),
 		Leader:   name,
 		Term:     term,
-		Entries:  e.entryStatus(),
 	}
 	for _, m := range e.client.State().Members() {
 		reachable := m.Name == e.cfg.Name || e.peers.Reachable(m.Name)
 		s.Voters = append(s.Voters, operator.VoterStatus{Name: m.Name, Reachable: reachable})
 	}
+	fleet, whole := e.wholeFleet()
+	if !whole {
+		fleet = e.fleetStatus()
+	}
+	s.Entries, s.VMs, s.Models = fleet.Entries, fleet.VMs, fleet.Models
+	return s
+}
+
+// fleetStatus is the state of the entries, of the VMs and of what they hold.
+type fleetStatus struct {
+	Entries []operator.EntryStatus `json:"entries"`
+	VMs     []operator.VMStatus    `json:"vms"`
+	Models  []operator.ModelStatus `json:"models"`
+}
+
+// fleetStatus returns the fleet as this entry sees it.
+func (e *entry) fleetStatus() fleetStatus {
+	f := fleetStatus{Entries: e.entryStatus()}
 	members := e.servers.Members()
 	drained := e.drains()
 	for _, m := range members {
-		s.VMs = append(s.VMs, vmStatus(m, slices.Contains(drained, m.VM.Name)))
+		f.VMs = append(f.VMs, vmStatus(m, slices.Contains(drained, m.VM.Name)))
 	}
 	if set := e.feed.Set(); set != nil {
-		s.Models = modelStatus(set, members)
+		f.Models = modelStatus(set, members)
 	}
-	return s
+	return f
+}
+
+// wholeFleet asks the voters, which are connected to all regions, for the fleet. It
+// reports false where this entry sees as much itself, or none of them answers.
+func (e *entry) wholeFleet() (fleetStatus, bool) {
+	if e.cfg.DataDir != "" || e.cfg.Region == "" {
+		return fleetStatus{}, false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fleetTimeout)
+	defer cancel()
+	for _, m := range e.client.State().Members() {
+		if f, err := e.peers.Fleet(ctx, m.Name); err == nil {
+			return f, true
+		}
+	}
+	return fleetStatus{}, false
 }
 
 func (e *entry) drains() []string {
@@ -66,6 +102,7 @@
 		Name:          m.VM.Name,
 		Place:         m.VM.Place,
 		FailureDomain: m.VM.FailureDomain,
+		Region:        m.VM.Region,
 		State:         vmState(m, r.Ready, drained),
 		MemoryMiB:     r.MemoryMiB,
 		ReservedMiB:   r.ReservedMiB,
@@ -78,6 +115,8 @@
 
 func vmState(m poolMember, ready, drained bool) operator.VMState {
 	switch {
+	case !m.connected:
+		return operator.VMElsewhere
 	case m.State == roster.Unreached || m.State == roster.Left:
 		return operator.VMUnreachable
 	case drained:
