--- a/agent/engine.go
+++ b/agent/engine.go
@@ -57,6 +57,19 @@
 	Prefix   []uint64             `json:"prefix"`
 }
 
+func newGenerateBody(offer bamboostep.Offer) *generateBody {
+	r := &offer.Request
+	return &generateBody{
+		Attempt:  offer.Attempt,
+		Model:    r.Model,
+		Adapter:  r.Adapter,
+		Request:  r.Body,
+		Prior:    string(offer.Prior),
+		Priority: r.Class.Rank(),
+		Prefix:   r.Prefix,
+	}
+}
+
 // tokenLine is one line of a generated answer.
 type tokenLine struct {
 	Text    string `json:"text"`
@@ -74,22 +87,15 @@
 
 // Generate implements bamboostep.Engine.
 func (e *engine) Generate(ctx context.Context, offer bamboostep.Offer, yield func(bamboostep.Answer) error) error {
-	r := offer.Request
-	if !json.Valid(r.Body) {
+	body, err := json.Marshal(newGenerateBody(offer))
+	if err != nil || len(offer.Request.Body) == 0 {
 		return told(bamboostep.NotRun, "bad_request", "the body is not JSON")
 	}
-	req, err := e.request(ctx, e.api.New().Post("generate").BodyJSON(generateBody{
-		Attempt:  offer.Attempt,
-		Model:    r.Model,
-		Adapter:  r.Adapter,
-		Request:  r.Body,
-		Prior:    string(offer.Prior),
-		Priority: r.Class.Rank(),
-		Prefix:   r.Prefix,
-	}))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, e.base+"/generate", bytes.NewReader(body))
 	if err != nil {
 		return told(bamboostep.NotRun, "bad_request", err.Error())
 	}
+	req.Header.Set("Content-Type", "application/json")
 	resp, err := e.client.Do(req)
 	if err != nil {
 		return sendError(err)
--- a/backend/handlers.go
+++ b/backend/handlers.go
@@ -20,10 +20,11 @@
 }
 
 func (s *Server) handleOffer(m *wire.Message) {
-	var offer bamboostep.Offer
-	if m.Decode(&offer) != nil {
+	var body offerBody
+	if m.Decode(&body) != nil {
 		return
 	}
+	offer := body.offer()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision = max(s.revision, offer.Request.Revision)
--- a/backend/offer.go
+++ b/backend/offer.go
@@ -58,7 +58,7 @@
 	c.addInbox(offer.Attempt, o.inbox)
 	defer c.dropInbox(offer.Attempt)
 	c.record("offer_sent", offer, "")
-	if err := conn.Send(kindOffer, offer); err != nil {
+	if err := conn.Send(kindOffer, newOfferBody(&offer)); err != nil {
 		return failed(notRun(offer.Attempt, sendCode(err)))
 	}
 	err := o.run(ctx)
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -83,6 +83,86 @@
 
 func failed(f bamboostep.Failure) error { return &bamboostep.FailedError{Failure: f} }
 
+// offerBody is a bamboostep.Offer on the wire, as an array without names.
+type offerBody struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Attempt     bamboostep.AttemptID
+	StartBy     int64
+	Prior       []byte
+	Alone       bool
+	Load        *bamboostep.Order // nil when there is nothing to load
+	ID          bamboostep.RequestID
+	Caller      string
+	Model       string
+	Adapter     string
+	Service     string
+	Class       bamboostep.Class
+	Method      string
+	Path        string
+	Header      map[string][]string
+	Body        []byte
+	Prefix      []uint64
+	Fingerprint uint64
+	Revision    uint64
+}
+
+func newOfferBody(o *bamboostep.Offer) *offerBody {
+	r := &o.Request
+	b := &offerBody{
+		Attempt:     o.Attempt,
+		StartBy:     o.StartBy,
+		Prior:       o.Prior,
+		Alone:       o.Alone,
+		ID:          r.ID,
+		Caller:      r.Caller,
+		Model:       r.Model,
+		Adapter:     r.Adapter,
+		Service:     r.Service,
+		Class:       r.Class,
+		Method:      r.Method,
+		Path:        r.Path,
+		Header:      r.Header,
+		Body:        r.Body,
+		Prefix:      r.Prefix,
+		Fingerprint: r.Fingerprint,
+		Revision:    r.Revision,
+	}
+	if o.Load != (bamboostep.Order{}) {
+		b.Load = &o.Load
+	}
+	return b
+}
+
+func (b *offerBody) offer() bamboostep.Offer {
+	o := bamboostep.Offer{
+		Attempt: b.Attempt,
+		StartBy: b.StartBy,
+		Prior:   b.Prior,
+		Alone:   b.Alone,
+		Request: bamboostep.Request{
+			ID:          b.ID,
+			Caller:      b.Caller,
+			Model:       b.Model,
+			Adapter:     b.Adapter,
+			Service:     b.Service,
+			Class:       b.Class,
+			Method:      b.Method,
+			Path:        b.Path,
+			Header:      b.Header,
+			Body:        b.Body,
+			Prefix:      b.Prefix,
+			Fingerprint: b.Fingerprint,
+			Revision:    b.Revision,
+		},
+	}
+	if b.Load != nil {
+		o.Load = *b.Load
+	}
+	return o
+}
+
 // answerBody is a bamboostep.Answer on the wire. One is sent for each token, so
 // it goes as an array without names.
 type answerBody struct {
