--- a/wire/hello.go
+++ b/wire/hello.go
@@ -15,7 +15,7 @@
 // version of the protocol is refused here, before it can be misunderstood.
 
 const (
-	protocolVersion = 1
+	protocolVersion = 2
 
 	helloTimeout = 2 * time.Second
 	helloLimit   = 64 << 10 // bytes
