The KV cache of an offer goes over the wire in its new form

Change: the cache is a field of the new form. The property leaves out Repeatable, which says by its tag that it does not travel. Conclusion: the property finds a field that is forgotten.

--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -94,6 +94,7 @@
 	Prior       []byte
 	Alone       bool
 	Load        *bamboostep.Order // nil when there is nothing to load
+	KV          *bamboostep.KV    // nil when there is none
 	ID          bamboostep.RequestID
 	Caller      string
 	Model       string
@@ -116,6 +117,7 @@
 		StartBy:     o.StartBy,
 		Prior:       o.Prior,
 		Alone:       o.Alone,
+		KV:          o.KV,
 		ID:          r.ID,
 		Caller:      r.Caller,
 		Model:       r.Model,
@@ -142,6 +144,7 @@
 		StartBy: b.StartBy,
 		Prior:   b.Prior,
 		Alone:   b.Alone,
+		KV:      b.KV,
 		Request: bamboostep.Request{
 			ID:          b.ID,
 			Caller:      b.Caller,
--- a/backend/protocol_test.go
+++ b/backend/protocol_test.go
@@ -10,10 +10,12 @@
 	"github.com/bamboostep/bamboostep"
 )
 
-// An offer arrives as it was sent, whatever field is set.
+// An offer arrives as it was sent, whatever field is set. Repeatable is for the
+// sender alone.
 func TestOfferTravelsWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		want := rapid.Make[bamboostep.Offer]().Draw(t, "offer")
+		want.Repeatable = false
 		data, err := msgpack.Marshal(newOfferBody(&want))
 		if err != nil {
 			t.Fatal(err)
