--- a/entry/entry.go
+++ b/entry/entry.go
@@ -195,6 +195,7 @@
 		Region:        e.cfg.Region,
 		Fleet:         e.servers,
 		Ledger:        e.client,
+		Proven:        e.ledgerProven,
 		Router:        routers[e.cfg.Router](),
 		ShareSuspects: e.peers.ShareSuspects,
 		Recorder:      e.recorder,
@@ -287,6 +288,12 @@
 	}
 }
 
+// ledgerProven returns when the ledger was last proved to be in reach, by itself or
+// as other entries passed on.
+func (e *entry) ledgerProven() time.Time {
+	return later(e.client.Current(), e.feed.ProvenAt())
+}
+
 func (e *entry) revision() uint64 {
 	if s := e.feed.Set(); s != nil {
 		return s.Revision()
@@ -326,7 +333,7 @@
 	parts, stopParts := context.WithCancel(context.Background())
 	defer stopParts()
 	g, parts := errgroup.WithContext(parts)
-	listener := &wire.Listener{Node: e.node, Net: wireListener, Handler: e.mux}
+	listener := &wire.Listener{Node: e.node, Net: wireListener, Handler: e.mux, Patient: true}
 	g.Go(func() error { return stopped(listener.Run(parts)) })
 	g.Go(func() error { return stopped(e.runLedger(parts)) })
 	g.Go(func() error { return stopped(e.peers.Run(parts)) })
