The experiment can run baselines without the product's admission and router

Cause: all baselines had the product's admission, and static its router too; the plain ways that the policy is to be measured against were not there. Change: a setting admission (predicted_wait or none) and three systems, named plain_*, that run when they are asked for. The strong baselines stay as they are and stay the default.

--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -81,6 +81,11 @@
 	leastRetryAfter     = time.Second
 )
 
+// AdmitAll refuses nothing that could still be answered within any deadline.
+var AdmitAll = Admission{Question: admitAllWait, Quote: admitAllWait, Write: admitAllWait}
+
+const admitAllWait = 1e6 // in multiples of the target
+
 // Admit returns whether a request of the class that is expected to wait so long
 // may run, and when not, after how long the work before it should have drained.
 func (a Admission) Admit(class bamboostep.Class, wait, target time.Duration) (retryAfter time.Duration, ok bool) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,7 +38,7 @@
 	feedFile     = "feed.set" // in the data folder
 )
 
-// routers and placers are the choices that the settings name.
+// routers, placers and admissions are the choices that the settings name.
 var (
 	routers = map[string]func() bamboostep.Router{
 		"score":       func() bamboostep.Router { return &dispatch.Balanced{} },
@@ -50,6 +50,10 @@
 		"on_demand": func() bamboostep.Placer { return stock.OnDemand{} },
 		"static":    func() bamboostep.Placer { return &stock.Static{} },
 	}
+	admissions = map[string]dispatch.Admission{
+		"predicted_wait": {},
+		"none":           dispatch.AdmitAll,
+	}
 )
 
 // entry is the whole program: its parts, wired to each other.
@@ -197,6 +201,7 @@
 		Ledger:        e.client,
 		Proven:        e.ledgerProven,
 		Router:        routers[e.cfg.Router](),
+		Admission:     admissions[e.cfg.Admission],
 		ShareSuspects: e.peers.ShareSuspects,
 		Recorder:      e.recorder,
 		Registry:      e.registry,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,6 +32,7 @@
 	OperatorToken string            `toml:"operator_token"` // bearer token that operators send; empty for none
 	Router        string            `toml:"router"`         // score, least_load or round_robin
 	Placer        string            `toml:"placer"`         // how models are placed: demand, on_demand or static
+	Admission     string            `toml:"admission"`      // which requests are refused as late: by predicted_wait or none
 	MaxBodyBytes  int64             `toml:"max_body_bytes"` // bound on a caller's body
 	DrainDelay    settings.Duration `toml:"drain_delay"`    // how long a planned stop goes on accepting, readiness off, until the balancer has noticed
 	DrainTimeout  settings.Duration `toml:"drain_timeout"`  // how long a planned stop waits for running requests
@@ -53,6 +54,7 @@
 	return entrySettings{
 		Router:       "score",
 		Placer:       "demand",
+		Admission:    "predicted_wait",
 		MaxBodyBytes: defaultBodyBytes,
 		DrainDelay:   settings.Duration{Duration: defaultDrainDelay},
 		DrainTimeout: settings.Duration{Duration: defaultDrainTimeout},
@@ -113,6 +115,9 @@
 	if _, ok := placers[s.Placer]; !ok {
 		add("placer", "is %q, not one of %s", s.Placer, choices(placers))
 	}
+	if _, ok := admissions[s.Admission]; !ok {
+		add("admission", "is %q, not one of %s", s.Admission, choices(admissions))
+	}
 	if s.MaxBodyBytes < 1 {
 		add("max_body_bytes", "is %d, want at least 1", s.MaxBodyBytes)
 	}
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -25,6 +25,7 @@
 listen = "10.0.1.1:1"
 platform_url = "x"
 router = "dice"
+admission = "dice"
 max_body_bytes = 0
 drain_timeout = "0s"
 [tls]
@@ -41,7 +42,7 @@
 		t.Fatal("got no error")
 	}
 	for _, key := range []string{
-		"failure_domain", "region", "operators", "platform_url", "router", "max_body_bytes", "drain_timeout", "data_dir", "tls.key", "tls.ca",
+		"failure_domain", "region", "operators", "platform_url", "router", "admission", "max_body_bytes", "drain_timeout", "data_dir", "tls.key", "tls.ca",
 	} {
 		if want := `key "` + key + `"`; !strings.Contains(err.Error(), want) {
 			t.Errorf("got error without %s:\n%v", want, err)
--- a/standin/experiment/command.go
+++ b/standin/experiment/command.go
@@ -30,7 +30,7 @@
 			&cli.DurationFlag{Name: "shift_every", Value: 12 * time.Second, Destination: &cfg.ShiftEvery, Usage: "time between two shifts of demand"},
 			&cli.FloatFlag{Name: "rate_factor", Value: 1, Destination: &cfg.RateFactor, Usage: "of the usual rate of requests"},
 			&cli.StringFlag{Name: "fault", Value: "both", Usage: "without, with or both"},
-			&cli.StringSliceFlag{Name: "system", Usage: "only this system; may be repeated"},
+			&cli.StringSliceFlag{Name: "system", Usage: "only this system, the product first; may be repeated; plain_round_robin, plain_least_load and plain_static run only when named"},
 			&cli.BoolFlag{Name: "keep", Destination: &cfg.Keep, Usage: "keep the folder of every run, with its logs and one line for each request"},
 			&cli.StringFlag{Name: "plot", Usage: "PNG file to write"},
 		},
@@ -104,5 +104,5 @@
 	if len(names) == 0 {
 		return Systems
 	}
-	return slices.DeleteFunc(slices.Clone(Systems), func(s System) bool { return !slices.Contains(names, s.Name) })
+	return slices.DeleteFunc(slices.Concat(Systems, PlainSystems), func(s System) bool { return !slices.Contains(names, s.Name) })
 }
--- a/standin/experiment/deployment.go
+++ b/standin/experiment/deployment.go
@@ -17,17 +17,26 @@
 
 // System is one way of routing and placing, by the entry's settings.
 type System struct {
-	Name   string
-	Router string
-	Placer string
+	Name      string
+	Router    string
+	Placer    string
+	Admission string
 }
 
-// Systems are the product, first, and the baselines.
+// Systems are the product, first, and the baselines, which have its admission.
 var Systems = []System{
-	{"product", "score", "demand"},
-	{"round_robin", "round_robin", "on_demand"},
-	{"least_load", "least_load", "on_demand"},
-	{"static", "score", "static"},
+	{"product", "score", "demand", "predicted_wait"},
+	{"round_robin", "round_robin", "on_demand", "predicted_wait"},
+	{"least_load", "least_load", "on_demand", "predicted_wait"},
+	{"static", "score", "static", "predicted_wait"},
+}
+
+// PlainSystems are baselines that have neither the product's router nor its admission.
+// They run only when they are named.
+var PlainSystems = []System{
+	{"plain_round_robin", "round_robin", "on_demand", "none"},
+	{"plain_least_load", "least_load", "on_demand", "none"},
+	{"plain_static", "least_load", "static", "none"},
 }
 
 // deployment is one of the users' deployments.
--- a/standin/experiment/run.go
+++ b/standin/experiment/run.go
@@ -91,7 +91,11 @@
 	b := &bench{cfg: cfg, d: d, cluster: &cluster.Cluster{
 		Bin: cfg.Bin, Dir: dir, Entries: entries, Engines: d.place.Workers, Direct: true,
 		Deployment: d.name, EnginePlace: d.place, EngineArgs: engineArgs,
-		EntryLines: []string{fmt.Sprintf("router = %q", system.Router), fmt.Sprintf("placer = %q", system.Placer)},
+		EntryLines: []string{
+			fmt.Sprintf("router = %q", system.Router),
+			fmt.Sprintf("placer = %q", system.Placer),
+			fmt.Sprintf("admission = %q", system.Admission),
+		},
 	}}
 	defer b.cluster.Stop()
 	if err := b.start(ctx); err != nil {
