The router prefers a backend server that holds the adapter

Cause: loading an adapter was scored as 32 tokens, less than the 64 tokens within which scores count as equal, so one of two equals was drawn by chance whether it held the adapter or not. Each such draw is a move, and drops another adapter. Ruled out: a larger score for the load, which would also hold back loads where the queue is really shorter. Change: among equals holders of the adapter are drawn first, then the own failure domain.

--- a/dispatch/router.go
+++ b/dispatch/router.go
@@ -15,8 +15,9 @@
 // and many entries read the same ones, so the candidate with the least score of
 // all would get the requests of every entry at once. Balanced therefore treats
 // candidates within a slack of the best as equal, draws two of them at random and
-// takes the better one. Candidates in the entry's own failure domain are drawn
-// first among equals.
+// takes the better one. Among equals those that hold the adapter are drawn first,
+// since a load is a move and drops another adapter, and then those in the entry's
+// own failure domain.
 //
 // A report counts the entry's own attempts too. The entry knows those better, so
 // only what a report says beyond them is added, and that part fades with the age
@@ -100,8 +101,10 @@
 		best = min(best, s)
 	}
 	limit := best + b.SlackTokens
-	local := pair{rand: random(seed)}
-	all := pair{rand: random(seed)}
+	var equals [preferences]pair
+	for i := range equals {
+		equals[i].rand = random(seed)
+	}
 	for i := range candidates {
 		var s float64
 		if i < len(scores) {
@@ -112,15 +115,30 @@
 		if s > limit {
 			continue
 		}
-		all.add(i, s)
-		if candidates[i].Local {
-			local.add(i, s)
+		equals[preference(&candidates[i])].add(i, s)
+	}
+	for i := range equals {
+		if equals[i].n > 0 {
+			return equals[i].better()
 		}
 	}
-	if local.n > 0 {
-		return local.better()
+	return 0, false
+}
+
+const preferences = 4
+
+// preference returns the place of a candidate among equals, the first being drawn
+// from first.
+func preference(c *bamboostep.Candidate) int {
+	switch {
+	case c.Resident && c.Local:
+		return 0
+	case c.Resident:
+		return 1
+	case c.Local:
+		return 2
 	}
-	return all.better()
+	return 3
 }
 
 // pair draws two of the items added to it, each pair being as likely as any other.
--- a/dispatch/router_test.go
+++ b/dispatch/router_test.go
@@ -97,6 +97,30 @@
 	}
 }
 
+// Among near equals one that holds the adapter is taken, whatever the seed, and
+// one that does not only where its queue is shorter by more than the slack.
+func TestBalancedLoadsAdaptersOnlyForShorterQueues(t *testing.T) {
+	tests := map[string]struct {
+		work float64 // queue of the holder, tokens
+		want int
+	}{
+		"equal queues":   {0, 0},
+		"slightly more":  {60, 0},
+		"far more":       {900, 1},
+		"just a request": {20, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			list := []bamboostep.Candidate{{VM: "holder", Resident: true, InFlightWork: test.work}, {VM: "other", Local: true}}
+			for seed := range uint64(100) {
+				if got, _ := (dispatch.Balanced{}).Pick(time.Time{}, bamboostep.Request{}, list, seed); got != test.want {
+					t.Fatalf("seed %d: got candidate %d, want %d", seed, got, test.want)
+				}
+			}
+		})
+	}
+}
+
 func TestRoundRobinTakesTurns(t *testing.T) {
 	list := fleetOf(3)
 	for i := range list {
