Operators see how many names of requests are taken

Figures: TestClaimedNamesAreCounted fails without the gauge (not registered), passes with it. Conclusion: the bound itself stays; claims on disk are not built.

--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
 )
 
 const sentBytesMetric = "bamboostep_wire_sent_bytes_total"
@@ -19,6 +20,17 @@
 
 // Counter returns the value of the counter with the name in r.
 func Counter(tb testing.TB, r *prometheus.Registry, name string) float64 {
+	tb.Helper()
+	return metric(tb, r, name).GetCounter().GetValue()
+}
+
+// Gauge returns the value of the gauge with the name in r.
+func Gauge(tb testing.TB, r *prometheus.Registry, name string) float64 {
+	tb.Helper()
+	return metric(tb, r, name).GetGauge().GetValue()
+}
+
+func metric(tb testing.TB, r *prometheus.Registry, name string) *dto.Metric {
 	tb.Helper()
 	families, err := r.Gather()
 	if err != nil {
@@ -26,11 +38,11 @@
 	}
 	for _, f := range families {
 		if f.GetName() == name {
-			return f.GetMetric()[0].GetCounter().GetValue()
+			return f.GetMetric()[0]
 		}
 	}
 	tb.Fatalf("metric %q is not registered", name)
-	return 0
+	return nil
 }
 
 // CPUTime returns the processor time that this process has used.
--- a/ledger/member_test.go
+++ b/ledger/member_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/internal/measure"
 	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/timeline"
 )
@@ -140,6 +141,23 @@
 	}
 }
 
+// Every voter counts the names that are taken, so that operators see the table fill.
+func TestClaimedNamesAreCounted(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.startAll()
+	client := c.running[c.leader()].client
+	for _, name := range []string{"order-1", "order-2"} {
+		if _, err := client.Claim(t.Context(), bamboostep.Claim{Name: name, Attempt: "1", Keep: time.Hour}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for name, p := range c.running {
+		c.eventually("count of 2 names on "+name, func() bool {
+			return measure.Gauge(t, p.registry, "bamboostep_ledger_claimed_names") == 2
+		})
+	}
+}
+
 func (c *cluster) member(name string) ledger.Member {
 	for _, m := range c.members {
 		if m.Name == name {
--- a/ledger/metrics.go
+++ b/ledger/metrics.go
@@ -12,6 +12,7 @@
 	term       prometheus.Gauge
 	entries    prometheus.Counter
 	overflow   prometheus.Counter
+	names      prometheus.Gauge
 	refused    prometheus.Gauge
 	saveSecond prometheus.Histogram
 }
@@ -25,6 +26,7 @@
 		term:     prometheus.NewGauge(prometheus.GaugeOpts(opts("term", "Newest term that this voter knows."))),
 		entries:  prometheus.NewCounter(prometheus.CounterOpts(opts("applied_entries_total", "Log entries applied."))),
 		overflow: prometheus.NewCounter(prometheus.CounterOpts(opts("dropped_messages_total", "Messages of voters dropped because too many waited."))),
+		names:    prometheus.NewGauge(prometheus.GaugeOpts(opts("claimed_names", "Names of requests that are taken; at 65,536 new claims are refused."))),
 		refused:  prometheus.NewGauge(prometheus.GaugeOpts(opts("disk_refused", "1 while the other voters know another disk under this voter's name."))),
 		saveSecond: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: "bamboostep",
@@ -35,7 +37,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.leader, m.term, m.entries, m.overflow, m.refused, m.saveSecond)
+		r.MustRegister(m.leader, m.term, m.entries, m.overflow, m.names, m.refused, m.saveSecond)
 	}
 	return m
 }
@@ -44,6 +46,8 @@
 
 func (m *metrics) applied(n int) { m.entries.Add(float64(n)) }
 
+func (m *metrics) claimed(names int) { m.names.Set(float64(names)) }
+
 func (m *metrics) dropped() { m.overflow.Inc() }
 
 func (m *metrics) event(kind string) {
--- a/ledger/voter.go
+++ b/ledger/voter.go
@@ -296,6 +296,7 @@
 func (v *Voter) publishState(changed bool) {
 	s := v.machine.state
 	v.state.Store(s)
+	v.metrics.claimed(len(v.machine.claims.taken))
 	if changed && v.Applied != nil && s.index > 0 {
 		v.Applied(s)
 	}
