Tests of late requests share how they come about

Cause: three tests each held a request back and taught long waits, line by line. Change: heldEngine and occupy in the fakes; every check is as it was, and the first request's answer is checked in all three.

--- a/entry/callers_test.go
+++ b/entry/callers_test.go
@@ -216,34 +216,17 @@
 // A request that would wait too long is refused at once and told when to come back,
 // and so is not held in the queue of a backend server.
 func TestLateRequestIsRefusedAtOnce(t *testing.T) {
-	started, finish := make(chan bool), make(chan bool)
-	engine := func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
-		started <- true
-		<-finish
-		return speak(spoken, -1)(o, yield)
-	}
-	c := newTestCallers(newTestFleet(1, engine, nil), nil)
-	for range 10 {
-		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 0, 10*time.Millisecond)
-		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 100, 5*time.Second)
-	}
-	s := startCallers(t, c)
-	ask := func() reply { return call(t, s, "POST", "/v1/completions", `{"model":"base","prompt":"how?"}`) }
-	first := make(chan reply)
-	go func() { first <- ask() }()
-	<-started
+	e := newHeldEngine()
+	ask, release := occupy(t, newTestCallers(newTestFleet(1, e.offer, nil), nil), e)
 	got := ask()
-	var e errorAnswer
-	if err := json.Unmarshal([]byte(got.body), &e); err != nil || e.Error.Code != "overloaded" || e.Error.Outcome != bamboostep.NotRun {
+	var body errorAnswer
+	if err := json.Unmarshal([]byte(got.body), &body); err != nil || body.Error.Code != "overloaded" || body.Error.Outcome != bamboostep.NotRun {
 		t.Errorf("got %s, %v", got.body, err)
 	}
 	if got, want := got.header.Get("Retry-After"), "5"; got != want {
 		t.Errorf("Retry-After = %q, want %q", got, want)
 	}
-	close(finish)
-	if got := <-first; got.status != http.StatusOK {
-		t.Errorf("first request got %+v", got)
-	}
+	release()
 }
 
 // What no other backend server would judge differently ends at once.
--- a/entry/elsewhere_test.go
+++ b/entry/elsewhere_test.go
@@ -250,36 +250,21 @@
 // A request that would be late in its own region goes to another one rather than be
 // refused, as it would without regions.
 func TestLateRequestGoesElsewhere(t *testing.T) {
-	started, finish := make(chan bool), make(chan bool)
-	fleet := newTestFleet(2, speak("over the gutter", -1), nil)
+	e := newHeldEngine()
+	fleet := newTestFleet(2, speak(spoken, -1), nil)
 	near, far := fleet.servers["engines"][0], fleet.servers["engines"][1]
 	near.vm.Region, far.vm.Region = "own", "other"
-	near.offer = func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
-		started <- true
-		<-finish
-		return speak("over the gutter", -1)(o, yield)
-	}
+	near.offer = e.offer
 	c := newTestCallers(fleet, nil)
 	c.Region = "own"
-	for range 10 {
-		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 0, 10*time.Millisecond)
-		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 100, 5*time.Second)
-	}
-	s := startCallers(t, c)
-	ask := func() reply { return call(t, s, "POST", "/v1/completions", `{"model":"base","prompt":"how?"}`) }
-	first := make(chan reply)
-	go func() { first <- ask() }()
-	<-started
+	ask, release := occupy(t, c, e)
 	if got := ask(); got.status != 200 {
 		t.Errorf("got status %d, want 200 from another region", got.status)
 	}
 	if got := len(far.offered()); got != 1 {
 		t.Errorf("got %d offers in another region, want 1", got)
 	}
-	close(finish)
-	if got := <-first; got.status != 200 {
-		t.Errorf("got status %d for the first request, want 200", got.status)
-	}
+	release()
 }
 
 // seekingFleet searches other regions without end.
@@ -290,22 +275,8 @@
 // A late request waits for a search in other regions only while its answer could
 // still be in time; then it is refused at once.
 func TestLateRequestDoesNotWaitOutTheSearch(t *testing.T) {
-	started, finish := make(chan bool), make(chan bool)
-	fleet := newTestFleet(1, func(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
-		started <- true
-		<-finish
-		return speak("over the gutter", -1)(o, yield)
-	}, nil)
-	c := newTestCallers(seekingFleet{fleet}, nil)
-	for range 10 {
-		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 0, 10*time.Millisecond)
-		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 100, 5*time.Second)
-	}
-	s := startCallers(t, c)
-	ask := func() reply { return call(t, s, "POST", "/v1/completions", `{"model":"base","prompt":"how?"}`) }
-	first := make(chan reply)
-	go func() { first <- ask() }()
-	<-started
+	e := newHeldEngine()
+	ask, release := occupy(t, newTestCallers(seekingFleet{newTestFleet(1, e.offer, nil)}, nil), e)
 	target := time.Duration(testObjects.Models[0].FirstTokenMS) * time.Millisecond
 	began := time.Now()
 	got := ask()
@@ -315,8 +286,5 @@
 	if took := time.Since(began); took > 2*target {
 		t.Errorf("refused after %v, want within twice the target of %v", took, target)
 	}
-	close(finish)
-	if got := <-first; got.status != 200 {
-		t.Errorf("got status %d for the first request, want 200", got.status)
-	}
+	release()
 }
--- a/entry/fakes_test.go
+++ b/entry/fakes_test.go
@@ -213,3 +213,36 @@
 	text, err := io.ReadAll(resp.Body)
 	return reply{resp.StatusCode, resp.Header, string(text), err}
 }
+
+// heldEngine begins one answer and holds it back until it is released.
+type heldEngine struct{ started, finish chan bool }
+
+func newHeldEngine() *heldEngine { return &heldEngine{make(chan bool), make(chan bool)} }
+
+func (e *heldEngine) offer(o bamboostep.Offer, yield func(bamboostep.Answer) error) error {
+	e.started <- true
+	<-e.finish
+	return speak(spoken, -1)(o, yield)
+}
+
+// occupy has one request run on e and lets c know that the next would be late. It
+// returns what sends another, and what releases the first and checks its answer.
+func occupy(t *testing.T, c *callers, e *heldEngine) (ask func() reply, release func()) {
+	t.Helper()
+	for range 10 {
+		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 0, 10*time.Millisecond)
+		c.learnWait(waitKey{"engines", bamboostep.ClassQuestion}, 100, 5*time.Second)
+	}
+	s := startCallers(t, c)
+	ask = func() reply { return call(t, s, "POST", "/v1/completions", `{"model":"base","prompt":"how?"}`) }
+	first := make(chan reply)
+	go func() { first <- ask() }()
+	<-e.started
+	return ask, func() {
+		t.Helper()
+		close(e.finish)
+		if got := <-first; got.status != http.StatusOK {
+			t.Errorf("first request got %+v, want 200", got)
+		}
+	}
+}
