--- /dev/null
+++ b/fleet/choose.go
@@ -0,0 +1,290 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// Want is what a request needs of a backend server.
+type Want struct {
+	Service string
+	Name    ModelName // empty for a plain service
+	Prompt  []bamboostep.PromptPart
+	Tokens  int           // of the prompt
+	Answer  int           // tokens at most
+	Slots   int           // of one backend server, where its listing does not say
+	Avoid   []string      // addresses that failed this request
+	Longest time.Duration // a longer wait for the first event is of no use; 0 for any
+}
+
+// NoServerError says why no backend server can take a request.
+type NoServerError struct {
+	Service string
+	Reason  Reason
+	Wait    time.Duration // of the best, where Reason is ReasonBusy
+}
+
+// Reason says why no backend server was chosen.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNoServer Reason = "no_backend_server" // none of the service is known to be up
+	ReasonNoModel  Reason = "model_not_held"    // none holds the model
+	ReasonBusy     Reason = "all_busy"          // none would begin in time
+)
+
+// Error implements error.
+func (e *NoServerError) Error() string {
+	return fmt.Sprintf("service %q: %s", e.Service, e.Reason)
+}
+
+// Costs of a request at a backend server, as time until its first event.
+const (
+	prefillPerMS  = 38.0 // prompt tokens read in a millisecond
+	stepCost      = 0.35 // milliseconds that each running request adds
+	noRoomCost    = 400 * time.Millisecond
+	farCost       = 3 * time.Millisecond // in another failure domain
+	adapterCost   = 8 * time.Millisecond // of an adapter that must be loaded first
+	failShareCost = 4 * time.Second      // of a backend server all of whose requests fail
+	homeShare     = 0.7                  // part of a prompt's beginning that its home is taken to keep
+	meanPrompt    = 1500                 // tokens not cached of a waiting request of another entry
+	plainWork     = 30 * time.Millisecond
+)
+
+// Run is one request of this entry at one backend server.
+type Run struct {
+	Address  string
+	Instance string
+	Domain   string
+	Adapter  bool          // the adapter is there already, or none is needed
+	Wait     time.Duration // expected until the first event
+
+	fleet   *Fleet
+	server  *server
+	hashes  []uint64
+	prompt  []bamboostep.PromptPart
+	tokens  int // not cached, while no event has come
+	memory  int // tokens of KV cache
+	began   time.Time
+	started bool
+}
+
+// Choose picks a backend server and counts the request there until Run.End. The
+// error is a *NoServerError.
+func (f *Fleet) Choose(now time.Time, w Want) (*Run, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	hashes := chainHashes(w.Name, w.Prompt)
+	candidates, reason := f.candidates(now, w)
+	if len(candidates) == 0 {
+		return nil, &NoServerError{Service: w.Service, Reason: reason}
+	}
+	home := homeOf(candidates, hashes)
+	best := f.estimate(now, w, candidates[0], hashes, home)
+	for _, s := range candidates[1:] {
+		if e := f.estimate(now, w, s, hashes, home); e.cost < best.cost {
+			best = e
+		}
+	}
+	if w.Longest > 0 && best.wait > w.Longest {
+		return nil, &NoServerError{Service: w.Service, Reason: ReasonBusy, Wait: best.wait}
+	}
+	return f.begin(now, w, best, hashes), nil
+}
+
+// candidates returns the backend servers that could run a request. Those that
+// failed or refused of late are left out while there are others.
+func (f *Fleet) candidates(now time.Time, w Want) ([]*server, Reason) {
+	reason := ReasonNoServer
+	var good, doubtful []*server
+	for _, s := range f.byService[w.Service] {
+		if s.listing.Leaving || slices.Contains(w.Avoid, s.listing.Address) {
+			continue
+		}
+		if w.Name.Model != "" && !s.holds(w.Name.Model) {
+			reason = ReasonNoModel
+			continue
+		}
+		if now.Before(s.failUntil) || now.Before(s.fullUntil) || s.report.Down {
+			doubtful = append(doubtful, s)
+			continue
+		}
+		good = append(good, s)
+	}
+	if len(good) > 0 {
+		return good, ""
+	}
+	return doubtful, reason
+}
+
+func (s *server) holds(model string) bool {
+	h := s.models[model]
+	return h != nil && h.absent.IsZero() && !slices.Contains(s.report.Unloading, model)
+}
+
+// homeOf returns the candidate where prompts with the same beginning go.
+func homeOf(candidates []*server, hashes []uint64) *server {
+	if len(hashes) < 2 {
+		return nil
+	}
+	beginning := hashes[len(hashes)-2]
+	var home *server
+	var highest uint64
+	for _, s := range candidates {
+		if r := homeRank(beginning, s.listing.Instance); home == nil || r > highest {
+			home, highest = s, r
+		}
+	}
+	return home
+}
+
+// estimated is what a request is expected to meet at a backend server.
+type estimated struct {
+	server   *server
+	wait     time.Duration // until the first event
+	cost     time.Duration // wait, and all that counts against it besides
+	uncached int           // tokens
+	adapter  bool
+}
+
+func (f *Fleet) estimate(now time.Time, w Want, s *server, hashes []uint64, home *server) estimated {
+	e := estimated{server: s, adapter: true}
+	if w.Name.Model == "" {
+		e.wait = s.plainWait(now, w.Slots)
+	} else {
+		e.uncached = w.Tokens - s.cachedTokens(w, hashes, s == home)
+		e.wait = s.engineWait(now, w, e.uncached)
+		if w.Name.Adapter != "" && !s.models[w.Name.Model].adapters[w.Name.Adapter] {
+			e.adapter = false
+			e.wait += adapterCost
+		}
+	}
+	e.cost = e.wait + time.Duration(s.failing(now)*float64(failShareCost))
+	if s.listing.Domain != f.Domain {
+		e.cost += farCost
+	}
+	return e
+}
+
+// cachedTokens estimates how many tokens of a prompt need not be read again.
+func (s *server) cachedTokens(w Want, hashes []uint64, home bool) int {
+	cached := s.parts.cached(hashes)
+	if !home || len(w.Prompt) < 2 {
+		return cached
+	}
+	shared := 0
+	for _, part := range w.Prompt[:len(w.Prompt)-1] {
+		shared += part.Tokens
+	}
+	return max(cached, int(homeShare*float64(shared)))
+}
+
+// plainWait estimates the wait at a backend server of a plain service.
+func (s *server) plainWait(now time.Time, slots int) time.Duration {
+	if s.listing.Slots > 0 {
+		slots = s.listing.Slots
+	}
+	busy := 0
+	if now.Sub(s.loadAt) < reportMaxAge {
+		busy = s.load.Running + s.load.Waiting
+	}
+	busy = max(busy, len(s.runs)) + s.runsSince(s.loadAt)
+	return time.Duration(float64(plainWork) * float64(busy) / float64(max(1, slots)))
+}
+
+// runsSince counts own requests that began after a time.
+func (s *server) runsSince(t time.Time) int {
+	n := 0
+	for r := range s.runs {
+		if r.began.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// engineWait estimates the wait for the first event at a model engine.
+func (s *server) engineWait(now time.Time, w Want, uncached int) time.Duration {
+	own := s.ownBacklog()
+	backlog := own.tokens + max(0, s.waiting(now)-own.waiting)*meanPrompt
+	running := own.running
+	if s.reported(now) {
+		running = max(running, s.report.Running)
+	}
+	wait := time.Duration(float64(backlog+uncached) / prefillPerMS * float64(time.Millisecond))
+	wait += time.Duration(stepCost * float64(running) * float64(time.Millisecond))
+	if s.reported(now) && s.lacksRoom(w, own) {
+		wait += noRoomCost
+	}
+	return wait
+}
+
+func (s *server) reported(now time.Time) bool {
+	return !s.reportAt.IsZero() && now.Sub(s.reportAt) <= reportMaxAge
+}
+
+func (s *server) waiting(now time.Time) int {
+	if !s.reported(now) {
+		return 0
+	}
+	return s.report.Waiting
+}
+
+// lacksRoom reports whether a request would wait for slots or KV cache.
+func (s *server) lacksRoom(w Want, own backlog) bool {
+	if s.listing.Slots > 0 && max(s.report.Running+s.report.Waiting, own.running+own.waiting) >= s.listing.Slots {
+		return true
+	}
+	need := w.Tokens + w.Answer
+	return s.report.CacheTokens > 0 && s.report.CacheUsed+own.recent+need > s.report.CacheTokens
+}
+
+// backlog is what an entry's own requests mean to an engine.
+type backlog struct {
+	tokens  int // not read yet
+	waiting int // requests without an event
+	running int
+	recent  int // tokens of KV cache of requests that the report cannot show
+}
+
+func (s *server) ownBacklog() backlog {
+	var b backlog
+	for r := range s.runs {
+		if r.started {
+			b.running++
+			continue
+		}
+		b.waiting++
+		b.tokens += r.tokens
+		if r.began.After(s.reportAt) {
+			b.recent += r.memory
+		}
+	}
+	return b
+}
+
+// begin counts a request at its backend server.
+func (f *Fleet) begin(now time.Time, w Want, e estimated, hashes []uint64) *Run {
+	l := e.server.listing
+	r := &Run{
+		Address:  l.Address,
+		Instance: l.Instance,
+		Domain:   l.Domain,
+		Adapter:  e.adapter,
+		Wait:     e.wait,
+		fleet:    f,
+		server:   e.server,
+		hashes:   hashes,
+		prompt:   w.Prompt,
+		tokens:   e.uncached,
+		memory:   w.Tokens + w.Answer,
+		began:    now,
+	}
+	e.server.runs[r] = true
+	return r
+}
--- /dev/null
+++ b/fleet/demand.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+)
+
+// ModelName names a model, or one adapter of it.
+type ModelName struct{ Model, Adapter string }
+
+// tally counts what was asked of one model.
+type tally struct{ asked, late int }
+
+// Demand is what callers of one entry asked of one model or adapter since the last
+// time.
+type Demand struct {
+	Model   string `msgpack:"model"`
+	Adapter string `msgpack:"adapter"`
+	Asked   int    `msgpack:"asked"`
+	Late    int    `msgpack:"late"` // waited for a copy, or were refused
+}
+
+// NoteAsked counts a request.
+func (f *Fleet) NoteAsked(n ModelName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	f.tally(n).asked++
+}
+
+// NoteLate counts a request that no backend server was free for.
+func (f *Fleet) NoteLate(n ModelName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	f.tally(n).late++
+}
+
+func (f *Fleet) tally(n ModelName) *tally {
+	t := f.demand[n]
+	if t == nil {
+		t = &tally{}
+		f.demand[n] = t
+	}
+	return t
+}
+
+// TakeDemand returns what was asked since the last call, in a fixed order.
+func (f *Fleet) TakeDemand() []Demand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	out := make([]Demand, 0, len(f.demand))
+	for n, t := range f.demand {
+		out = append(out, Demand{Model: n.Model, Adapter: n.Adapter, Asked: t.asked, Late: t.late})
+	}
+	clear(f.demand)
+	slices.SortFunc(out, func(a, b Demand) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	return out
+}
--- /dev/null
+++ b/fleet/message.go
@@ -0,0 +1,60 @@
+package fleet
+
+import "github.com/bamboostep/bamboostep"
+
+// The messages between entries, voters and holders of backend servers.
+
+// Kinds of messages.
+const (
+	KindSubscribe = "fleet.subscribe" // entry to holder: wants its reports; answered by Report
+	KindReport    = "fleet.report"    // holder to subscriber: a Report; no answer
+	KindAdapter   = "fleet.adapter"   // entry to holder: AdapterCall, answered by OrderReply
+	KindUsed      = "fleet.used"      // entry to holder: UsedNote; no answer
+	KindOrder     = "fleet.order"     // leader to holder: OrderCall, answered by OrderReply
+	KindList      = "fleet.list"      // entry to voter: ListCall, answered by ListReply
+	KindDemand    = "fleet.demand"    // entry to voter: DemandNote; no answer
+)
+
+// AdapterCall asks a holder to have an adapter loaded.
+type AdapterCall struct {
+	Model   string `msgpack:"model"`
+	Adapter string `msgpack:"adapter"`
+}
+
+// UsedNote tells a holder which adapters requests have used.
+type UsedNote struct {
+	Used []AdapterCall `msgpack:"used"`
+}
+
+// OrderCall asks a holder to load or unload a model.
+type OrderCall struct {
+	Term  uint64 `msgpack:"term"` // of the leader
+	Load  bool   `msgpack:"load"`
+	Model string `msgpack:"model"`
+}
+
+// OrderReply says what came of an order.
+type OrderReply struct {
+	Code   string `msgpack:"code"` // empty when done; else stable, snake case
+	Detail string `msgpack:"detail"`
+}
+
+// ListCall asks a voter for the platform's list, once it is newer than one.
+type ListCall struct {
+	Newer uint64 `msgpack:"newer"`
+}
+
+// ListReply is the platform's list as a voter last read it.
+type ListReply struct {
+	Number   uint64               `msgpack:"number"` // of the reading; rises within one voter's life
+	AgeMS    int64                `msgpack:"age_ms"`
+	Changed  bool                 `msgpack:"changed"` // Listings is set
+	Listings []bamboostep.Listing `msgpack:"listings"`
+	Entries  int                  `msgpack:"entries"` // that follow this voter
+}
+
+// DemandNote tells a voter what callers asked of an entry.
+type DemandNote struct {
+	Entry  string   `msgpack:"entry"`
+	Demand []Demand `msgpack:"demand"`
+}
--- /dev/null
+++ b/gateway/answer.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/origin"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+const (
+	maxHeldAnswer = 8 << 20                // bytes of an answer that is held until it is whole
+	drainLimit    = 64 << 10               // bytes read of an answer that is not passed on
+	retrySoon     = 300 * time.Millisecond // for what mends itself within moments
+	retryBusy     = 700 * time.Millisecond
+	retryModel    = 1500 * time.Millisecond // about the time that a model takes to load
+)
+
+// notReturned are headers of a backend server's answer that concern one connection.
+var notReturned = []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Te", "Trailer", "Upgrade", "Proxy-Connection"}
+
+// drain reads a short answer that is not passed on, so that its connection can be
+// used again.
+func drain(a *origin.Answer) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, drainLimit)) // a broken one closes the connection
+}
+
+var errLongAnswer = errors.New("answer is too long to be held")
+
+// deliverWhole passes on an answer once all of it is there, since a broken one may
+// be asked for again, or must not look whole.
+func (x *exchange) deliverWhole(ctx context.Context, run *fleet.Run, a *origin.Answer, good bool) result {
+	body, err := readWhole(a)
+	now := time.Now()
+	if err != nil {
+		if x.r.Context().Err() != nil {
+			run.End(fleet.EndedByUs, now)
+			x.record("caller_left", run.Address, "")
+			return resultDone
+		}
+		return x.spoilt(run, err.Error())
+	}
+	if !good && a.Status >= http.StatusInternalServerError && x.couldRepeat() {
+		return x.spoilt(run, "status "+strconv.Itoa(a.Status))
+	}
+	if good {
+		run.Started()
+		run.End(fleet.EndedWell, now)
+	} else {
+		run.End(fleet.EndedFailed, now)
+	}
+	copyHeader(x.w.Header(), a.Header)
+	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.w.WriteHeader(a.Status)
+	if x.r.Method != http.MethodHead {
+		_, err = x.w.Write(body)
+	}
+	x.done(run.Address, a.Status, err)
+	return resultDone
+}
+
+// couldRepeat reports whether a failure of the backend server may be tried again.
+func (x *exchange) couldRepeat() bool {
+	return x.route.Repeatable() && x.mayRun < x.route.Attempts && time.Until(x.deadline) > leastTime
+}
+
+func readWhole(a *origin.Answer) ([]byte, error) {
+	var b bytes.Buffer
+	n, err := io.Copy(&b, io.LimitReader(a, maxHeldAnswer))
+	if err == nil && n == maxHeldAnswer {
+		err = errLongAnswer
+	}
+	return b.Bytes(), err
+}
+
+func copyHeader(to, from http.Header) {
+	closing := to.Get("Connection")
+	for name, values := range from {
+		to[name] = values
+	}
+	for _, name := range notReturned {
+		to.Del(name)
+	}
+	if closing != "" {
+		to.Set("Connection", closing)
+	}
+}
+
+// refuse answers that the request has not run and never will. It returns false.
+func (x *exchange) refuse(reason string, after time.Duration) bool {
+	x.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	return x.fail(http.StatusServiceUnavailable, reason, "")
+}
+
+// fail answers with an error of the gateway's own. It returns false.
+func (x *exchange) fail(status int, reason, detail string) bool {
+	http.Error(x.w, reason, status)
+	x.g.Metrics.refused(status, reason)
+	x.record("request_failed", "", reason+" "+strconv.Itoa(status)+" after "+time.Since(x.arrived).Round(time.Millisecond).String()+" "+detail)
+	return false
+}
+
+// giveUp answers a request that no attempt has served. It returns false.
+func (x *exchange) giveUp(reason string) bool {
+	if x.stream.begun() {
+		x.breakOff(reason)
+		return false
+	}
+	if !x.promised {
+		return x.fail(http.StatusBadGateway, reason, "")
+	}
+	after := retryBusy
+	switch reason {
+	case string(fleet.ReasonNoModel):
+		after = retryModel
+	case string(fleet.ReasonNoServer):
+		after = retrySoon
+	}
+	return x.refuse(reason, after)
+}
+
+// timeOut answers a request whose time is over.
+func (x *exchange) timeOut() {
+	switch {
+	case x.r.Context().Err() != nil:
+		x.record("caller_left", "", "")
+	case x.stream.begun():
+		x.breakOff("deadline")
+	case x.promised:
+		x.refuse("deadline", 0)
+	default:
+		x.fail(http.StatusGatewayTimeout, "deadline", "")
+	}
+}
+
+// done records an answer that was passed on.
+func (x *exchange) done(address string, status int, err error) {
+	took := time.Since(x.arrived)
+	x.g.Metrics.served(x.route.Kind, status, took)
+	detail := strconv.Itoa(status) + " in " + took.Round(time.Millisecond).String()
+	if err != nil {
+		detail += ", not delivered: " + err.Error()
+	}
+	x.record("request_served", address, detail)
+}
+
+func (x *exchange) record(kind, address, detail string) {
+	e := timeline.Event{Kind: kind, VM: address, Detail: detail}
+	e.Request = requestID(x.call.ID)
+	if x.service != nil {
+		e.Model = x.service.Name
+	}
+	if x.call.Model != "" {
+		e.Model = x.call.Model
+		if x.call.Adapter != "" {
+			e.Model += "/" + x.call.Adapter
+		}
+	}
+	if x.table != nil {
+		e.Revision = x.table.Number
+	}
+	x.g.Recorder.Record(e)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,168 @@
+// Package gateway takes callers' plain HTTP requests and passes them on to backend
+// servers: routing, admission, attempts, streams and refusals.
+//
+// What an answer of the gateway's own promises is the hard point. Status 429 and
+// 503 say that the request has not run and never will, so they are given only while
+// no byte of it may have reached a backend server, or each that it reached has said
+// that it did not run it. After that, a failure is 502 or 504, which promise nothing.
+//
+//   - A request that may not be repeated goes to a second backend server only while
+//     that promise still holds.
+//   - One that may be repeated goes on to others within its attempts, its deadline
+//     and the budget that all entries share.
+//   - What cannot be served in time is refused at once, with the time after which
+//     it is worth coming back.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/origin"
+	"github.com/bamboostep/bamboostep/route"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+// Adapters has an adapter loaded where a request is to run.
+type Adapters interface {
+	LoadAdapter(ctx context.Context, address string, n fleet.ModelName) error
+}
+
+// Gateway serves callers. Set the exported fields before the first request.
+type Gateway struct {
+	Dialect  bamboostep.Dialect
+	Table    func() *route.Table // in force; nil before there is one
+	Fleet    *fleet.Fleet
+	Pool     *origin.Pool
+	Adapters Adapters
+	Budget   func(service string) *dispatch.Budget
+	Recorder *timeline.Recorder
+	Metrics  *Metrics
+
+	stopping atomic.Bool
+	refusing atomic.Bool
+	running  atomic.Int64
+}
+
+var _ http.Handler = (*Gateway)(nil)
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	x := &exchange{g: g, w: w, r: r, arrived: time.Now()}
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x.serve()
+}
+
+// Running returns how many requests are being served.
+func (g *Gateway) Running() int64 { return g.running.Load() }
+
+// Stop has callers' connections closed after their next answers.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Refuse has new requests refused, because the process ends before they would.
+func (g *Gateway) Refuse() { g.refusing.Store(true) }
+
+// exchange is one request of a caller.
+type exchange struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+
+	call     bamboostep.Call
+	table    *route.Table
+	route    *route.Route
+	service  *route.Service
+	deadline time.Time
+
+	sends    int      // that reached a backend server
+	mayRun   int      // of these, sends that may have run
+	tried    []string // addresses that failed
+	unsent   int
+	promised bool // no backend server has run it or will
+	stream   *relay
+}
+
+func (x *exchange) serve() {
+	if !x.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
+	defer cancel()
+	x.promised = true
+	x.attempts(ctx)
+}
+
+// admit reads the request and finds its route. It answers and returns false if the
+// request goes no further.
+func (x *exchange) admit() bool {
+	call, err := x.g.Dialect.ReadCall(x.r)
+	x.call = call
+	if err != nil {
+		return x.fail(http.StatusBadRequest, "request_unreadable", err.Error())
+	}
+	x.table = x.g.Table()
+	if x.table == nil {
+		return x.refuse("no_routes", retrySoon)
+	}
+	x.route = x.table.Match(call.Host, call.Path)
+	if x.route == nil {
+		return x.fail(http.StatusNotFound, "no_route", call.Host+call.Path)
+	}
+	if x.g.refusing.Load() {
+		return x.refuse("stopping", 0)
+	}
+	if !x.readBody() {
+		return false
+	}
+	x.setDeadline()
+	x.service = x.table.Service(x.route.Service(rand.Uint64()))
+	x.g.Budget(x.service.Name).Request(x.arrived)
+	if call.Model != "" {
+		x.g.Fleet.NoteAsked(x.name())
+	}
+	return true
+}
+
+func (x *exchange) name() fleet.ModelName {
+	return fleet.ModelName{Model: x.call.Model, Adapter: x.call.Adapter}
+}
+
+func (x *exchange) setDeadline() {
+	within := x.route.Timeout
+	if x.call.Within > 0 {
+		within = min(within, x.call.Within)
+	}
+	x.deadline = x.arrived.Add(within)
+}
+
+// readBody reads the whole body, because it may have to be sent more than once.
+func (x *exchange) readBody() bool {
+	limit := x.table.Limits.BodyBytes
+	body := x.r.Body
+	if limit > 0 {
+		body = http.MaxBytesReader(x.w, body, limit)
+	}
+	data, err := io.ReadAll(body)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return x.fail(http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+	case err != nil:
+		return x.fail(http.StatusBadRequest, "body_unreadable", err.Error())
+	}
+	x.call = x.call.WithBody(data)
+	return true
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/origin"
+)
+
+// Streams are passed on event by event. An event that a backend server did not
+// finish is dropped, so that what the caller has always ends between two events,
+// and the stream can go on at another backend server after the last of them.
+
+const (
+	streamBuffer  = 16 << 10
+	maxEventBytes = 1 << 20
+)
+
+// relay is what a caller has of a stream.
+type relay struct {
+	started bool   // the head was sent
+	lastID  string // of the last event that was passed on
+	events  int
+}
+
+func (s *relay) begun() bool { return s != nil && s.started }
+
+func requestID(id string) bamboostep.RequestID { return bamboostep.RequestID(id) }
+
+// resumeAfter returns the event after which an attempt goes on.
+func (x *exchange) resumeAfter() string {
+	if x.stream != nil && x.stream.lastID != "" {
+		return x.stream.lastID
+	}
+	if x.route.Resumable {
+		return x.call.ResumeAfter
+	}
+	return ""
+}
+
+// deliverStream passes on a stream until it is whole or breaks off.
+func (x *exchange) deliverStream(ctx context.Context, run *fleet.Run, a *origin.Answer) result {
+	if x.stream == nil {
+		x.stream = &relay{}
+	}
+	err := x.relayEvents(run, a)
+	now := time.Now()
+	var gone *callerError
+	switch {
+	case err == nil:
+		run.End(fleet.EndedWell, now)
+		x.done(run.Address, http.StatusOK, nil)
+		return resultDone
+	case errors.As(err, &gone) || x.r.Context().Err() != nil:
+		run.End(fleet.EndedByUs, now)
+		x.record("caller_left", run.Address, "")
+		return resultDone
+	case ctx.Err() != nil:
+		run.End(fleet.EndedByUs, now)
+		x.timeOut()
+		return resultDone
+	}
+	return x.spoilt(run, "stream broke off: "+err.Error())
+}
+
+// callerError says that the caller takes no more.
+type callerError struct{ cause error }
+
+func (e *callerError) Error() string { return "caller: " + e.cause.Error() }
+
+// relayEvents passes on whole events. It returns nil when the stream is whole.
+func (x *exchange) relayEvents(run *fleet.Run, a *origin.Answer) error {
+	var held []byte
+	chunk := make([]byte, streamBuffer)
+	for {
+		n, err := a.Read(chunk)
+		held = append(held, chunk[:n]...)
+		end := lastEventEnd(held)
+		if err == io.EOF {
+			end = len(held)
+		}
+		if end > 0 {
+			run.Started()
+			if werr := x.pass(a, held[:end]); werr != nil {
+				return &callerError{werr}
+			}
+			held = append(held[:0], held[end:]...)
+		}
+		switch {
+		case err == io.EOF:
+			x.begin(a)
+			return nil
+		case err != nil:
+			return err
+		case len(held) > maxEventBytes:
+			return errLongAnswer
+		}
+	}
+}
+
+// begin sends the head of the stream, that of its first backend server.
+func (x *exchange) begin(a *origin.Answer) {
+	if x.stream.started {
+		return
+	}
+	x.stream.started = true
+	x.g.Metrics.firstEvent(time.Since(x.arrived))
+	copyHeader(x.w.Header(), a.Header)
+	x.w.WriteHeader(a.Status)
+}
+
+// pass sends whole events to the caller.
+func (x *exchange) pass(a *origin.Answer, events []byte) error {
+	x.begin(a)
+	if id := lastEventID(events); id != "" {
+		x.stream.lastID = id
+	}
+	x.stream.events++
+	if _, err := x.w.Write(events); err != nil {
+		return err
+	}
+	return http.NewResponseController(x.w).Flush()
+}
+
+// breakOff ends a stream so that it does not look whole.
+func (x *exchange) breakOff(reason string) {
+	x.g.Metrics.refused(http.StatusBadGateway, "stream_broken")
+	x.record("stream_broken", "", reason+" after event "+x.stream.lastID)
+	panic(http.ErrAbortHandler)
+}
+
+// lastEventEnd returns where the last whole event ends, 0 if there is none.
+func lastEventEnd(b []byte) int {
+	end := 0
+	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, i+4)
+	}
+	return end
+}
+
+var idField = []byte("id:")
+
+// lastEventID returns the ID of the last event that has one.
+func lastEventID(events []byte) string {
+	id := ""
+	for line := range bytes.Lines(events) {
+		if rest, ok := bytes.CutPrefix(line, idField); ok {
+			id = string(bytes.TrimSpace(rest))
+		}
+	}
+	return id
+}
--- /dev/null
+++ b/holder/adapter.go
@@ -0,0 +1,161 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+// Adapters are loaded when an entry asks, because that takes milliseconds. The one
+// that was used least recently makes room.
+
+func (h *Holder) handleAdapter(m *wire.Message) {
+	var call fleet.AdapterCall
+	if m.Decode(&call) != nil {
+		return // the frame is counted by wire
+	}
+	m.Reply(h.loadAdapter(fleet.ModelName(call)))
+}
+
+func (h *Holder) loadAdapter(n fleet.ModelName) fleet.OrderReply {
+	ctx, cancel := context.WithTimeout(context.Background(), adapterWait)
+	defer cancel()
+	h.mu.Lock()
+	h.used[n] = time.Now()
+	h.mu.Unlock()
+	for ctx.Err() == nil {
+		done, r := h.tryAdapter(n)
+		if done {
+			return r
+		}
+		h.await(ctx)
+	}
+	return fleet.OrderReply{Code: codeNotLoaded}
+}
+
+// await waits for a moment and then for a fresh report.
+func (h *Holder) await(ctx context.Context) {
+	t := time.NewTimer(adapterCheck)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-t.C:
+	}
+	h.poll(ctx)
+}
+
+// tryAdapter makes one step towards having an adapter.
+func (h *Holder) tryAdapter(n fleet.ModelName) (done bool, r fleet.OrderReply) {
+	h.orders.Lock()
+	defer h.orders.Unlock()
+	order, done, r := h.adapterStep(n)
+	if done || order == nil {
+		return done, r
+	}
+	err := h.give(*order)
+	var refused *bamboostep.OrderError
+	if err != nil && !errors.As(err, &refused) {
+		return true, fleet.OrderReply{Code: codeNoAnswer, Detail: err.Error()}
+	}
+	if err == nil {
+		h.noteAdapter(*order)
+	}
+	return false, fleet.OrderReply{}
+}
+
+// adapterStep decides what is to be done next. No order and not done means to wait.
+func (h *Holder) adapterStep(n fleet.ModelName) (order *bamboostep.EngineOrder, done bool, r fleet.OrderReply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	spec := h.Spec()
+	switch {
+	case holdsAdapter(h.report, n):
+		return nil, true, fleet.OrderReply{}
+	case spec == nil || !holds(h.report, n.Model):
+		return nil, true, fleet.OrderReply{Code: codeNoModel}
+	case h.unsettled != nil:
+		return nil, true, fleet.OrderReply{Code: codeBusy}
+	case h.isPending(n):
+		return nil, false, fleet.OrderReply{}
+	case len(h.report.Pending) >= maxTransit:
+		return nil, false, fleet.OrderReply{}
+	}
+	mb := modelNamed(spec, n.Model).AdapterMB
+	if h.adapters() < spec.AdapterSlots && h.fits(spec, mb) {
+		return &bamboostep.EngineOrder{Load: true, Model: n.Model, Adapter: n.Adapter}, false, fleet.OrderReply{}
+	}
+	old, ok := h.leastUsed(time.Now())
+	if !ok {
+		return nil, true, fleet.OrderReply{Code: codeNoRoom}
+	}
+	return &bamboostep.EngineOrder{Model: old.Model, Adapter: old.Adapter}, false, fleet.OrderReply{}
+}
+
+func (h *Holder) isPending(n fleet.ModelName) bool {
+	return slices.ContainsFunc(h.report.Pending, func(p string) bool { return pendingName(p) == n })
+}
+
+// pendingName decodes MODEL/ADAPTER@VERSION.
+func pendingName(p string) fleet.ModelName {
+	for i := len(p) - 1; i >= 0; i-- {
+		if p[i] == '@' {
+			p = p[:i]
+			break
+		}
+	}
+	for i := range len(p) {
+		if p[i] == '/' {
+			return fleet.ModelName{Model: p[:i], Adapter: p[i+1:]}
+		}
+	}
+	return fleet.ModelName{Model: p}
+}
+
+// adapters counts the places that are taken. mu is held.
+func (h *Holder) adapters() int {
+	n := len(h.report.Pending)
+	for _, m := range h.report.Models {
+		n += len(m.Adapters)
+	}
+	return n
+}
+
+// leastUsed returns the adapter that makes room. mu is held.
+func (h *Holder) leastUsed(now time.Time) (fleet.ModelName, bool) {
+	var oldest fleet.ModelName
+	found := false
+	for _, m := range h.report.Models {
+		for _, a := range m.Adapters {
+			n := fleet.ModelName{Model: m.Name, Adapter: a}
+			if now.Sub(h.used[n]) > recentlyInUse && (!found || h.used[n].Before(h.used[oldest])) {
+				oldest, found = n, true
+			}
+		}
+	}
+	return oldest, found
+}
+
+// noteAdapter lays an order that the engine took over the last report, until the
+// next one shows it.
+func (h *Holder) noteAdapter(o bamboostep.EngineOrder) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if o.Load {
+		h.report.Pending = append(slices.Clone(h.report.Pending), o.Model+"/"+o.Adapter)
+		return
+	}
+	models := slices.Clone(h.report.Models)
+	for i := range models {
+		if models[i].Name == o.Model {
+			kept := slices.Clone(models[i].Adapters)
+			models[i].Adapters = slices.DeleteFunc(kept, func(a string) bool { return a == o.Adapter })
+		}
+	}
+	h.report.Models = models
+}
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -141,6 +141,16 @@
 	return r.Revision, nil
 }
 
+// PublishNumbered publishes a set under a number. The highest number wins: the
+// revision returned is the newest, and may be another. It may be sent again.
+func (c *Client) PublishNumbered(ctx context.Context, number uint64, set []byte) (bamboostep.Revision, error) {
+	if len(set) > maxSetBytes {
+		return bamboostep.Revision{}, &RefusedError{"publish", "set_too_large", fmt.Sprintf("%d bytes, at most %d", len(set), maxSetBytes)}
+	}
+	r, err := c.propose(ctx, command{Number: &numberCommand{number, set}})
+	return r.Revision, err
+}
+
 // Claim implements bamboostep.Ledger. It fails with a *RefusedError while too
 // many names are taken; nothing was claimed then.
 func (c *Client) Claim(ctx context.Context, claim bamboostep.Claim) (bamboostep.ClaimResult, error) {
--- a/ledger/command.go
+++ b/ledger/command.go
@@ -20,11 +20,19 @@
 	Elapsed time.Duration `msgpack:"elapsed"` // ledger time; see machine.now
 
 	Publish *bamboostep.Publication `msgpack:"publish,omitempty"`
+	Number  *numberCommand          `msgpack:"number,omitempty"`
 	Claim   *bamboostep.Claim       `msgpack:"claim,omitempty"`
 	Settle  *bamboostep.Settlement  `msgpack:"settle,omitempty"`
 	Drain   *drainCommand           `msgpack:"drain,omitempty"`
 }
 
+// numberCommand publishes a set under a number of the operator's choosing. The
+// highest number wins; a lower or equal one changes nothing.
+type numberCommand struct {
+	Number uint64 `msgpack:"number"`
+	Set    []byte `msgpack:"set"`
+}
+
 type drainCommand struct {
 	ID      string `msgpack:"id"`
 	VM      string `msgpack:"vm"`
@@ -34,7 +42,7 @@
 // operation names c in errors and metrics.
 func (c command) operation() string {
 	switch {
-	case c.Publish != nil:
+	case c.Publish != nil, c.Number != nil:
 		return "publish"
 	case c.Claim != nil:
 		return "claim"
--- a/ledger/core.go
+++ b/ledger/core.go
@@ -106,6 +106,12 @@
 	quorumAt  time.Duration // start of the last round that a quorum answered
 	reads     []pendingRead
 
+	heal       bool   // lost voters are replaced without an operator
+	joining    bool   // the disk was empty at a start that was not the system's first
+	self       Member // how others reach c
+	applicants map[diskID]applicant
+	leadSince  time.Duration
+
 	announceDue time.Duration
 	announced   map[string]announcement
 
@@ -130,6 +136,7 @@
 		commit:      st.Snapshot.Index,
 		handedOut:   st.Snapshot.Index,
 		announced:   make(map[string]announcement),
+		applicants:  make(map[diskID]applicant),
 		told:        make(map[coreEvent]bool),
 		keep:        keptEntries,
 	}
--- a/ledger/election.go
+++ b/ledger/election.go
@@ -12,6 +12,9 @@
 		return
 	}
 	c.leader = ""
+	if c.now-c.leaderHeard > seekAfter {
+		c.seek()
+	}
 	if !c.mayCampaign() {
 		c.resetElection()
 		return
@@ -130,6 +133,7 @@
 func (c *core) lead() {
 	c.become("vote_won")
 	c.leader = c.name
+	c.leadSince = c.now
 	c.votes = nil
 	c.quorumAt = c.now
 	c.heartbeat = c.now + heartbeatInterval
--- a/ledger/formation.go
+++ b/ledger/formation.go
@@ -32,12 +32,18 @@
 	Accepted []seat     // what the sender has accepted, or nil
 	Formed   bool       // the sender has a log
 	Members  membership // if formed
+	Self     Member     // how the sender is reached
+	Relayed  bool       // by a voter that does not lead
 }
 
 func (c *core) tickUnformed() {
 	if c.now < c.announceDue {
 		return
 	}
+	if c.heal && (c.joining || !c.isInitial()) {
+		c.seek()
+		return
+	}
 	c.announceDue = c.now + announceInterval
 	if !c.isInitial() {
 		return
@@ -60,7 +66,7 @@
 }
 
 func (c *core) announcementTo(name string) message {
-	a := announcement{Disk: c.disk, Accepted: c.accepted}
+	a := announcement{Disk: c.disk, Accepted: c.accepted, Self: c.self}
 	if c.role != roleUnformed {
 		a.Formed = true
 		a.Members = c.members
@@ -73,6 +79,7 @@
 		return
 	}
 	if c.role != roleUnformed {
+		c.hearApplicant(m)
 		if !m.Announce.Formed {
 			c.out.Replies = append(c.out.Replies, c.announcementTo(m.From))
 		}
@@ -91,14 +98,14 @@
 // c has lost its own.
 func (c *core) hearFormed(m message) {
 	s, ok := m.Announce.Members.named(c.name)
-	if ok && s.Disk != c.disk {
+	if ok && s.Disk != c.disk && !c.heal {
 		c.eventOnce(eventDiskRefused, "voters know another disk under this name; remove the voter and add it anew")
 	}
 }
 
 // tryForm accepts and forms the first membership as soon as it can.
 func (c *core) tryForm() {
-	if !c.isInitial() {
+	if !c.isInitial() || c.joining {
 		return
 	}
 	if c.accepted == nil {
--- a/ledger/machine.go
+++ b/ledger/machine.go
@@ -63,6 +63,8 @@
 	switch {
 	case c.Publish != nil:
 		return m.publish(*c.Publish, c.At)
+	case c.Number != nil:
+		return m.publishNumbered(*c.Number, c.At)
 	case c.Claim != nil:
 		return m.claims.claim(*c.Claim, m.now)
 	case c.Settle != nil:
@@ -88,6 +90,17 @@
 	return r
 }
 
+// publishNumbered takes a set whose number is higher than that of the newest. A
+// lower one was overtaken or is sent again; both are acknowledged with the newest.
+func (m *machine) publishNumbered(n numberCommand, at time.Time) result {
+	if newest := m.state.newest(); len(m.state.revisions) > 0 && n.Number <= newest.Number {
+		return result{Revision: newest}
+	}
+	r := bamboostep.Revision{Number: n.Number, At: at}
+	m.state = m.state.withRevision(r, n.Set)
+	return result{Revision: r}
+}
+
 func (m *machine) drain(d drainCommand) result {
 	if first, ok := m.drains.find(d.ID); ok {
 		return first
--- a/ledger/replication.go
+++ b/ledger/replication.go
@@ -103,6 +103,7 @@
 	}
 	c.heartbeat = c.now + heartbeatInterval
 	c.promoteLearner()
+	c.tickHeal()
 	c.broadcast()
 }
 
--- a/ledger/state.go
+++ b/ledger/state.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -75,11 +76,14 @@
 // revisionsAfter returns the revisions that follow one, or all of them and reset
 // if some of those are not kept any more.
 func (s *State) revisionsAfter(number uint64) (after []bamboostep.Revision, reset bool) {
-	oldest := s.newest().Number - uint64(len(s.revisions)) + 1
-	if number+1 < oldest || number > s.newest().Number {
-		return s.revisions, true
+	i, found := slices.BinarySearchFunc(s.revisions, number, func(r bamboostep.Revision, n uint64) int { return cmp.Compare(r.Number, n) })
+	switch {
+	case found:
+		return s.revisions[i+1:], false
+	case number == 0 && len(s.revisions) > 0 && s.revisions[0].Number == 1:
+		return s.revisions, false
 	}
-	return s.revisions[number+1-oldest:], false
+	return s.revisions, true
 }
 
 func (s *State) withDrain(vm string, leaving bool) *State {
--- a/ledger/voter.go
+++ b/ledger/voter.go
@@ -33,6 +33,10 @@
 	Name     string   // own name, one of Members
 	Members  []Member // voters of the first start
 	Dir      string   // data folder
+	Heal     bool     // lost voters are replaced without an operator
+	Joining  bool     // the system has started before; an empty disk waits to be taken in
+	Address  string   // host and port, for Heal
+	Domain   string   // failure domain, for Heal
 	Node     *wire.Node
 	Recorder *timeline.Recorder
 	Registry prometheus.Registerer
@@ -140,7 +144,11 @@
 }
 
 func (v *Voter) open(fs fileSystem) error {
-	d, st, err := openDisk(fs, newDiskID)
+	empty := false
+	d, st, err := openDisk(fs, func() diskID {
+		empty = true
+		return newDiskID()
+	})
 	if err != nil {
 		return err
 	}
@@ -155,6 +163,9 @@
 		}
 	}
 	v.core = newCore(v.Name, v.Members, st, rand.New(rand.NewPCG(uint64(st.Disk), uint64(time.Now().UnixNano()))))
+	v.core.heal = v.Heal
+	v.core.joining = v.Joining && empty
+	v.core.self = Member{Name: v.Name, Address: v.Address, FailureDomain: v.Domain}
 	v.publishState(true)
 	return nil
 }
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/gateway"
+	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/origin"
+	"github.com/bamboostep/bamboostep/platform"
+	"github.com/bamboostep/bamboostep/route"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+const (
+	headerTimeout  = 30 * time.Second // an old device may send its headers slowly
+	sweepInterval  = time.Second
+	demandInterval = 500 * time.Millisecond
+
+	// A process that stops takes requests until the platform sends it none, refuses
+	// those that would not end any more, and ends when none is left.
+	stopTaking  = 3500 * time.Millisecond
+	stopEarly   = 4 * time.Second
+	stopMargin  = 500 * time.Millisecond // before the platform kills the process
+	stopPolling = 20 * time.Millisecond
+
+	budgetUse = 0.8 // part of the retry budget that is used, for entries that count differently
+)
+
+// entry is a process that takes callers' requests.
+type entry struct {
+	*process
+	fleet    *fleet.Fleet
+	links    *fleet.Links
+	follower *fleet.Follower
+	client   *ledger.Client
+	gateway  *gateway.Gateway
+	pool     *origin.Pool
+	table    atomic.Pointer[route.Table]
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	budgets map[string]*dispatch.Budget
+}
+
+func runEntry(p *process) error {
+	e := &entry{process: p, budgets: make(map[string]*dispatch.Budget)}
+	e.fleet = &fleet.Fleet{Domain: p.cfg.FailureDomain}
+	seeds := p.voters()
+	e.client = &ledger.Client{Node: p.wire, Members: seeds, Recorder: p.recorder, Applied: e.noteState}
+	e.links = &fleet.Links{Node: p.wire, Fleet: e.fleet, Port: p.cfg.FirstPort, Services: e.engineServices, Recorder: p.recorder}
+	e.follower = &fleet.Follower{
+		Node:      p.wire,
+		Fleet:     e.fleet,
+		Voters:    func() []string { return addresses(e.client, seeds) },
+		Directory: p.directory(),
+		Recorder:  p.recorder,
+	}
+	e.pool = &origin.Pool{Dialect: platform.HTTP{}, Metrics: origin.NewMetrics(p.registry)}
+	e.gateway = &gateway.Gateway{
+		Dialect:  platform.HTTP{},
+		Table:    e.table.Load,
+		Fleet:    e.fleet,
+		Pool:     e.pool,
+		Adapters: e.links,
+		Budget:   e.budget,
+		Recorder: p.recorder,
+		Metrics:  gateway.NewMetrics(p.registry),
+	}
+	return e.run()
+}
+
+func (e *entry) run() error {
+	callers, err := net.Listen("tcp", e.cfg.CallerAddress)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", e.cfg.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	// What the entry knows is kept up to date until it ends, after its last request.
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return e.client.Run(work) })
+	group.Go(func() error { return e.follower.Run(work) })
+	group.Go(func() error { return e.links.Run(work) })
+	group.Go(func() error { return e.sweep(work) })
+	group.Go(func() error { return serve(work, ready, e.readyHandler()) })
+	group.Go(func() error { return serve(work, callers, e.gateway) })
+	group.Go(func() error {
+		e.awaitStop(work)
+		end()
+		return nil
+	})
+	return ignoreEnd(group.Wait())
+}
+
+func ignoreEnd(err error) error {
+	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// serve serves until ctx ends, then closes all connections.
+func serve(ctx context.Context, l net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	return s.Serve(l)
+}
+
+// awaitStop returns when the process has been told to end and may.
+func (e *entry) awaitStop(work context.Context) {
+	select {
+	case <-work.Done():
+		return
+	case <-e.ctx.Done():
+	}
+	began := time.Now()
+	e.event("stopping", fmt.Sprintf("%d requests", e.gateway.Running()))
+	e.stopping.Store(true)
+	e.gateway.Stop()
+	for {
+		passed := time.Since(began)
+		if passed > stopTaking {
+			e.gateway.Refuse()
+		}
+		if passed > stopEarly && e.gateway.Running() == 0 || passed > e.cfg.Grace-stopMargin {
+			e.event("stopped", fmt.Sprintf("%d requests", e.gateway.Running()))
+			return
+		}
+		time.Sleep(stopPolling)
+	}
+}
+
+func (e *entry) readyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.PatternReady, func(w http.ResponseWriter, r *http.Request) {
+		if e.stopping.Load() || e.table.Load() == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// noteState puts newly published routes in force.
+func (e *entry) noteState(s *ledger.State) {
+	data, number := s.Set()
+	now := e.table.Load()
+	if data == nil || (now != nil && now.Number >= number) {
+		return
+	}
+	table, err := platform.ReadRoutes(data)
+	if err != nil {
+		e.recorder.Record(timeline.Event{Kind: "routes_unreadable", Revision: number, Detail: err.Error()})
+		return
+	}
+	frozen, err := table.Freeze()
+	if err != nil {
+		e.recorder.Record(timeline.Event{Kind: "routes_invalid", Revision: number, Detail: err.Error()})
+		return
+	}
+	e.table.Store(frozen)
+	e.recorder.Record(timeline.Event{Kind: "routes_in_force", Revision: number, Detail: fmt.Sprintf("%d routes", len(table.Routes))})
+}
+
+func (e *entry) engineServices() []string {
+	t := e.table.Load()
+	if t == nil {
+		return nil
+	}
+	var names []string
+	for _, s := range t.Services {
+		if s.Engine != nil {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
+// budget returns the retry budget of a service: this entry's part of what all
+// entries have together.
+func (e *entry) budget(service string) *dispatch.Budget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.budgets[service]
+	if b == nil {
+		b = &dispatch.Budget{
+			Share:     e.cfg.RetryShare * budgetUse,
+			PerSecond: 0.01,
+			Burst:     max(1, e.cfg.RetryExtra*budgetUse/float64(e.follower.Entries())),
+		}
+		e.budgets[service] = b
+	}
+	return b
+}
+
+// sweep does what is due from time to time.
+func (e *entry) sweep(ctx context.Context) error {
+	t := time.NewTicker(demandInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-t.C:
+			e.pool.Sweep(now)
+			e.follower.SendDemand(fleet.DemandNote{Entry: e.cfg.Node, Demand: e.fleet.TakeDemand()})
+		}
+	}
+}
--- /dev/null
+++ b/node/holder.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bamboostep/bamboostep/holder"
+	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/platform"
+	"github.com/bamboostep/bamboostep/route"
+	"github.com/bamboostep/bamboostep/wire"
+
+	"sync/atomic"
+	"time"
+)
+
+const engineTimeout = time.Second
+
+// runHolder runs the process that orders the engine on its VM.
+func runHolder(p *process) error {
+	var spec atomic.Pointer[route.Engine]
+	client := &ledger.Client{Node: p.wire, Members: p.voters(), Recorder: p.recorder, Applied: func(s *ledger.State) {
+		noteEngine(p, s, &spec)
+	}}
+	h := &holder.Holder{
+		Name:     p.cfg.Node,
+		Address:  p.cfg.Engine,
+		Service:  p.cfg.EngineService,
+		Domain:   p.cfg.FailureDomain,
+		Engine:   &platform.Engine{Address: p.cfg.Engine, Client: platform.NewEngineClient(engineTimeout)},
+		Spec:     spec.Load,
+		Recorder: p.recorder,
+	}
+	mux := &wire.Mux{}
+	h.Register(mux)
+	own, err := p.listen()
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(p.ctx)
+	group.Go(func() error { return h.Run(ctx) })
+	group.Go(func() error { return client.Run(ctx) })
+	group.Go(func() error {
+		return (&wire.Listener{Node: p.wire, Net: own, Handler: mux, Patient: true}).Run(ctx)
+	})
+	return ignoreEnd(group.Wait())
+}
+
+// noteEngine takes what is published of the holder's engine.
+func noteEngine(p *process, s *ledger.State, spec *atomic.Pointer[route.Engine]) {
+	data, _ := s.Set()
+	if data == nil {
+		return
+	}
+	table, err := platform.ReadRoutes(data)
+	if err != nil {
+		p.event("routes_unreadable", err.Error())
+		return
+	}
+	for _, service := range table.Services {
+		if service.Name == p.cfg.EngineService && service.Engine != nil {
+			spec.Store(service.Engine)
+		}
+	}
+}
--- /dev/null
+++ b/node/voter.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"net"
+	"net/http"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/operator"
+	"github.com/bamboostep/bamboostep/platform"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+// runVoter runs a process that votes in the ledger and serves operators.
+func runVoter(p *process) error {
+	seeds := p.voters()
+	mux := &wire.Mux{}
+	v := &ledger.Voter{
+		Name:     p.ownAddress(),
+		Address:  p.ownAddress(),
+		Domain:   p.cfg.FailureDomain,
+		Members:  seeds,
+		Dir:      p.cfg.DataDir,
+		Heal:     true,
+		Joining:  !p.cfg.FirstStart,
+		Node:     p.wire,
+		Recorder: p.recorder,
+		Registry: p.registry,
+	}
+	v.Register(mux)
+	client := &ledger.Client{Node: p.wire, Members: seeds, Local: v, Recorder: p.recorder}
+	reader := &fleet.Reader{Directory: p.directory(), Recorder: p.recorder}
+	reader.Register(mux)
+	own, err := p.listen()
+	if err != nil {
+		return err
+	}
+	operators, err := net.Listen("tcp", p.cfg.OperatorAddr)
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(p.ctx)
+	group.Go(func() error { return v.Run(ctx) })
+	group.Go(func() error { return client.Run(ctx) })
+	group.Go(func() error { return reader.Run(ctx) })
+	group.Go(func() error {
+		return (&wire.Listener{Node: p.wire, Net: own, Handler: mux}).Run(ctx)
+	})
+	group.Go(func() error { return serve(ctx, operators, operatorHandler(p, client)) })
+	return ignoreEnd(group.Wait())
+}
+
+func operatorHandler(p *process, client *ledger.Client) http.Handler {
+	routes := &operator.Routes{Ledger: client, Decode: platform.ReadRoutes, Recorder: p.recorder}
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.PatternPublish, routes.Publish)
+	mux.HandleFunc(platform.PatternRead, routes.Read)
+	return mux
+}
