The leader places models through the holders

The report of an engine does not carry its name, so no holder's report was taken at all.

Ruled out: entries asking holders to load models (several would choose different engines, and the store's rate is common to all).

Change: package placement asks stock.Placer for moves; loads from the store are counted over a window; a VM that keeps a model's weights goes before one that does not. A holder asks its engine's health path once a start for its name. A holder waits while its engine loads a model; an order that could not be sent is not in doubt.

--- a/call.go
+++ b/call.go
@@ -78,13 +78,14 @@
 type OrderedEngine interface {
 	// Report asks an engine for its state.
 	Report(ctx context.Context) (EngineReport, error)
+	// Identify asks an engine for the name of its present start.
+	Identify(ctx context.Context) (instance string, err error)
 	// Give sends one order. The error is an *OrderError if the engine refused it.
 	Give(ctx context.Context, o EngineOrder) error
 }
 
 // EngineReport is what a model engine says of itself.
 type EngineReport struct {
-	Instance    string
 	Born        int64 // Unix milliseconds of its start
 	Leaving     bool
 	Left        time.Duration // until it is gone, if Leaving and known
@@ -125,10 +126,14 @@
 	Status int
 	Fenced bool // a higher fencing number was seen
 	Stale  bool // another order is under way, or others came before
+	Unsent bool // the engine could not be reached, so it has nothing of the order
 }
 
 // Error implements error.
 func (e *OrderError) Error() string {
+	if e.Unsent {
+		return "engine cannot be reached"
+	}
 	return "engine refused the order: " + http.StatusText(e.Status)
 }
 
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -47,11 +47,12 @@
 	prefillPerMS  = 38.0 // prompt tokens read in a millisecond
 	stepCost      = 0.35 // milliseconds that each running request adds
 	noRoomCost    = 400 * time.Millisecond
-	farCost       = 3 * time.Millisecond // in another failure domain
-	adapterCost   = 8 * time.Millisecond // of an adapter that must be loaded first
-	failShareCost = 4 * time.Second      // of a backend server all of whose requests fail
-	homeShare     = 0.7                  // part of a prompt's beginning that its home is taken to keep
-	meanPrompt    = 1500                 // tokens not cached of a waiting request of another entry
+	farCost       = 3 * time.Millisecond   // in another failure domain
+	adapterCost   = 8 * time.Millisecond   // of an adapter that must be loaded first
+	busyCost      = 500 * time.Millisecond // of waiting for a model's load before an adapter's
+	failShareCost = 4 * time.Second        // of a backend server all of whose requests fail
+	homeShare     = 0.7                    // part of a prompt's beginning that its home is taken to keep
+	meanPrompt    = 1500                   // tokens not cached of a waiting request of another entry
 	plainWork     = 30 * time.Millisecond
 )
 
@@ -162,6 +163,9 @@
 		if w.Name.Adapter != "" && !s.models[w.Name.Model].adapters[w.Name.Adapter] {
 			e.adapter = false
 			e.wait += adapterCost
+			if s.report.Busy {
+				e.wait += busyCost
+			}
 		}
 	}
 	e.cost = e.wait + time.Duration(s.failing(now)*float64(failShareCost))
@@ -286,5 +290,8 @@
 		began:    now,
 	}
 	e.server.runs[r] = true
+	if w.Name.Model != "" {
+		f.tally(w.Name).tokens += e.uncached + w.Answer
+	}
 	return r
 }
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -9,7 +9,7 @@
 type ModelName struct{ Model, Adapter string }
 
 // tally counts what was asked of one model.
-type tally struct{ asked, late int }
+type tally struct{ asked, late, tokens int }
 
 // Demand is what callers of one entry asked of one model or adapter since the last
 // time.
@@ -17,7 +17,8 @@
 	Model   string `msgpack:"model"`
 	Adapter string `msgpack:"adapter"`
 	Asked   int    `msgpack:"asked"`
-	Late    int    `msgpack:"late"` // waited for a copy, or were refused
+	Late    int    `msgpack:"late"`   // waited for a copy, or came past the route's target
+	Tokens  int    `msgpack:"tokens"` // of prompts that no cache was expected to hold
 }
 
 // NoteAsked counts a request.
@@ -52,7 +53,7 @@
 	f.init()
 	out := make([]Demand, 0, len(f.demand))
 	for n, t := range f.demand {
-		out = append(out, Demand{Model: n.Model, Adapter: n.Adapter, Asked: t.asked, Late: t.late})
+		out = append(out, Demand{Model: n.Model, Adapter: n.Adapter, Asked: t.asked, Late: t.late, Tokens: t.tokens})
 	}
 	clear(f.demand)
 	slices.SortFunc(out, func(a, b Demand) int {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -110,7 +110,11 @@
 		return
 	}
 	x.stream.started = true
-	x.g.Metrics.firstEvent(time.Since(x.arrived))
+	after := time.Since(x.arrived)
+	x.g.Metrics.firstEvent(after)
+	if x.route.Target > 0 && after > x.route.Target {
+		x.g.Fleet.NoteLate(x.name())
+	}
 	copyHeader(x.w.Header(), a.Header)
 	x.w.WriteHeader(a.Status)
 }
--- a/holder/adapter.go
+++ b/holder/adapter.go
@@ -38,16 +38,31 @@
 	return fleet.OrderReply{Code: codeNotLoaded}
 }
 
-// await waits for a moment and then for a fresh report.
+// await waits for a fresh report, and reads one if none comes soon. While the engine
+// loads a model it takes no other order, so there is nothing to read in a hurry.
 func (h *Holder) await(ctx context.Context) {
+	h.mu.Lock()
+	fresh, at, busy := h.fresh, h.reportAt, h.report.Busy
+	h.mu.Unlock()
 	t := time.NewTimer(adapterCheck)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 		return
+	case <-fresh:
+		return
 	case <-t.C:
 	}
-	h.poll(ctx)
+	if busy {
+		select {
+		case <-ctx.Done():
+		case <-fresh:
+		}
+		return
+	}
+	if time.Since(at) >= adapterCheck {
+		h.poll(ctx)
+	}
 }
 
 // tryAdapter makes one step towards having an adapter.
@@ -81,7 +96,7 @@
 		return nil, true, fleet.OrderReply{Code: codeNoModel}
 	case h.unsettled != nil:
 		return nil, true, fleet.OrderReply{Code: codeBusy}
-	case h.isPending(n):
+	case h.isPending(n) || h.report.Busy || h.loading != "" || h.unloading != "":
 		return nil, false, fleet.OrderReply{}
 	case len(h.report.Pending) >= maxTransit:
 		return nil, false, fleet.OrderReply{}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -26,19 +26,21 @@
 )
 
 const (
-	pollInterval  = 100 * time.Millisecond
-	pollTimeout   = 400 * time.Millisecond
-	pushInterval  = 500 * time.Millisecond // at the latest, though nothing changed
-	downAfter     = 2                      // reports in a row that failed
-	orderTimeout  = 600 * time.Millisecond // of one sending
-	unsettledFor  = 13 * time.Second       // in which an order without an answer may be carried out
-	adapterWait   = 700 * time.Millisecond // for an adapter to be there
-	adapterCheck  = 5 * time.Millisecond
-	maxTransit    = 4 // adapters on their way to one engine
-	orderTries    = 3
-	fenceStep     = 1 << 20 // above a fencing number that was refused
-	recentlyInUse = 400 * time.Millisecond
-	orderShown    = 300 * time.Millisecond // after which each report shows an order
+	pollInterval = 100 * time.Millisecond
+	pollTimeout  = 400 * time.Millisecond
+
+	identifyTimeout = 400 * time.Millisecond
+	pushInterval    = 500 * time.Millisecond // at the latest, though nothing changed
+	downAfter       = 2                      // reports in a row that failed
+	orderTimeout    = 600 * time.Millisecond // of one sending
+	unsettledFor    = 13 * time.Second       // in which an order without an answer may be carried out
+	adapterWait     = 700 * time.Millisecond // for an adapter to be there
+	adapterCheck    = 5 * time.Millisecond
+	maxTransit      = 4 // adapters on their way to one engine
+	orderTries      = 3
+	fenceStep       = 1 << 20 // above a fencing number that was refused
+	recentlyInUse   = 400 * time.Millisecond
+	orderShown      = 300 * time.Millisecond // after which each report shows an order
 )
 
 // Holder holds one engine. Set the exported fields before Register.
@@ -55,6 +57,8 @@
 
 	mu          sync.Mutex
 	report      bamboostep.EngineReport
+	instance    string // of the engine's present start; empty while not known
+	identifying bool
 	reportAt    time.Time
 	failed      int // reports in a row
 	subscribers map[*wire.Conn]bool
@@ -122,7 +126,7 @@
 		return
 	}
 	if h.failed >= downAfter {
-		h.record("engine_regained", r.Instance)
+		h.record("engine_regained", "")
 	}
 	h.failed = 0
 	h.take(r, began)
@@ -130,9 +134,14 @@
 
 // take makes r the newest report. mu is held.
 func (h *Holder) take(r bamboostep.EngineReport, at time.Time) {
-	if r.Instance != h.report.Instance || r.Born != h.report.Born {
-		h.record("engine_started", r.Instance)
+	if r.Born != h.report.Born {
+		h.record("engine_started", time.UnixMilli(r.Born).UTC().Format(time.RFC3339Nano))
 		h.taken, h.unsettled, h.loading, h.unloading = 0, nil, "", ""
+		h.instance = ""
+	}
+	if h.instance == "" && !h.identifying {
+		h.identifying = true
+		go h.identify(r.Born)
 	}
 	if r.Orders < h.taken && at.Before(h.takenAt.Add(orderShown)) {
 		return // made before the engine took the last order
@@ -150,6 +159,24 @@
 	h.fresh = make(chan struct{})
 }
 
+// identify asks the engine for the name of a start, which its report does not say.
+func (h *Holder) identify(born int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
+	defer cancel()
+	instance, err := h.Engine.Identify(ctx)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.identifying = false
+	if err != nil {
+		h.record("engine_not_identified", err.Error())
+		return
+	}
+	if h.report.Born == born {
+		h.instance = instance
+		h.record("engine_identified", instance)
+	}
+}
+
 // settle drops an order without an answer once it can have no effect any more. mu
 // is held.
 func (h *Holder) settle(r bamboostep.EngineReport, now time.Time) {
@@ -197,7 +224,7 @@
 func (h *Holder) account(now time.Time) fleet.Report {
 	r := fleet.Report{
 		Address:     h.Address,
-		Instance:    h.report.Instance,
+		Instance:    h.instance,
 		Born:        h.report.Born,
 		Service:     h.Service,
 		Domain:      h.Domain,
@@ -232,7 +259,7 @@
 func (h *Holder) push(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.report.Instance == "" {
+	if h.instance == "" {
 		return
 	}
 	r := h.account(now)
--- a/holder/order.go
+++ b/holder/order.go
@@ -129,7 +129,7 @@
 func (h *Holder) give(o bamboostep.EngineOrder) error {
 	h.mu.Lock()
 	o.Holder, o.Fence, o.After = h.Name, h.fence, h.taken
-	o.Instance = h.report.Instance
+	o.Instance = h.instance
 	h.mu.Unlock()
 	var err error
 	for range orderTries {
--- a/message.go
+++ b/message.go
@@ -163,7 +163,8 @@
 	ReservedMiB   int64         `msgpack:"reserved_mib" json:"reserved_mib"`
 	HeldMiB       int64         `msgpack:"held_mib" json:"held_mib"` // what the engine itself last reported
 	Replicas      []Replica     `msgpack:"replicas" json:"replicas"`
-	Fence         Fence         `msgpack:"fence" json:"fence"` // highest seen
+	Kept          []string      `msgpack:"kept" json:"kept,omitempty"` // versions whose weights the VM keeps, so that loads spare the store
+	Fence         Fence         `msgpack:"fence" json:"fence"`         // highest seen
 	Revision      uint64        `msgpack:"revision" json:"revision"`
 	CacheDropped  []uint64      `msgpack:"cache_dropped" json:"cache_dropped,omitempty"` // prefixes the engine no longer caches
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -19,7 +19,6 @@
 	"github.com/bamboostep/bamboostep/origin"
 	"github.com/bamboostep/bamboostep/platform"
 	"github.com/bamboostep/bamboostep/route"
-	"github.com/bamboostep/bamboostep/timeline"
 )
 
 const (
@@ -57,8 +56,8 @@
 	e := &entry{process: p, budgets: make(map[string]*dispatch.Budget)}
 	e.fleet = &fleet.Fleet{Domain: p.cfg.FailureDomain}
 	seeds := p.voters()
-	e.client = &ledger.Client{Node: p.wire, Members: seeds, Recorder: p.recorder, Applied: e.noteState}
-	e.links = &fleet.Links{Node: p.wire, Fleet: e.fleet, Port: p.cfg.FirstPort, Services: e.engineServices, Recorder: p.recorder}
+	e.client = &ledger.Client{Node: p.wire, Members: seeds, Recorder: p.recorder, Applied: func(s *ledger.State) { noteTable(p, s, &e.table) }}
+	e.links = &fleet.Links{Node: p.wire, Fleet: e.fleet, Port: p.cfg.FirstPort, Services: func() []string { return e.table.Load().EngineServices() }, Recorder: p.recorder}
 	e.follower = &fleet.Follower{
 		Node:      p.wire,
 		Fleet:     e.fleet,
@@ -156,41 +155,6 @@
 	return mux
 }
 
-// noteState puts newly published routes in force.
-func (e *entry) noteState(s *ledger.State) {
-	data, number := s.Set()
-	now := e.table.Load()
-	if data == nil || (now != nil && now.Number >= number) {
-		return
-	}
-	table, err := platform.ReadRoutes(data)
-	if err != nil {
-		e.recorder.Record(timeline.Event{Kind: "routes_unreadable", Revision: number, Detail: err.Error()})
-		return
-	}
-	frozen, err := table.Freeze()
-	if err != nil {
-		e.recorder.Record(timeline.Event{Kind: "routes_invalid", Revision: number, Detail: err.Error()})
-		return
-	}
-	e.table.Store(frozen)
-	e.recorder.Record(timeline.Event{Kind: "routes_in_force", Revision: number, Detail: fmt.Sprintf("%d routes", len(table.Routes))})
-}
-
-func (e *entry) engineServices() []string {
-	t := e.table.Load()
-	if t == nil {
-		return nil
-	}
-	var names []string
-	for _, s := range t.Services {
-		if s.Engine != nil {
-			names = append(names, s.Name)
-		}
-	}
-	return names
-}
-
 // budget returns the retry budget of a service: this entry's part of what all
 // entries have together.
 func (e *entry) budget(service string) *dispatch.Budget {
--- a/node/holder.go
+++ b/node/holder.go
@@ -17,17 +17,21 @@
 
 // runHolder runs the process that orders the engine on its VM.
 func runHolder(p *process) error {
-	var spec atomic.Pointer[route.Engine]
+	var table atomic.Pointer[route.Table]
 	client := &ledger.Client{Node: p.wire, Members: p.voters(), Recorder: p.recorder, Applied: func(s *ledger.State) {
-		noteEngine(p, s, &spec)
+		noteTable(p, s, &table)
 	}}
 	h := &holder.Holder{
-		Name:     p.cfg.Node,
-		Address:  p.cfg.Engine,
-		Service:  p.cfg.EngineService,
-		Domain:   p.cfg.FailureDomain,
-		Engine:   &platform.Engine{Address: p.cfg.Engine, Client: platform.NewEngineClient(engineTimeout)},
-		Spec:     spec.Load,
+		Name:    p.cfg.Node,
+		Address: p.cfg.Engine,
+		Service: p.cfg.EngineService,
+		Domain:  p.cfg.FailureDomain,
+		Engine: &platform.Engine{
+			Address: p.cfg.Engine,
+			Client:  platform.NewEngineClient(engineTimeout),
+			Health:  func() string { return table.Load().HealthPath(p.cfg.EngineService) },
+		},
+		Spec:     func() *route.Engine { return table.Load().Engine(p.cfg.EngineService) },
 		Recorder: p.recorder,
 	}
 	mux := &wire.Mux{}
@@ -44,21 +48,3 @@
 	})
 	return ignoreEnd(group.Wait())
 }
-
-// noteEngine takes what is published of the holder's engine.
-func noteEngine(p *process, s *ledger.State, spec *atomic.Pointer[route.Engine]) {
-	data, _ := s.Set()
-	if data == nil {
-		return
-	}
-	table, err := platform.ReadRoutes(data)
-	if err != nil {
-		p.event("routes_unreadable", err.Error())
-		return
-	}
-	for _, service := range table.Services {
-		if service.Name == p.cfg.EngineService && service.Engine != nil {
-			spec.Store(service.Engine)
-		}
-	}
-}
--- a/node/voter.go
+++ b/node/voter.go
@@ -1,6 +1,13 @@
 package main
 
 import (
+	"sync/atomic"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/placement"
+	"github.com/bamboostep/bamboostep/route"
+	"github.com/bamboostep/bamboostep/stock"
+
 	"net"
 	"net/http"
 
@@ -31,8 +38,31 @@
 	}
 	v.Register(mux)
 	client := &ledger.Client{Node: p.wire, Members: seeds, Local: v, Recorder: p.recorder}
-	reader := &fleet.Reader{Directory: p.directory(), Recorder: p.recorder}
+	known := &fleet.Fleet{Domain: p.cfg.FailureDomain}
+	var table atomic.Pointer[route.Table]
+	v.Applied = func(s *ledger.State) { noteTable(p, s, &table) }
+	reader := &fleet.Reader{Directory: p.directory(), Fleet: known, Recorder: p.recorder}
 	reader.Register(mux)
+	links := &fleet.Links{
+		Node:     p.wire,
+		Fleet:    known,
+		Port:     p.cfg.FirstPort,
+		Services: func() []string { return table.Load().EngineServices() },
+		Recorder: p.recorder,
+	}
+	place := &placement.Placement{
+		Fleet:  known,
+		Orders: links,
+		Table:  table.Load,
+		Leader: func() (uint64, bool) {
+			_, term, leads := v.Leader()
+			return term, leads
+		},
+		Placer:      func(string) bamboostep.Placer { return &stock.Placer{} },
+		Recorder:    p.recorder,
+		StoreWindow: p.cfg.StoreWindow,
+	}
+	place.Register(mux)
 	own, err := p.listen()
 	if err != nil {
 		return err
@@ -45,6 +75,8 @@
 	group.Go(func() error { return v.Run(ctx) })
 	group.Go(func() error { return client.Run(ctx) })
 	group.Go(func() error { return reader.Run(ctx) })
+	group.Go(func() error { return links.Run(ctx) })
+	group.Go(func() error { return place.Run(ctx) })
 	group.Go(func() error {
 		return (&wire.Listener{Node: p.wire, Net: own, Handler: mux}).Run(ctx)
 	})
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,186 @@
+// Package placement has the leader decide which models the engines of a service
+// hold. It asks a bamboostep.Placer for moves and gives each as an order to the
+// holder of one engine.
+//
+// Each round starts from the last reports alone, so an order that was lost or
+// refused needs no repair: the next round sees what is missing. The hard point is
+// the weight store, which all engines share. The moments at which loads from it
+// were ordered are kept, and no more are ordered within a window than the store
+// allows. Loads of weights that a VM keeps on its own disk or in its memory cost
+// the store nothing and wait for nobody.
+package placement
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/route"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+const (
+	roundInterval = 250 * time.Millisecond
+	orderTimeout  = 2500 * time.Millisecond // a holder sends an order several times
+	shownAfter    = 300 * time.Millisecond  // in which a report shows an order
+	leadDelay     = time.Second             // a new leader first hears what engines hold and callers ask
+)
+
+// Orders gives orders to holders. *fleet.Links is one.
+type Orders interface {
+	Order(ctx context.Context, address string, o fleet.OrderCall) error
+}
+
+// Placement places models while this voter leads. Set the exported fields before
+// Register.
+type Placement struct {
+	Fleet    *fleet.Fleet
+	Orders   Orders
+	Table    func() *route.Table                    // as published; nil before anything is
+	Leader   func() (term uint64, leads bool)       // of the ledger
+	Placer   func(service string) bamboostep.Placer // a new one
+	Recorder *timeline.Recorder
+
+	// StoreWindow is the span over which loads from the store are counted.
+	StoreWindow time.Duration
+
+	mu       sync.Mutex
+	demand   demand
+	stores   map[string]*storeWindow // by service
+	placers  map[string]bamboostep.Placer
+	given    map[givenKey]givenOrder
+	ledSince time.Time
+}
+
+type givenKey struct{ address, model string }
+
+// givenOrder is an order that reports may not show yet.
+type givenOrder struct {
+	load  bool
+	until time.Time
+}
+
+// Register adds the handler of entries' demand to mux.
+func (p *Placement) Register(mux *wire.Mux) {
+	p.stores = make(map[string]*storeWindow)
+	p.placers = make(map[string]bamboostep.Placer)
+	p.given = make(map[givenKey]givenOrder)
+	mux.On(fleet.KindDemand, func(m *wire.Message) {
+		var note fleet.DemandNote
+		if m.Decode(&note) != nil {
+			return // the frame is counted by wire
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.demand.note(note.Demand, time.Now())
+	})
+}
+
+// Run places until ctx ends.
+func (p *Placement) Run(ctx context.Context) error {
+	t := time.NewTicker(roundInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-t.C:
+			p.round(ctx, now)
+		}
+	}
+}
+
+func (p *Placement) round(ctx context.Context, now time.Time) {
+	term, leads := p.Leader()
+	table := p.Table()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !leads || table == nil {
+		p.ledSince = time.Time{}
+		return
+	}
+	if p.ledSince.IsZero() {
+		p.ledSince = now
+		clear(p.placers)
+	}
+	if now.Sub(p.ledSince) < leadDelay {
+		return
+	}
+	for i := range table.Services {
+		if s := &table.Services[i]; s.Engine != nil {
+			p.place(ctx, now, term, s)
+		}
+	}
+}
+
+// place makes one round for one service. mu is held.
+func (p *Placement) place(ctx context.Context, now time.Time, term uint64, s *route.Service) {
+	placer := p.placers[s.Name]
+	if placer == nil {
+		placer = p.Placer(s.Name)
+		p.placers[s.Name] = placer
+	}
+	store := p.stores[s.Name]
+	if store == nil {
+		store = &storeWindow{span: p.StoreWindow}
+		p.stores[s.Name] = store
+	}
+	reports := p.Fleet.Reports(s.Name, now)
+	view := p.view(s, reports, now)
+	for _, move := range placer.Place(now, view) {
+		p.give(ctx, now, term, s, store, reports, move)
+	}
+}
+
+// give orders one move, unless the store or the engine has to wait. mu is held.
+func (p *Placement) give(ctx context.Context, now time.Time, term uint64, s *route.Service, store *storeWindow, reports []fleet.Report, move bamboostep.Move) {
+	load := move.Order.Kind == bamboostep.LoadModel
+	if !load && move.Order.Kind != bamboostep.UnloadModel {
+		return // adapters are their holders' matter
+	}
+	i := slices.IndexFunc(reports, func(r fleet.Report) bool { return r.Address == move.VM })
+	if i < 0 || reports[i].Busy || p.isGiven(move.VM) {
+		return
+	}
+	if load && !atHand(reports[i], move.Order.Name) && !store.take(now, s.Engine.LoadsPerS) {
+		return
+	}
+	p.given[givenKey{move.VM, move.Order.Name}] = givenOrder{load, now.Add(orderTimeout)}
+	p.record("order_given", move, fmt.Sprintf("load %v, %s, at hand %v", load, move.Reason, atHand(reports[i], move.Order.Name)))
+	go p.send(ctx, term, load, move)
+}
+
+// isGiven reports whether an order to an engine is on its way. mu is held.
+func (p *Placement) isGiven(address string) bool {
+	for k := range p.given {
+		if k.address == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Placement) send(ctx context.Context, term uint64, load bool, move bamboostep.Move) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := p.Orders.Order(ctx, move.VM, fleet.OrderCall{Term: term, Load: load, Model: move.Order.Name})
+	if err != nil {
+		p.record("order_not_taken", move, err.Error())
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.given[givenKey{move.VM, move.Order.Name}] = givenOrder{load, time.Now().Add(shownAfter)}
+}
+
+func atHand(r fleet.Report, model string) bool {
+	return slices.Contains(r.InMemory, model) || slices.Contains(r.OnDisk, model)
+}
+
+func (p *Placement) record(kind string, move bamboostep.Move, detail string) {
+	p.Recorder.Record(timeline.Event{Kind: kind, VM: move.VM, Model: move.Order.Name, Detail: detail})
+}
--- /dev/null
+++ b/placement/store.go
@@ -0,0 +1,23 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// storeWindow keeps the moments at which loads from the weight store were ordered.
+type storeWindow struct {
+	span  time.Duration
+	loads []time.Time
+}
+
+// take reports whether one more load may be ordered now, and notes it.
+func (w *storeWindow) take(now time.Time, perSecond float64) bool {
+	w.loads = slices.DeleteFunc(w.loads, func(t time.Time) bool { return now.Sub(t) > w.span })
+	if float64(len(w.loads)) >= math.Max(1, math.Floor(perSecond*w.span.Seconds())) {
+		return false
+	}
+	w.loads = append(w.loads, now)
+	return true
+}
--- /dev/null
+++ b/placement/view.go
@@ -0,0 +1,103 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/route"
+)
+
+// moveWeight is the cost of one move, in requests that it must bring into time.
+const moveWeight = 4
+
+// view is what the placer may look at. mu is held.
+func (p *Placement) view(s *route.Service, reports []fleet.Report, now time.Time) bamboostep.Fleet {
+	for k, g := range p.given {
+		if now.After(g.until) {
+			delete(p.given, k)
+		}
+	}
+	f := bamboostep.Fleet{
+		Places:   []bamboostep.Place{place(s)},
+		Versions: make(map[string]bamboostep.Version, len(s.Engine.Models)),
+		Demand:   make(map[string]bamboostep.Demand, len(s.Engine.Models)),
+	}
+	for _, m := range s.Engine.Models {
+		f.Versions[m.Name] = bamboostep.Version{Name: m.Name, WeightsMiB: ceil(m.WeightsMB)}
+		f.Models = append(f.Models, bamboostep.Model{Name: m.Name, Version: m.Name, Place: s.Name, MinCopies: 1})
+		f.Demand[m.Name] = p.demand.of(m.Name, now)
+		f.Adapters = append(f.Adapters, adapters(m)...)
+	}
+	for _, r := range reports {
+		f.VMs = append(f.VMs, p.report(s, r))
+	}
+	return f
+}
+
+func place(s *route.Service) bamboostep.Place {
+	longest := time.Duration(0)
+	for _, m := range s.Engine.Models {
+		longest = max(longest, m.Load)
+	}
+	return bamboostep.Place{
+		Name:         s.Name,
+		Kind:         bamboostep.EnginePlace,
+		MemoryMiB:    int64(s.Engine.WeightsMB),
+		ModelsAtOnce: int(math.Ceil(s.Engine.LoadsPerS * longest.Seconds())),
+		MoveWeight:   moveWeight,
+	}
+}
+
+// adapters stands for the memory that a model's adapters may take.
+func adapters(m route.Model) []bamboostep.Adapter {
+	if m.Adapters == 0 {
+		return nil
+	}
+	return []bamboostep.Adapter{{Name: m.Name + "/", Model: m.Name, Version: m.Name, WeightsMiB: ceil(float64(m.Adapters) * m.AdapterMB)}}
+}
+
+func ceil(mb float64) int64 { return int64(math.Ceil(mb)) }
+
+// report turns a holder's report into what the placer looks at, with orders laid
+// over it that it cannot show yet.
+func (p *Placement) report(s *route.Service, r fleet.Report) bamboostep.Report {
+	out := bamboostep.Report{VM: r.Address, Place: s.Name, FailureDomain: r.Domain, Ready: !r.Down, MemoryMiB: int64(s.Engine.WeightsMB)}
+	out.Kept = append(slices.Clone(r.InMemory), r.OnDisk...)
+	for _, m := range s.Engine.Models {
+		state, there := p.replicaState(r, m.Name)
+		if !there {
+			continue
+		}
+		size := ceil(m.WeightsMB)
+		out.Replicas = append(out.Replicas, bamboostep.Replica{Name: m.Name, Version: m.Name, MiB: size, State: state})
+		out.ReservedMiB += size + ceil(float64(adaptersOn(r, m.Name))*m.AdapterMB)
+	}
+	return out
+}
+
+func adaptersOn(r fleet.Report, model string) int {
+	for _, m := range r.Models {
+		if m.Name == model {
+			return len(m.Adapters)
+		}
+	}
+	return 0
+}
+
+// replicaState returns the state of a model on an engine. mu is held.
+func (p *Placement) replicaState(r fleet.Report, model string) (bamboostep.ReplicaState, bool) {
+	held := slices.ContainsFunc(r.Models, func(m bamboostep.HeldModel) bool { return m.Name == model })
+	given, isGiven := p.given[givenKey{r.Address, model}]
+	switch {
+	case held && (slices.Contains(r.Unloading, model) || isGiven && !given.load):
+		return bamboostep.ReplicaUnloading, true
+	case held:
+		return bamboostep.ReplicaResident, true
+	case slices.Contains(r.Loading, model) || isGiven && given.load:
+		return bamboostep.ReplicaLoading, true
+	}
+	return "", false
+}
--- a/route/route.go
+++ b/route/route.go
@@ -145,6 +145,37 @@
 // Service returns the service of a name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Engine returns what is published of a service's engines, or nil. t may be nil.
+func (t *Table) Engine(service string) *Engine {
+	if t == nil || t.services[service] == nil {
+		return nil
+	}
+	return t.services[service].Engine
+}
+
+// HealthPath returns the path on which a service's backend servers answer for their
+// health, empty if it is not published. t may be nil.
+func (t *Table) HealthPath(service string) string {
+	if t == nil || t.services[service] == nil {
+		return ""
+	}
+	return t.services[service].HealthPath
+}
+
+// EngineServices returns the services that have engines. t may be nil.
+func (t *Table) EngineServices() []string {
+	if t == nil {
+		return nil
+	}
+	var names []string
+	for _, s := range t.Services {
+		if s.Engine != nil {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
 // Match returns the route with the longest prefix of the path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	host = strings.ToLower(host)
--- a/stock/placer.go
+++ b/stock/placer.go
@@ -271,6 +271,9 @@
 	if x, y := m.inDomain(a.domain), m.inDomain(b.domain); x != y {
 		return y
 	}
+	if x, y := slices.Contains(a.copied, m.Version), slices.Contains(b.copied, m.Version); x != y {
+		return x
+	}
 	if a.load != b.load {
 		return a.load < b.load
 	}
--- a/stock/view.go
+++ b/stock/view.go
@@ -33,6 +33,7 @@
 	copies  []*replica
 	strange []bamboostep.Replica // of models that are not declared
 	kept    []*model             // that memory was set aside for
+	copied  []string             // versions whose weights the VM keeps
 	awaited bool                 // a repacking needs memory here that is not free
 }
 
@@ -172,7 +173,7 @@
 }
 
 func (v *view) addWorker(r *bamboostep.Report) {
-	w := &worker{name: r.VM, domain: r.FailureDomain, free: r.MemoryMiB - max(r.ReservedMiB, r.HeldMiB)}
+	w := &worker{name: r.VM, domain: r.FailureDomain, copied: r.Kept, free: r.MemoryMiB - max(r.ReservedMiB, r.HeldMiB)}
 	v.workers = append(v.workers, w)
 	for _, rep := range r.Replicas {
 		if rep.State == bamboostep.ReplicaUnloading {
