--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -249,6 +249,19 @@
 	return addresses
 }
 
+// AllReport reports whether there is a report of each backend server of a service.
+func (f *Fleet) AllReport(service string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	for _, s := range f.byService[service] {
+		if !s.listing.Leaving && (s.reportAt.IsZero() || now.Sub(s.reportAt) > reportMaxAge) {
+			return false
+		}
+	}
+	return len(f.byService[service]) > 0
+}
+
 // Reports returns the last reports that are not too old, and those of backend
 // servers that leave left out.
 func (f *Fleet) Reports(service string, now time.Time) []Report {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -200,8 +200,13 @@
 	x.promised = false
 	x.mayRun++
 	x.tried = append(x.tried, run.Address)
-	run.End(fleet.EndedFailed, now)
 	x.record("attempt_unanswered", run.Address, err.Error())
+	if !now.Before(x.deadline) {
+		run.End(fleet.EndedByUs, now)
+		x.timeOut()
+		return resultDone
+	}
+	run.End(fleet.EndedFailed, now)
 	return resultAgain
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,11 @@
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
+const (
+	tableWait = 1200 * time.Millisecond
+	tableStep = 10 * time.Millisecond
+)
+
 // Adapters has an adapter loaded where a request is to run.
 type Adapters interface {
 	LoadAdapter(ctx context.Context, address string, n fleet.ModelName) error
@@ -113,8 +118,7 @@
 	if err != nil {
 		return x.fail(http.StatusBadRequest, "request_unreadable", err.Error())
 	}
-	x.table = x.g.Table()
-	if x.table == nil {
+	if x.table = x.awaitTable(); x.table == nil {
 		return x.refuse("no_routes", retrySoon)
 	}
 	x.route = x.table.Match(call.Host, call.Path)
@@ -136,6 +140,22 @@
 	return true
 }
 
+// awaitTable returns the routes in force. A process that has just started waits for
+// its first for a moment, since a voter brings them as soon as it is reached.
+func (x *exchange) awaitTable() *route.Table {
+	until := x.arrived.Add(tableWait)
+	if x.call.Within > 0 {
+		until = x.arrived.Add(min(tableWait, x.call.Within/3))
+	}
+	for {
+		table := x.g.Table()
+		if table != nil || !time.Now().Before(until) || x.r.Context().Err() != nil {
+			return table
+		}
+		time.Sleep(tableStep)
+	}
+}
+
 func (x *exchange) name() fleet.ModelName {
 	return fleet.ModelName{Model: x.call.Model, Adapter: x.call.Adapter}
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -139,7 +139,7 @@
 		h.taken, h.unsettled, h.loading, h.unloading = 0, nil, "", ""
 		h.instance = ""
 	}
-	if h.instance == "" && !h.identifying {
+	if h.instance == "" && !h.identifying && h.Spec() != nil {
 		h.identifying = true
 		go h.identify(r.Born)
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -26,11 +26,6 @@
 	sweepInterval  = time.Second
 	demandInterval = 500 * time.Millisecond
 
-	// A process that stops takes requests until the platform sends it none, refuses
-	// those that would not end any more, and ends when none is left.
-	stopTaking  = 3500 * time.Millisecond
-	stopEarly   = 4 * time.Second
-	stopMargin  = 500 * time.Millisecond // before the platform kills the process
 	stopPolling = 20 * time.Millisecond
 
 	budgetUse = 0.8 // part of the retry budget that is used, for entries that count differently
@@ -132,12 +127,13 @@
 	e.event("stopping", fmt.Sprintf("%d requests", e.gateway.Running()))
 	e.stopping.Store(true)
 	e.gateway.Stop()
+	plan := gateway.Stopping{Grace: e.cfg.Grace}
 	for {
 		passed := time.Since(began)
-		if passed > stopTaking {
+		if plan.Refuses(passed) {
 			e.gateway.Refuse()
 		}
-		if passed > stopEarly && e.gateway.Running() == 0 || passed > e.cfg.Grace-stopMargin {
+		if plan.Ends(passed, e.gateway.Running()) {
 			e.event("stopped", fmt.Sprintf("%d requests", e.gateway.Running()))
 			return
 		}
--- a/node/process.go
+++ b/node/process.go
@@ -21,6 +21,10 @@
 	"github.com/bamboostep/bamboostep/wire"
 )
 
+// redialDelay is the longest delay between two dials, so that processes that start
+// all at once after a loss of power find each other within moments.
+const redialDelay = 300 * time.Millisecond
+
 // process is what all roles have in common.
 type process struct {
 	ctx      context.Context
@@ -46,6 +50,7 @@
 			Clock:   clock,
 			Metrics: wire.NewMetrics(registry),
 			Source:  net.ParseIP(cfg.IP),
+			Redial:  redialDelay,
 		},
 	}
 	go p.noteReloads()
--- a/node/voter.go
+++ b/node/voter.go
@@ -20,6 +20,10 @@
 	"github.com/bamboostep/bamboostep/wire"
 )
 
+// leastWork is the work of an engine, in tokens a second, that is not worth a move:
+// a twentieth of what an engine reads.
+const leastWork = 2000
+
 // runVoter runs a process that votes in the ledger and serves operators.
 func runVoter(p *process) error {
 	seeds := p.voters()
@@ -58,7 +62,7 @@
 			_, term, leads := v.Leader()
 			return term, leads
 		},
-		Placer:      func(string) bamboostep.Placer { return &stock.Placer{} },
+		Placer:      func(string) bamboostep.Placer { return &stock.Spread{LeastWork: leastWork} },
 		Recorder:    p.recorder,
 		StoreWindow: p.cfg.StoreWindow,
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -28,7 +28,8 @@
 	roundInterval = 250 * time.Millisecond
 	orderTimeout  = 2500 * time.Millisecond // a holder sends an order several times
 	shownAfter    = 300 * time.Millisecond  // in which a report shows an order
-	leadDelay     = time.Second             // a new leader first hears what engines hold and callers ask
+	leadDelay     = time.Second             // a new leader waits so long for reports that do not come
+	roundSpacing  = 40 * time.Millisecond   // between rounds that reports bring about
 )
 
 // Orders gives orders to holders. *fleet.Links is one.
@@ -86,11 +87,14 @@
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
 	for {
+		changed := p.Fleet.Changed()
+		p.round(ctx, time.Now())
+		time.Sleep(roundSpacing)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case now := <-t.C:
-			p.round(ctx, now)
+		case <-t.C:
+		case <-changed:
 		}
 	}
 }
@@ -108,13 +112,12 @@
 		p.ledSince = now
 		clear(p.placers)
 	}
-	if now.Sub(p.ledSince) < leadDelay {
-		return
-	}
 	for i := range table.Services {
-		if s := &table.Services[i]; s.Engine != nil {
-			p.place(ctx, now, term, s)
+		s := &table.Services[i]
+		if s.Engine == nil || now.Sub(p.ledSince) < leadDelay && !p.Fleet.AllReport(s.Name, now) {
+			continue
 		}
+		p.place(ctx, now, term, s)
 	}
 }
 
--- a/placement/view.go
+++ b/placement/view.go
@@ -21,7 +21,7 @@
 		}
 	}
 	f := bamboostep.Fleet{
-		Places:   []bamboostep.Place{place(s)},
+		Places:   []bamboostep.Place{place(s, len(reports))},
 		Versions: make(map[string]bamboostep.Version, len(s.Engine.Models)),
 		Demand:   make(map[string]bamboostep.Demand, len(s.Engine.Models)),
 	}
@@ -37,7 +37,7 @@
 	return f
 }
 
-func place(s *route.Service) bamboostep.Place {
+func place(s *route.Service, engines int) bamboostep.Place {
 	longest := time.Duration(0)
 	for _, m := range s.Engine.Models {
 		longest = max(longest, m.Load)
@@ -46,7 +46,7 @@
 		Name:         s.Name,
 		Kind:         bamboostep.EnginePlace,
 		MemoryMiB:    int64(s.Engine.WeightsMB),
-		ModelsAtOnce: int(math.Ceil(s.Engine.LoadsPerS * longest.Seconds())),
+		ModelsAtOnce: max(int(math.Ceil(s.Engine.LoadsPerS*longest.Seconds())), engines),
 		MoveWeight:   moveWeight,
 	}
 }
--- /dev/null
+++ b/stock/spread_test.go
@@ -0,0 +1,91 @@
+package stock
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// askFor sets what callers ask of one model, in tokens a second.
+func (f *testFleet) askFor(model string, tokens float64) {
+	f.Demand[model] = bamboostep.Demand{Name: model, Rate: tokens / 1000, Work: tokens}
+}
+
+func (f *testFleet) holding(model string) int {
+	n := 0
+	for _, vm := range f.VMs {
+		for _, rep := range vm.Replicas {
+			if rep.Name == model && rep.State == bamboostep.ReplicaResident {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestSpreadFollowsShift is demand that moves at once from one model to another that
+// a single VM holds. Without requests that came late it must have copies on most VMs
+// within a few rounds, every model must stay reachable, and moves must end.
+func TestSpreadFollowsShift(t *testing.T) {
+	f := newTestFleet(9, 13, 3300)
+	f.askFor("m0", 9000)
+	p := &Spread{LeastWork: 500}
+	if _, settled := f.settle(p, 60); !settled {
+		t.Fatal("placement of the first demand did not settle")
+	}
+	if got := f.holding("m0"); got < 6 {
+		t.Errorf("copies of the busy model: got %d, want at least 6", got)
+	}
+	f.askFor("m0", 0)
+	f.askFor("m7", 9000)
+	moves, settled := f.settle(p, 60)
+	if !settled {
+		t.Fatal("placement after the shift did not settle")
+	}
+	if got := f.holding("m7"); got < 6 {
+		t.Errorf("copies of the newly busy model: got %d, want at least 6", got)
+	}
+	if moves > 30 {
+		t.Errorf("moves for one shift: got %d, want at most 30", moves)
+	}
+	for _, m := range f.Models {
+		if f.holding(m.Name) == 0 {
+			t.Errorf("model %s: got no copy, want at least one", m.Name)
+		}
+	}
+}
+
+// TestSpreadAtRest is a fleet that nobody asks for anything: nothing but lost copies
+// is worth a move.
+func TestSpreadAtRest(t *testing.T) {
+	f := newTestFleet(9, 13, 3300)
+	p := &Spread{LeastWork: 500}
+	moves, settled := f.settle(p, 60)
+	if !settled || moves != len(f.Models) {
+		t.Errorf("moves: got %d (settled %v), want %d", moves, settled, len(f.Models))
+	}
+}
+
+// TestSpreadNeverOvercommits draws demand, losses and orders that end at any time.
+func TestSpreadNeverOvercommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newTestFleet(rapid.IntRange(2, 8).Draw(t, "workers"), rapid.IntRange(1, 9).Draw(t, "models"), 3300)
+		p := &Spread{LeastWork: 500}
+		now := time.Unix(0, 0)
+		for range 40 {
+			model := rapid.SampledFrom(f.Models).Draw(t, "model").Name
+			f.askFor(model, float64(rapid.IntRange(0, 20000).Draw(t, "tokens")))
+			for _, m := range p.Place(now, f.Fleet) {
+				f.start(m)
+			}
+			f.finish(func() bool { return rapid.Bool().Draw(t, "ends") })
+			now = now.Add(250 * time.Millisecond)
+		}
+		if f.refused > 0 {
+			t.Fatalf("orders that did not fit: got %d, want 0", f.refused)
+		}
+	})
+}
--- a/wire/node.go
+++ b/wire/node.go
@@ -34,8 +34,9 @@
 	Hello   Hello // Version may be left 0
 	Clock   *timeline.Clock
 	Metrics *Metrics
-	TLS     *tls.Config // mutual TLS on every connection; nil for plain TCP
-	Source  net.IP      // address that links dial from; nil for the kernel's choice
+	TLS     *tls.Config   // mutual TLS on every connection; nil for plain TCP
+	Redial  time.Duration // longest delay between two dials of a link; 2 s if 0
+	Source  net.IP        // address that links dial from; nil for the kernel's choice
 
 	once    sync.Once
 	started time.Time
@@ -173,11 +174,18 @@
 			delay = minRedialDelay
 		}
 		pause(ctx, delay/2+rand.N(delay/2))
-		delay = min(2*delay, maxRedialDelay)
+		delay = min(2*delay, l.Node.longestDelay())
 	}
 	return ctx.Err()
 }
 
+func (n *Node) longestDelay() time.Duration {
+	if n.Redial > 0 {
+		return n.Redial
+	}
+	return maxRedialDelay
+}
+
 func (l *Link) connect(ctx context.Context) {
 	d := net.Dialer{Timeout: dialTimeout}
 	if l.Node.Source != nil {
