Spread estimates the work of engines as entries send it, and heeds the store

Cause: with the work of a model split evenly over its copies, copies went to engines that entries already relieved; room was made for loads that the store could not bear for seconds, so models went and came back.

Ruled out: a higher rate of orders alone (more loads, same levels).

Change: stock levels the work of all models over their holders; a copy needs a least gain; nothing is unloaded for a load from the store before that may begin. The store's window uses its stated rate and margin; an order without an answer counts until it cannot begin any more.

--- a/fleet/links.go
+++ b/fleet/links.go
@@ -171,6 +171,9 @@
 	return "holder of " + e.Address + " refused (" + e.Code + "): " + e.Detail
 }
 
+// InDoubt reports whether the order may be carried out later.
+func (e *RefusedError) InDoubt() bool { return e.Code == CodeNoAnswer }
+
 func (r OrderReply) err(address string) error {
 	if r.Code == "" {
 		return nil
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -33,6 +33,10 @@
 	Model string `msgpack:"model"`
 }
 
+// CodeNoAnswer is the code of an order that the engine did not answer and may carry
+// out later.
+const CodeNoAnswer = "no_answer"
+
 // OrderReply says what came of an order.
 type OrderReply struct {
 	Code   string `msgpack:"code"` // empty when done; else stable, snake case
--- a/holder/adapter.go
+++ b/holder/adapter.go
@@ -76,7 +76,7 @@
 	err := h.give(*order)
 	var refused *bamboostep.OrderError
 	if err != nil && !errors.As(err, &refused) {
-		return true, fleet.OrderReply{Code: codeNoAnswer, Detail: err.Error()}
+		return true, fleet.OrderReply{Code: fleet.CodeNoAnswer, Detail: err.Error()}
 	}
 	if err == nil {
 		h.noteAdapter(*order)
--- a/holder/order.go
+++ b/holder/order.go
@@ -18,7 +18,6 @@
 	codeNoRoom    = "no_room"    // it would not fit
 	codeNoModel   = "no_model"   // of an adapter: the model is not held; of a model: not declared
 	codeStale     = "stale_term" // a newer leader has given orders
-	codeNoAnswer  = "no_answer"  // it may be carried out later
 	codeRefused   = "refused"    // by the engine
 	codeLeaving   = "leaving"
 	codeNotLoaded = "not_loaded" // in time
@@ -189,5 +188,5 @@
 	if errors.As(err, &refused) {
 		return fleet.OrderReply{Code: codeRefused, Detail: err.Error()}
 	}
-	return fleet.OrderReply{Code: codeNoAnswer, Detail: err.Error()}
+	return fleet.OrderReply{Code: fleet.CodeNoAnswer, Detail: err.Error()}
 }
--- a/interface.go
+++ b/interface.go
@@ -111,6 +111,8 @@
 	VMs      []Report
 	Demand   map[string]Demand
 	InFlight int // loads in flight from the store
+
+	StoreLoads int // loads from the store that may begin now, for placers that heed it
 }
 
 // Move is one change that a Placer wants: an order for one VM.
--- a/node/voter.go
+++ b/node/voter.go
@@ -21,8 +21,8 @@
 )
 
 // leastWork is the work of an engine, in tokens a second, that is not worth a move:
-// a twentieth of what an engine reads.
-const leastWork = 2000
+// about a tenth of what an engine reads.
+const leastWork = 3000
 
 // runVoter runs a process that votes in the ledger and serves operators.
 func runVoter(p *process) error {
@@ -65,6 +65,7 @@
 		Placer:      func(string) bamboostep.Placer { return &stock.Spread{LeastWork: leastWork} },
 		Recorder:    p.recorder,
 		StoreWindow: p.cfg.StoreWindow,
+		StoreOver:   p.cfg.StoreOver,
 	}
 	place.Register(mux)
 	own, err := p.listen()
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -9,7 +9,7 @@
 )
 
 // demandFade is the time in which what was asked fades to a third.
-const demandFade = 4 * time.Second
+const demandFade = 3 * time.Second
 
 // demand adds up what the entries' callers ask of each model. Older counts fade, so
 // that a shift shows within seconds.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -49,6 +50,7 @@
 
 	// StoreWindow is the span over which loads from the store are counted.
 	StoreWindow time.Duration
+	StoreOver   float64 // part of the store's rate that may be used
 
 	mu       sync.Mutex
 	demand   demand
@@ -130,11 +132,12 @@
 	}
 	store := p.stores[s.Name]
 	if store == nil {
-		store = &storeWindow{span: p.StoreWindow}
+		store = &storeWindow{span: p.StoreWindow, over: p.StoreOver}
 		p.stores[s.Name] = store
 	}
 	reports := p.Fleet.Reports(s.Name, now)
 	view := p.view(s, reports, now)
+	view.StoreLoads = store.free(now, s.Engine.LoadsPerS)
 	for _, move := range placer.Place(now, view) {
 		p.give(ctx, now, term, s, store, reports, move)
 	}
@@ -150,12 +153,16 @@
 	if i < 0 || reports[i].Busy || p.isGiven(move.VM) {
 		return
 	}
-	if load && !atHand(reports[i], move.Order.Name) && !store.take(now, s.Engine.LoadsPerS) {
-		return
+	fromStore := load && !atHand(reports[i], move.Order.Name)
+	if fromStore {
+		if store.free(now, s.Engine.LoadsPerS) == 0 {
+			return
+		}
+		store.take(now)
 	}
 	p.given[givenKey{move.VM, move.Order.Name}] = givenOrder{load, now.Add(orderTimeout)}
-	p.record("order_given", move, fmt.Sprintf("load %v, %s, at hand %v", load, move.Reason, atHand(reports[i], move.Order.Name)))
-	go p.send(ctx, term, load, move)
+	p.record("order_given", move, fmt.Sprintf("load %v, %s, from store %v", load, move.Reason, fromStore))
+	go p.send(ctx, term, fromStore, store, move)
 }
 
 // isGiven reports whether an order to an engine is on its way. mu is held.
@@ -168,7 +175,8 @@
 	return false
 }
 
-func (p *Placement) send(ctx context.Context, term uint64, load bool, move bamboostep.Move) {
+func (p *Placement) send(ctx context.Context, term uint64, fromStore bool, store *storeWindow, move bamboostep.Move) {
+	load := move.Order.Kind == bamboostep.LoadModel
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := p.Orders.Order(ctx, move.VM, fleet.OrderCall{Term: term, Load: load, Model: move.Order.Name})
@@ -178,6 +186,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.given[givenKey{move.VM, move.Order.Name}] = givenOrder{load, time.Now().Add(shownAfter)}
+	var refused *fleet.RefusedError
+	if fromStore && err != nil && (!errors.As(err, &refused) || refused.InDoubt()) {
+		store.doubt(time.Now())
+	}
 }
 
 func atHand(r fleet.Report, model string) bool {
--- a/stock/fleet_test.go
+++ b/stock/fleet_test.go
@@ -26,6 +26,8 @@
 		Places:   []bamboostep.Place{p},
 		Versions: make(map[string]bamboostep.Version),
 		Demand:   make(map[string]bamboostep.Demand),
+
+		StoreLoads: 3,
 	}}
 	for i := range workers {
 		f.addVM(fmt.Sprintf("vm-%04d", i), p.FailureDomains[i%len(p.FailureDomains)])
--- a/stock/spread.go
+++ b/stock/spread.go
@@ -26,9 +26,11 @@
 var _ bamboostep.Placer = (*Spread)(nil)
 
 const (
-	spreadMoves  = 6   // in one round
-	spreadRatio  = 0.9 // work of the VM that gets a copy, to that of the VM that is relieved, at most
-	spreadLost   = 0.4 // work that unloaded copies carried, to that of the new copy, at most
+	spreadMoves  = 8    // in one round
+	spreadRatio  = 0.85 // work of the VM that gets a copy, to that of the busiest holder, at most
+	spreadGain   = 0.3  // least gain, in LeastWork
+	spreadLost   = 0.4  // work that unloaded copies carried, to that of one copy of the model, at most
+	storePart    = 0.7  // part of the gain that counts for a load from the store, which others wait for
 	reasonSpread = "spread"
 )
 
@@ -55,26 +57,31 @@
 	model *model
 	to    *worker
 	evict surplus
-	score float64 // work of the VM that gets the copy, and what is lost for it
+	gain  float64 // work that the busiest holder is relieved of, roughly, tokens a second
 }
 
 // spreadOne makes the most useful move, if there is one.
 func (p *Spread) spreadOne(now time.Time, v *view) bool {
-	loads := v.presentLoads()
+	loads := v.levels()
 	models := slices.Clone(v.models)
 	slices.SortStableFunc(models, func(a, b *model) int { return cmp.Compare(b.workOfOne(), a.workOfOne()) })
+	var best *spreading
 	for _, m := range models {
-		best := v.bestSpreading(m, loads, p.LeastWork)
-		if best == nil {
-			continue
+		if s := p.bestFor(v, m, loads); s != nil && (best == nil || s.gain > best.gain) {
+			best = s
 		}
-		p.carryOut(now, v, best)
-		return true
 	}
-	return false
+	if best == nil {
+		return false
+	}
+	p.carryOut(now, v, best)
+	return true
 }
 
 func (p *Spread) carryOut(now time.Time, v *view, s *spreading) {
+	if !slices.Contains(s.to.copied, s.model.Version) {
+		v.store--
+	}
 	if len(s.evict.copies) == 0 {
 		v.addLoad(s.model, s.to, reasonSpread)
 		return
@@ -86,67 +93,49 @@
 	p.placer.rooms[s.to.name] = room{s.model.Name, now.Add(roomKept)}
 }
 
-// presentLoads returns the work of each worker, with that of each model spread over
-// the copies that answer or load.
-func (v *view) presentLoads() map[*worker]float64 {
-	loads := make(map[*worker]float64, len(v.workers))
-	for _, m := range v.models {
-		n := float64(max(1, m.holders()))
-		for _, w := range v.workers {
-			if m.on(w) {
-				loads[w] += m.work / n
-			}
-		}
-	}
-	return loads
-}
-
-// holders counts the copies of m, those that wait for room included.
-func (m *model) holders() int {
-	on := make(map[*worker]bool)
-	for _, r := range m.copies {
-		if r.State != bamboostep.ReplicaUnloading {
-			on[r.worker] = true
-		}
+// bestFor returns the best place for one more copy of m, or nil if none helps.
+func (p *Spread) bestFor(v *view, m *model, loads map[*worker]float64) *spreading {
+	level := 0.0
+	for _, w := range m.holders() {
+		level = max(level, loads[w])
 	}
-	return len(on)
-}
-
-// bestSpreading returns the best place for one more copy of m, or nil if none helps.
-func (v *view) bestSpreading(m *model, loads map[*worker]float64, least float64) *spreading {
-	busiest := 0.0
-	for _, w := range v.workers {
-		if m.on(w) {
-			busiest = max(busiest, loads[w])
-		}
-	}
-	if busiest < least || m.work <= 0 {
+	if level < p.LeastWork || m.work <= 0 {
 		return nil
 	}
-	share := m.work / float64(m.holders()+1)
 	var best *spreading
 	for _, w := range v.workers {
-		if m.on(w) || len(w.kept) > 0 || loads[w]+share > spreadRatio*busiest {
+		s := spreading{model: m, to: w, gain: min(level-loads[w], m.workOfOne())}
+		if m.on(w) || len(w.kept) > 0 || loads[w] > spreadRatio*level || !v.makeSpread(&s) {
 			continue
 		}
-		s := spreading{model: m, to: w, score: loads[w] + share}
-		if w.free < m.size {
-			s.evict = w.surplus(m.size, keepOne, false)
-			if s.evict.free < m.size || s.evict.work > spreadLost*share || len(s.evict.copies) == 0 || len(s.evict.copies) > v.unloads {
-				continue
-			}
-			s.score += s.evict.work
-		}
-		if !slices.Contains(w.copied, m.Version) {
-			s.score += share / 2 // a load from the store takes longer, and others wait for it
-		}
-		if best == nil || s.score < best.score {
+		if s.gain >= p.LeastWork*spreadGain && (best == nil || s.gain > best.gain) {
 			best = &s
 		}
 	}
 	return best
 }
 
+// makeSpread finds what must go for a copy, and takes what that loses from its gain.
+// It returns false if there is no way.
+func (v *view) makeSpread(s *spreading) bool {
+	if !slices.Contains(s.to.copied, s.model.Version) {
+		if v.store <= 0 {
+			return false
+		}
+		s.gain *= storePart
+	}
+	if s.to.free >= s.model.size {
+		return true
+	}
+	s.evict = s.to.surplus(s.model.size, keepOne, false)
+	enough := s.evict.free >= s.model.size && len(s.evict.copies) > 0 && len(s.evict.copies) <= v.unloads
+	if !enough || s.evict.work > spreadLost*s.model.workOfOne() {
+		return false
+	}
+	s.gain -= s.evict.work
+	return true
+}
+
 // secondCopies loads a second copy of models that are asked for, where memory is
 // free, so that the loss of one VM leaves them reachable.
 func (v *view) secondCopies() {
@@ -158,9 +147,11 @@
 		if m.present() != 1 {
 			continue
 		}
-		if w := v.bestWorker(m, func(w *worker) bool { return w.free >= m.size }); w != nil {
+		w := v.bestWorker(m, func(w *worker) bool {
+			return w.free >= m.size && (v.store > 0 || slices.Contains(w.copied, m.Version))
+		})
+		if w != nil {
 			v.addLoad(m, w, reasonSpare)
 		}
 	}
 }
-
--- a/stock/view.go
+++ b/stock/view.go
@@ -19,6 +19,7 @@
 	named   map[string]*model
 	moves   []bamboostep.Move
 	loads   int  // that may still be started
+	store   int  // of these, loads from the store
 	unloads int  // that may still be started
 	stuck   bool // no way was found to make room for a declared copy
 }
@@ -136,6 +137,7 @@
 	}
 	slices.SortFunc(v.workers, func(a, b *worker) int { return cmp.Compare(a.name, b.name) })
 	v.loads = modelsAtOnce(p) - max(loading, fleet.InFlight)
+	v.store = fleet.StoreLoads
 	v.unloads = unloadsPerLoad * modelsAtOnce(p)
 	v.spreadLoad()
 	return v
