Load notes instead of whole reports; requests stay in their failure domain

Ruled out: the platform's list (sent on change only).

Change: a report that says nothing new but the load goes as four numbers, and only for a step that matters; crossing costs 2 ms and 2 ms more for each kB; the home of a prompt's beginning is in the own failure domain where possible.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -15,6 +15,7 @@
 	Prompt  []bamboostep.PromptPart
 	Tokens  int           // of the prompt
 	Answer  int           // tokens at most
+	Bytes   int           // of the request
 	Slots   int           // of one backend server, where its listing does not say
 	Avoid   []string      // addresses that failed this request
 	Longest time.Duration // a longer wait for the first event is of no use; 0 for any
@@ -47,7 +48,8 @@
 	prefillPerMS  = 38.0 // prompt tokens read in a millisecond
 	stepCost      = 0.35 // milliseconds that each running request adds
 	noRoomCost    = 400 * time.Millisecond
-	farCost       = 3 * time.Millisecond   // in another failure domain
+	farCost       = 2 * time.Millisecond   // in another failure domain, and as much again for each
+	farBytes      = 1 << 10                // bytes of the request
 	adapterCost   = 8 * time.Millisecond   // of an adapter that must be loaded first
 	busyCost      = 500 * time.Millisecond // of waiting for a model's load before an adapter's
 	failShareCost = 4 * time.Second        // of a backend server all of whose requests fail
@@ -85,7 +87,7 @@
 	if len(candidates) == 0 {
 		return nil, &NoServerError{Service: w.Service, Reason: reason}
 	}
-	home := homeOf(candidates, hashes)
+	home := f.homeOf(candidates, hashes)
 	best := f.estimate(now, w, candidates[0], hashes, home)
 	for _, s := range candidates[1:] {
 		if e := f.estimate(now, w, s, hashes, home); e.cost < best.cost {
@@ -128,8 +130,9 @@
 	return h != nil && h.absent.IsZero() && !slices.Contains(s.report.Unloading, model)
 }
 
-// homeOf returns the candidate where prompts with the same beginning go.
-func homeOf(candidates []*server, hashes []uint64) *server {
+// homeOf returns the candidate where prompts with the same beginning go: one in the
+// own failure domain if there is any.
+func (f *Fleet) homeOf(candidates []*server, hashes []uint64) *server {
 	if len(hashes) < 2 {
 		return nil
 	}
@@ -137,7 +140,9 @@
 	var home *server
 	var highest uint64
 	for _, s := range candidates {
-		if r := homeRank(beginning, s.listing.Instance); home == nil || r > highest {
+		near, homeNear := s.listing.Domain == f.Domain, home != nil && home.listing.Domain == f.Domain
+		r := homeRank(beginning, s.listing.Instance)
+		if home == nil || near && !homeNear || near == homeNear && r > highest {
 			home, highest = s, r
 		}
 	}
@@ -170,7 +175,7 @@
 	}
 	e.cost = e.wait + time.Duration(s.failing(now)*float64(failShareCost))
 	if s.listing.Domain != f.Domain {
-		e.cost += farCost
+		e.cost += farCost + farCost*time.Duration(w.Bytes/farBytes)
 	}
 	return e
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -230,6 +230,19 @@
 	}
 }
 
+// NoteLoad takes a holder's note that arrived now. It changes the last report.
+func (f *Fleet) NoteLoad(address string, n LoadNote, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	s := f.byAddress[address]
+	if s == nil || s.reportAt.IsZero() {
+		return
+	}
+	s.report.Waiting, s.report.Running, s.report.CacheUsed = n.Waiting, n.Running, n.CacheUsed
+	s.reportAt = now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
+}
+
 func sameHolding(a, b Report) bool {
 	return a.Leaving == b.Leaving && slices.Equal(a.Loading, b.Loading) &&
 		slices.EqualFunc(a.Models, b.Models, func(x, y bamboostep.HeldModel) bool {
--- a/fleet/links.go
+++ b/fleet/links.go
@@ -85,7 +85,7 @@
 	link := &wire.Link{
 		Node:    l.Node,
 		Address: net.JoinHostPort(host, strconv.Itoa(l.Port)),
-		Handler: wire.HandlerFunc(l.handle),
+		Handler: wire.HandlerFunc(func(m *wire.Message) { l.handle(address, m) }),
 		Up:      func(c *wire.Conn) { go l.subscribe(ctx, address, c) },
 		Down:    func(*wire.Conn) { l.Recorder.Record(timeline.Event{Kind: "holder_lost", VM: address}) },
 	}
@@ -108,16 +108,23 @@
 	}
 }
 
-func (l *Links) handle(m *wire.Message) {
-	if m.Kind != KindReport {
-		return
+func (l *Links) handle(address string, m *wire.Message) {
+	var err error
+	switch m.Kind {
+	case KindReport:
+		var r Report
+		if err = m.Decode(&r); err == nil {
+			l.Fleet.NoteReport(r, time.Now())
+		}
+	case KindLoad:
+		var n LoadNote
+		if err = m.Decode(&n); err == nil {
+			l.Fleet.NoteLoad(address, n, time.Now())
+		}
 	}
-	var r Report
-	if err := m.Decode(&r); err != nil {
-		l.Recorder.Record(timeline.Event{Kind: "report_unreadable", Detail: err.Error()})
-		return
+	if err != nil {
+		l.Recorder.Record(timeline.Event{Kind: "report_unreadable", VM: address, Detail: err.Error()})
 	}
-	l.Fleet.NoteReport(r, time.Now())
 }
 
 var errNoHolder = errors.New("holder is not connected")
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -8,6 +8,7 @@
 const (
 	KindSubscribe = "fleet.subscribe" // entry to holder: wants its reports; answered by Report
 	KindReport    = "fleet.report"    // holder to subscriber: a Report; no answer
+	KindLoad      = "fleet.load"      // holder to subscriber: a LoadNote; no answer
 	KindAdapter   = "fleet.adapter"   // entry to holder: AdapterCall, answered by OrderReply
 	KindUsed      = "fleet.used"      // entry to holder: UsedNote; no answer
 	KindOrder     = "fleet.order"     // leader to holder: OrderCall, answered by OrderReply
@@ -15,6 +16,17 @@
 	KindDemand    = "fleet.demand"    // entry to voter: DemandNote; no answer
 )
 
+// LoadNote is what changes most in a Report, for a report that says nothing else.
+type LoadNote struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Waiting   int
+	Running   int
+	CacheUsed int
+	AgeMS     int64
+}
+
 // AdapterCall asks a holder to have an adapter loaded.
 type AdapterCall struct {
 	Model   string `msgpack:"model"`
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -119,7 +119,7 @@
 }
 
 func (x *exchange) want(now time.Time) fleet.Want {
-	w := fleet.Want{Service: x.service.Name, Avoid: x.tried}
+	w := fleet.Want{Service: x.service.Name, Avoid: x.tried, Bytes: len(x.call.Body)}
 	if x.service.Engine == nil {
 		return w
 	}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -30,17 +30,20 @@
 	pollTimeout  = 400 * time.Millisecond
 
 	identifyTimeout = 400 * time.Millisecond
-	pushInterval    = 500 * time.Millisecond // at the latest, though nothing changed
-	downAfter       = 2                      // reports in a row that failed
-	orderTimeout    = 600 * time.Millisecond // of one sending
-	unsettledFor    = 13 * time.Second       // in which an order without an answer may be carried out
-	adapterWait     = 700 * time.Millisecond // for an adapter to be there
-	adapterCheck    = 5 * time.Millisecond
-	maxTransit      = 4 // adapters on their way to one engine
-	orderTries      = 3
-	fenceStep       = 1 << 20 // above a fencing number that was refused
-	recentlyInUse   = 400 * time.Millisecond
-	orderShown      = 300 * time.Millisecond // after which each report shows an order
+
+	loadStep      = 3                      // running requests more or less that are told at once
+	cacheSteps    = 32                     // a 32nd of the cache more or less is told at once
+	pushInterval  = 500 * time.Millisecond // at the latest, though nothing changed
+	downAfter     = 2                      // reports in a row that failed
+	orderTimeout  = 600 * time.Millisecond // of one sending
+	unsettledFor  = 13 * time.Second       // in which an order without an answer may be carried out
+	adapterWait   = 700 * time.Millisecond // for an adapter to be there
+	adapterCheck  = 5 * time.Millisecond
+	maxTransit    = 4 // adapters on their way to one engine
+	orderTries    = 3
+	fenceStep     = 1 << 20 // above a fencing number that was refused
+	recentlyInUse = 400 * time.Millisecond
+	orderShown    = 300 * time.Millisecond // after which each report shows an order
 )
 
 // Holder holds one engine. Set the exported fields before Register.
@@ -263,21 +266,40 @@
 		return
 	}
 	r := h.account(now)
-	if now.Sub(h.pushedAt) < pushInterval && sameAccount(r, h.pushed) {
-		return
+	sinceLast := now.Sub(h.pushedAt)
+	switch {
+	case !sameHolding(r, h.pushed):
+		h.pushed, h.pushedAt = r, now
+		h.broadcast(fleet.KindReport, r)
+	case sinceLast >= pushInterval || !sameLoad(r, h.pushed):
+		h.pushed, h.pushedAt = r, now
+		h.broadcast(fleet.KindLoad, fleet.LoadNote{Waiting: r.Waiting, Running: r.Running, CacheUsed: r.CacheUsed, AgeMS: r.AgeMS})
 	}
-	h.pushed, h.pushedAt = r, now
+}
+
+// broadcast sends a message to all who follow. mu is held.
+func (h *Holder) broadcast(kind string, v any) {
 	for c := range h.subscribers {
-		if c.Err() != nil || c.Send(fleet.KindReport, r) != nil {
+		if c.Err() != nil || c.Send(kind, v) != nil {
 			delete(h.subscribers, c)
 		}
 	}
 }
 
-func sameAccount(a, b fleet.Report) bool {
+func sameHolding(a, b fleet.Report) bool {
 	return a.Instance == b.Instance && a.Born == b.Born && a.Down == b.Down && a.Leaving == b.Leaving &&
-		a.Waiting == b.Waiting && a.Running == b.Running && a.CacheUsed == b.CacheUsed && a.Orders == b.Orders &&
-		slices.Equal(a.Loading, b.Loading) && slices.Equal(a.Unloading, b.Unloading)
+		a.Orders == b.Orders && a.Busy == b.Busy && len(a.Pending) == len(b.Pending) &&
+		slices.Equal(a.Loading, b.Loading) && slices.Equal(a.Unloading, b.Unloading) &&
+		slices.EqualFunc(a.Models, b.Models, func(x, y bamboostep.HeldModel) bool {
+			return x.Name == y.Name && slices.Equal(x.Adapters, y.Adapters)
+		})
+}
+
+// sameLoad reports whether two loads differ too little to be told.
+func sameLoad(a, b fleet.Report) bool {
+	return a.Waiting == b.Waiting &&
+		max(a.Running-b.Running, b.Running-a.Running) < loadStep &&
+		max(a.CacheUsed-b.CacheUsed, b.CacheUsed-a.CacheUsed) < a.CacheTokens/cacheSteps
 }
 
 func (h *Holder) handleSubscribe(m *wire.Message) {
