Busy models have two or three copies; orders without an answer block nothing

Cause: two engines crashed at once and were the only holders of a busy model; requests then waited 4 s.

Ruled out: reserving what the silent order would take. Each order names how many came before, so once the engine takes another it refuses the late one.

Change: a model with 3% of all requests has two copies, with 12% three; a holder goes on after an order without an answer; an adapter is given up at once where the engine cannot be reached; dials take 0.7 s at most.

--- a/holder/adapter.go
+++ b/holder/adapter.go
@@ -75,8 +75,8 @@
 	}
 	err := h.give(*order)
 	var refused *bamboostep.OrderError
-	if err != nil && !errors.As(err, &refused) {
-		return true, fleet.OrderReply{Code: fleet.CodeNoAnswer, Detail: err.Error()}
+	if err != nil && (!errors.As(err, &refused) || refused.Unsent) {
+		return true, replyOf(err)
 	}
 	if err == nil {
 		h.noteAdapter(*order)
@@ -94,8 +94,6 @@
 		return nil, true, fleet.OrderReply{}
 	case spec == nil || !holds(h.report, n.Model):
 		return nil, true, fleet.OrderReply{Code: codeNoModel}
-	case h.unsettled != nil:
-		return nil, true, fleet.OrderReply{Code: codeBusy}
 	case h.isPending(n) || h.report.Busy || h.loading != "" || h.unloading != "":
 		return nil, false, fleet.OrderReply{}
 	case len(h.report.Pending) >= maxTransit:
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -8,8 +8,7 @@
 // The hard point is an order without an answer. It may have been taken, may be
 // carried out seconds later, or never. Each order therefore names how many orders
 // the engine has taken before, so that at most one of two that follow the same
-// number is carried out. Until the engine's count shows which, the memory and the
-// place that the silent order would take count as taken.
+// number is carried out: whichever the engine takes first, it refuses the other.
 package holder
 
 import (
@@ -35,7 +34,7 @@
 	cacheSteps    = 32                     // a 32nd of the cache more or less is told at once
 	pushInterval  = 500 * time.Millisecond // at the latest, though nothing changed
 	downAfter     = 2                      // reports in a row that failed
-	orderTimeout  = 600 * time.Millisecond // of one sending
+	orderTimeout  = 250 * time.Millisecond // of one sending
 	unsettledFor  = 13 * time.Second       // in which an order without an answer may be carried out
 	adapterWait   = 700 * time.Millisecond // for an adapter to be there
 	adapterCheck  = 5 * time.Millisecond
@@ -243,7 +242,7 @@
 		InMemory:    h.report.InMemory,
 		OnDisk:      h.report.OnDisk,
 		Orders:      h.taken,
-		Busy:        h.report.Busy || h.unsettled != nil,
+		Busy:        h.report.Busy,
 		AgeMS:       now.Sub(h.reportAt).Milliseconds(),
 	}
 	if h.loading != "" {
--- a/holder/order.go
+++ b/holder/order.go
@@ -66,7 +66,7 @@
 		return fleet.OrderReply{Code: codeNoModel}
 	case h.report.Leaving:
 		return fleet.OrderReply{Code: codeLeaving}
-	case h.report.Busy || h.unsettled != nil || h.loading != "" || h.unloading != "":
+	case h.report.Busy || h.loading != "" || h.unloading != "":
 		return fleet.OrderReply{Code: codeBusy}
 	case call.Load && !h.fits(spec, modelNamed(spec, call.Model).WeightsMB):
 		return fleet.OrderReply{Code: codeNoRoom}
@@ -82,8 +82,8 @@
 	return &spec.Models[i]
 }
 
-// fits reports whether more memory can be taken, with what an order without an
-// answer would take counted. mu is held.
+// fits reports whether more memory can be taken. An order without an answer does not
+// count: once the engine takes another, it refuses that one. mu is held.
 func (h *Holder) fits(spec *route.Engine, moreMB float64) bool {
 	used := 0.0
 	for _, held := range h.report.Models {
@@ -95,26 +95,9 @@
 	if h.loading != "" && !holds(h.report, h.loading) {
 		used += modelNamed(spec, h.loading).WeightsMB
 	}
-	used += h.unsettledMB(spec)
 	return used+moreMB <= spec.WeightsMB
 }
 
-// unsettledMB is what an order without an answer would take. mu is held.
-func (h *Holder) unsettledMB(spec *route.Engine) float64 {
-	u := h.unsettled
-	if u == nil || !u.order.Load {
-		return 0
-	}
-	m := modelNamed(spec, u.order.Model)
-	if m == nil {
-		return 0
-	}
-	if u.order.Adapter != "" {
-		return m.AdapterMB
-	}
-	return m.WeightsMB
-}
-
 func largestAdapter(spec *route.Engine) float64 {
 	largest := 0.0
 	for _, m := range spec.Models {
@@ -159,6 +142,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.taken, h.takenAt = max(h.taken, o.After+1), time.Now()
+	h.unsettled = nil
 	kind := "order_taken_unload"
 	if o.Load {
 		kind = "order_taken_load"
--- a/node/process.go
+++ b/node/process.go
@@ -21,6 +21,10 @@
 	"github.com/bamboostep/bamboostep/wire"
 )
 
+// dialTimeout is the longest time that a dial takes. A VM that is cut off does not
+// answer, and is to be found soon once it is back.
+const dialTimeout = 700 * time.Millisecond
+
 // redialDelay is the longest delay between two dials, so that processes that start
 // all at once after a loss of power find each other within moments.
 const redialDelay = 150 * time.Millisecond
@@ -50,6 +54,7 @@
 			Clock:   clock,
 			Metrics: wire.NewMetrics(registry),
 			Source:  net.ParseIP(cfg.IP),
+			Dial:    dialTimeout,
 			Redial:  redialDelay,
 		},
 	}
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -6,6 +6,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/route"
 )
 
 // demandFade is the time in which what was asked fades to a third.
@@ -51,6 +52,15 @@
 	}
 }
 
+// rate returns the requests a second for all models.
+func (d *demand) rate(models []route.Model, now time.Time) float64 {
+	sum := 0.0
+	for _, m := range models {
+		sum += d.of(m.Name, now).Rate
+	}
+	return sum
+}
+
 // of returns the demand for a model now.
 func (d *demand) of(model string, now time.Time) bamboostep.Demand {
 	out := bamboostep.Demand{Name: model}
--- a/placement/view.go
+++ b/placement/view.go
@@ -25,10 +25,12 @@
 		Versions: make(map[string]bamboostep.Version, len(s.Engine.Models)),
 		Demand:   make(map[string]bamboostep.Demand, len(s.Engine.Models)),
 	}
+	total := p.demand.rate(s.Engine.Models, now)
 	for _, m := range s.Engine.Models {
 		f.Versions[m.Name] = bamboostep.Version{Name: m.Name, WeightsMiB: ceil(m.WeightsMB)}
-		f.Models = append(f.Models, bamboostep.Model{Name: m.Name, Version: m.Name, Place: s.Name, MinCopies: 1})
-		f.Demand[m.Name] = p.demand.of(m.Name, now)
+		d := p.demand.of(m.Name, now)
+		f.Models = append(f.Models, bamboostep.Model{Name: m.Name, Version: m.Name, Place: s.Name, MinCopies: copiesFor(d.Rate, total, len(reports))})
+		f.Demand[m.Name] = d
 		f.Adapters = append(f.Adapters, adapters(m)...)
 	}
 	for _, r := range reports {
@@ -37,6 +39,25 @@
 	return f
 }
 
+// Parts of all requests from which on a model has a second and a third copy, so that
+// the loss of one or two VMs leaves it reachable.
+const (
+	secondCopyShare = 0.03
+	thirdCopyShare  = 0.12
+)
+
+// copiesFor returns how many copies a model has at least.
+func copiesFor(rate, total float64, engines int) int {
+	copies := 1
+	if rate > secondCopyShare*total {
+		copies++
+	}
+	if rate > thirdCopyShare*total {
+		copies++
+	}
+	return min(copies, max(1, engines))
+}
+
 func place(s *route.Service, engines int) bamboostep.Place {
 	longest := time.Duration(0)
 	for _, m := range s.Engine.Models {
--- a/wire/node.go
+++ b/wire/node.go
@@ -35,6 +35,7 @@
 	Clock   *timeline.Clock
 	Metrics *Metrics
 	TLS     *tls.Config   // mutual TLS on every connection; nil for plain TCP
+	Dial    time.Duration // longest time that a dial of a link takes; 2 s if 0
 	Redial  time.Duration // longest delay between two dials of a link; 2 s if 0
 	Source  net.IP        // address that links dial from; nil for the kernel's choice
 
@@ -179,6 +180,13 @@
 	return ctx.Err()
 }
 
+func (n *Node) dialTimeout() time.Duration {
+	if n.Dial > 0 {
+		return n.Dial
+	}
+	return dialTimeout
+}
+
 func (n *Node) longestDelay() time.Duration {
 	if n.Redial > 0 {
 		return n.Redial
@@ -187,7 +195,7 @@
 }
 
 func (l *Link) connect(ctx context.Context) {
-	d := net.Dialer{Timeout: dialTimeout}
+	d := net.Dialer{Timeout: l.Node.dialTimeout()}
 	if l.Node.Source != nil {
 		d.LocalAddr = &net.TCPAddr{IP: l.Node.Source}
 	}
