Second copies of models that hardly anybody asks for spare the store

Ruled out: none at all; where the VM keeps the weights they cost a third of a second and nothing else.

Change: such a copy is loaded only where the VM keeps the weights; a model has a declared second copy from 5% of all requests on.

--- a/placement/view.go
+++ b/placement/view.go
@@ -42,7 +42,7 @@
 // Parts of all requests from which on a model has a second and a third copy, so that
 // the loss of one or two VMs leaves it reachable.
 const (
-	secondCopyShare = 0.03
+	secondCopyShare = 0.05
 	thirdCopyShare  = 0.12
 )
 
--- a/stock/spread.go
+++ b/stock/spread.go
@@ -136,8 +136,8 @@
 	return true
 }
 
-// secondCopies loads a second copy of models that are asked for, where memory is
-// free, so that the loss of one VM leaves them reachable.
+// secondCopies loads a second copy of models that are asked for, where memory is free
+// and the VM keeps the weights, so that the loss of one VM leaves them reachable.
 func (v *view) secondCopies() {
 	byRate := slices.SortedStableFunc(slices.Values(v.models), func(a, b *model) int { return cmp.Compare(b.rate, a.rate) })
 	for _, m := range byRate {
@@ -148,7 +148,7 @@
 			continue
 		}
 		w := v.bestWorker(m, func(w *worker) bool {
-			return w.free >= m.size && (v.store > 0 || slices.Contains(w.copied, m.Version))
+			return w.free >= m.size && slices.Contains(w.copied, m.Version)
 		})
 		if w != nil {
 			v.addLoad(m, w, reasonSpare)
