Idle models give up their last copy while VMs keep the weights

Ruled out: relocation (no engine has a gap as large as a model); a lower threshold of work (the moves were found, the room was not).

Change: stock.Spread may unload the last copy of a model that nobody has asked for of late, as long as VMs keep its weights and load them within 0.7 s. An entry tells the voters at once when a model is missing. Where memory is free such models stay or come back.

--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -29,7 +29,7 @@
 	f.tally(n).asked++
 }
 
-// NoteLate counts a request that no backend server was free for.
+// NoteLate counts a request that came past its target.
 func (f *Fleet) NoteLate(n ModelName) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -37,6 +37,24 @@
 	f.tally(n).late++
 }
 
+// NoteAbsent counts a request for a model that no backend server holds. The voters
+// are to hear of it at once.
+func (f *Fleet) NoteAbsent(n ModelName) {
+	f.NoteLate(n)
+	select {
+	case f.Urgent() <- struct{}{}:
+	default:
+	}
+}
+
+// Urgent returns a channel that gets a value when demand is to be told at once.
+func (f *Fleet) Urgent() chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	return f.urgent
+}
+
 func (f *Fleet) tally(n ModelName) *tally {
 	t := f.demand[n]
 	if t == nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -44,6 +44,7 @@
 	byAddress map[string]*server
 	byService map[string][]*server
 	changed   chan struct{}
+	urgent    chan struct{} // a model that no backend server holds was asked for
 	demand    map[ModelName]*tally
 }
 
@@ -107,6 +108,7 @@
 	f.byAddress = make(map[string]*server)
 	f.byService = make(map[string][]*server)
 	f.changed = make(chan struct{})
+	f.urgent = make(chan struct{}, 1)
 	f.demand = make(map[ModelName]*tally)
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -82,7 +82,7 @@
 		}
 		if !late && none.Reason == fleet.ReasonNoModel {
 			late = true
-			x.g.Fleet.NoteLate(x.name())
+			x.g.Fleet.NoteAbsent(x.name())
 		}
 		if now.Sub(began) >= x.patience(none.Reason) {
 			return nil, x.giveUp(string(none.Reason))
--- a/node/entry.go
+++ b/node/entry.go
@@ -176,9 +176,10 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-e.fleet.Urgent():
 		case now := <-t.C:
 			e.pool.Sweep(now)
-			e.follower.SendDemand(fleet.DemandNote{Entry: e.cfg.Node, Demand: e.fleet.TakeDemand()})
 		}
+		e.follower.SendDemand(fleet.DemandNote{Entry: e.cfg.Node, Demand: e.fleet.TakeDemand()})
 	}
 }
--- a/object.go
+++ b/object.go
@@ -64,6 +64,10 @@
 type Version struct {
 	Name       string `toml:"name" msgpack:"name" json:"name"`
 	WeightsMiB int64  `toml:"weights_mib" msgpack:"weights_mib" json:"weights_mib"`
+
+	// Quick says that a VM that keeps the weights loads them within a moment, so that
+	// a request can wait for it.
+	Quick bool `toml:"-" msgpack:"-" json:"-"`
 }
 
 // WithWeightsMiB returns v with its size set to n MiB.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -35,7 +35,8 @@
 	}
 }
 
-func (d *demand) note(notes []fleet.Demand, now time.Time) {
+// note takes an entry's demand, and reports whether callers wait for a model.
+func (d *demand) note(notes []fleet.Demand, now time.Time) (urgent bool) {
 	if d.models == nil {
 		d.models = make(map[string]*asked)
 	}
@@ -49,7 +50,9 @@
 		a.requests += float64(n.Asked)
 		a.tokens += float64(n.Tokens)
 		a.late += float64(n.Late)
+		urgent = urgent || n.Late > 0
 	}
+	return urgent
 }
 
 // rate returns the requests a second for all models.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -58,6 +58,7 @@
 	placers  map[string]bamboostep.Placer
 	given    map[givenKey]givenOrder
 	ledSince time.Time
+	urgent   chan struct{} // callers wait for a model
 }
 
 type givenKey struct{ address, model string }
@@ -73,6 +74,7 @@
 	p.stores = make(map[string]*storeWindow)
 	p.placers = make(map[string]bamboostep.Placer)
 	p.given = make(map[givenKey]givenOrder)
+	p.urgent = make(chan struct{}, 1)
 	mux.On(fleet.KindDemand, func(m *wire.Message) {
 		var note fleet.DemandNote
 		if m.Decode(&note) != nil {
@@ -80,7 +82,12 @@
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		p.demand.note(note.Demand, time.Now())
+		if p.demand.note(note.Demand, time.Now()) {
+			select {
+			case p.urgent <- struct{}{}:
+			default:
+			}
+		}
 	})
 }
 
@@ -97,6 +104,7 @@
 			return ctx.Err()
 		case <-t.C:
 		case <-changed:
+		case <-p.urgent:
 		}
 	}
 }
--- a/placement/view.go
+++ b/placement/view.go
@@ -27,7 +27,7 @@
 	}
 	total := p.demand.rate(s.Engine.Models, now)
 	for _, m := range s.Engine.Models {
-		f.Versions[m.Name] = bamboostep.Version{Name: m.Name, WeightsMiB: ceil(m.WeightsMB)}
+		f.Versions[m.Name] = bamboostep.Version{Name: m.Name, WeightsMiB: ceil(m.WeightsMB), Quick: m.DiskLoad > 0 && m.DiskLoad <= quickLoad}
 		d := p.demand.of(m.Name, now)
 		f.Models = append(f.Models, bamboostep.Model{Name: m.Name, Version: m.Name, Place: s.Name, MinCopies: copiesFor(d.Rate, total, len(reports))})
 		f.Demand[m.Name] = d
@@ -44,15 +44,20 @@
 const (
 	secondCopyShare = 0.05
 	thirdCopyShare  = 0.12
+	secondCopyRate  = 0.5 // requests a second, at least
+	thirdCopyRate   = 1.5
 )
 
+// quickLoad is the longest load from a VM's own disk that a request can wait for.
+const quickLoad = 700 * time.Millisecond
+
 // copiesFor returns how many copies a model has at least.
 func copiesFor(rate, total float64, engines int) int {
 	copies := 1
-	if rate > secondCopyShare*total {
+	if rate > max(secondCopyRate, secondCopyShare*total) {
 		copies++
 	}
-	if rate > thirdCopyShare*total {
+	if rate > max(thirdCopyRate, thirdCopyShare*total) {
 		copies++
 	}
 	return min(copies, max(1, engines))
--- a/stock/spread.go
+++ b/stock/spread.go
@@ -31,6 +31,7 @@
 	spreadGain   = 0.3  // least gain, in LeastWork
 	spreadLost   = 0.4  // work that unloaded copies carried, to that of one copy of the model, at most
 	storePart    = 0.7  // part of the gain that counts for a load from the store, which others wait for
+	idleRate     = 0.1  // requests a second, below which nobody misses a model
 	reasonSpread = "spread"
 )
 
@@ -41,17 +42,88 @@
 	}
 	return eachPlace(fleet, func(v *view) {
 		v.withdraw(fleet)
-		v.restore(func(m *model) bool { return m.present() < m.copiesWanted() })
+		p.restore(now, v)
 		p.placer.useRooms(now, v)
 		for range spreadMoves {
 			if v.loads <= 0 || !p.spreadOne(now, v) {
 				break
 			}
 		}
-		v.secondCopies()
+		v.fillAtHand()
 	})
 }
 
+// restore orders the copies that are missing, those of models with the fewest first
+// and of the same number the most asked for.
+func (p *Spread) restore(now time.Time, v *view) {
+	missing := slices.DeleteFunc(slices.Clone(v.models), func(m *model) bool { return m.present() >= v.needs(m) })
+	slices.SortStableFunc(missing, func(a, b *model) int {
+		return cmp.Or(cmp.Compare(a.present(), b.present()), cmp.Compare(b.rate, a.rate))
+	})
+	for _, m := range missing {
+		for m.present()+p.placer.roomsFor(m) < v.needs(m) && p.restoreOne(now, v, m) {
+		}
+	}
+}
+
+// restoreOne orders one copy, or makes room for it.
+func (p *Spread) restoreOne(now time.Time, v *view, m *model) bool {
+	var best *spreading
+	for _, w := range v.workers {
+		s := spreading{model: m, to: w}
+		if m.on(w) || len(w.kept) > 0 || v.loads <= 0 || !v.makeSpread(&s, m.present() > 0) {
+			continue
+		}
+		if best == nil || v.restoresBetter(&s, best) {
+			best = &s
+		}
+	}
+	if best == nil {
+		return false
+	}
+	p.carryOut(now, v, best)
+	return true
+}
+
+// restoresBetter compares two places for a copy of one model: where the weights are
+// kept, then where less is lost for it, then apart from other copies, then where
+// more memory is free.
+func (v *view) restoresBetter(a, b *spreading) bool {
+	if x, y := slices.Contains(a.to.copied, a.model.Version), slices.Contains(b.to.copied, b.model.Version); x != y {
+		return x
+	}
+	if a.evict.work != b.evict.work {
+		return a.evict.work < b.evict.work
+	}
+	if x, y := a.model.inDomain(a.to.domain), b.model.inDomain(b.to.domain); x != y {
+		return y
+	}
+	return a.to.free > b.to.free
+}
+
+// needs returns how many copies m must have. One that nobody has asked for of late
+// needs none while VMs keep its weights, since it is back within a moment.
+func (v *view) needs(m *model) int {
+	if v.idle(m) {
+		return 0
+	}
+	return m.copiesWanted()
+}
+
+// idle reports whether nobody misses m while it is not held.
+func (v *view) idle(m *model) bool {
+	return m.rate < idleRate && m.quick &&
+		slices.ContainsFunc(v.workers, func(w *worker) bool { return slices.Contains(w.copied, m.Version) })
+}
+
+// keepUnlessIdle lets copies go as long as one answers, and the last of an idle model.
+func (v *view) keepUnlessIdle(r *replica) int {
+	if v.idle(r.model) {
+		return 0
+	}
+	return 1
+}
+
 // spreading is one copy that would relieve a VM.
 type spreading struct {
 	model *model
@@ -105,7 +177,7 @@
 	var best *spreading
 	for _, w := range v.workers {
 		s := spreading{model: m, to: w, gain: min(level-loads[w], m.workOfOne())}
-		if m.on(w) || len(w.kept) > 0 || loads[w] > spreadRatio*level || !v.makeSpread(&s) {
+		if m.on(w) || len(w.kept) > 0 || loads[w] > spreadRatio*level || !v.makeSpread(&s, true) {
 			continue
 		}
 		if s.gain >= p.LeastWork*spreadGain && (best == nil || s.gain > best.gain) {
@@ -116,8 +188,9 @@
 }
 
 // makeSpread finds what must go for a copy, and takes what that loses from its gain.
-// It returns false if there is no way.
-func (v *view) makeSpread(s *spreading) bool {
+// It returns false if there is no way. Where others answer, a copy may not cost much
+// more than it brings.
+func (v *view) makeSpread(s *spreading, others bool) bool {
 	if !slices.Contains(s.to.copied, s.model.Version) {
 		if v.store <= 0 {
 			return false
@@ -127,28 +200,31 @@
 	if s.to.free >= s.model.size {
 		return true
 	}
-	s.evict = s.to.surplus(s.model.size, keepOne, false)
+	s.evict = s.to.surplus(s.model.size, v.keepUnlessIdle, false)
 	enough := s.evict.free >= s.model.size && len(s.evict.copies) > 0 && len(s.evict.copies) <= v.unloads
-	if !enough || s.evict.work > spreadLost*s.model.workOfOne() {
+	if !enough || others && s.evict.work > max(float64(len(s.evict.copies)), spreadLost*s.model.workOfOne()) {
 		return false
 	}
 	s.gain -= s.evict.work
 	return true
 }
 
-// secondCopies loads a second copy of models that are asked for, where memory is free
-// and the VM keeps the weights, so that the loss of one VM leaves them reachable.
-func (v *view) secondCopies() {
-	byRate := slices.SortedStableFunc(slices.Values(v.models), func(a, b *model) int { return cmp.Compare(b.rate, a.rate) })
-	for _, m := range byRate {
-		if v.loads <= 0 || m.rate == 0 {
+// fillAtHand loads copies where memory is free and the VM keeps the weights: those of
+// models without any first, then second copies of what is asked for, so that the
+// loss of one VM leaves them reachable.
+func (v *view) fillAtHand() {
+	byNeed := slices.SortedStableFunc(slices.Values(v.models), func(a, b *model) int {
+		return cmp.Or(cmp.Compare(a.present(), b.present()), cmp.Compare(b.rate, a.rate))
+	})
+	for _, m := range byNeed {
+		if v.loads <= 0 {
 			return
 		}
-		if m.present() != 1 {
+		if m.present() > 1 || m.present() == 1 && m.rate == 0 {
 			continue
 		}
 		w := v.bestWorker(m, func(w *worker) bool {
-			return w.free >= m.size && slices.Contains(w.copied, m.Version)
+			return w.free >= m.size && len(w.kept) == 0 && slices.Contains(w.copied, m.Version)
 		})
 		if w != nil {
 			v.addLoad(m, w, reasonSpare)
--- a/stock/view.go
+++ b/stock/view.go
@@ -43,6 +43,7 @@
 	bamboostep.Model
 	size   int64
 	copies []*replica
+	quick  bool    // a VM that keeps the weights loads them within a moment
 	rate   float64 // requests a second, those of its adapters included
 	work   float64 // tokens a second, those of its adapters included
 	late   float64 // requests a second answered past the target
@@ -162,7 +163,7 @@
 }
 
 func (v *view) addModel(spec bamboostep.Model, fleet bamboostep.Fleet) {
-	m := &model{Model: spec, size: size(spec, fleet.Versions)}
+	m := &model{Model: spec, size: size(spec, fleet.Versions), quick: fleet.Versions[spec.Version].Quick}
 	m.addDemand(fleet.Demand[spec.Name])
 	v.models = append(v.models, m)
 	v.named[spec.Name] = m
