--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -52,8 +52,7 @@
 	Recorder *timeline.Recorder
 	Metrics  *Metrics
 
-	stopping atomic.Bool
-	refusing atomic.Bool
+	stopping atomic.Pointer[Stopping] // nil unless the process was told to stop
 	running  atomic.Int64
 }
 
@@ -64,7 +63,7 @@
 	g.running.Add(1)
 	defer g.running.Add(-1)
 	x := &exchange{g: g, w: w, r: r, arrived: time.Now()}
-	if g.stopping.Load() {
+	if g.stopping.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	x.serve()
@@ -73,11 +72,19 @@
 // Running returns how many requests are being served.
 func (g *Gateway) Running() int64 { return g.running.Load() }
 
-// Stop has callers' connections closed after their next answers.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// Stop has callers' connections closed after their next answers, and requests refused
+// that would not end before the process does.
+func (g *Gateway) Stop(s Stopping) { g.stopping.Store(&s) }
 
-// Refuse has new requests refused, because the process ends before they would.
-func (g *Gateway) Refuse() { g.refusing.Store(true) }
+// refuses reports whether a request is refused because the process stops.
+func (g *Gateway) refuses(c bamboostep.Call, now time.Time) bool {
+	s := g.stopping.Load()
+	if s == nil {
+		return false
+	}
+	passed := now.Sub(s.Since)
+	return s.Refuses(passed) || !s.Fits(passed, c.AnswerTokens)
+}
 
 // exchange is one request of a caller.
 type exchange struct {
@@ -125,7 +132,7 @@
 	if x.route == nil {
 		return x.fail(http.StatusNotFound, "no_route", call.Host+call.Path)
 	}
-	if x.g.refusing.Load() {
+	if x.g.refuses(call, x.arrived) {
 		return x.refuse("stopping", 0)
 	}
 	if !x.readBody() {
--- a/node/entry.go
+++ b/node/entry.go
@@ -126,13 +126,10 @@
 	began := time.Now()
 	e.event("stopping", fmt.Sprintf("%d requests", e.gateway.Running()))
 	e.stopping.Store(true)
-	e.gateway.Stop()
-	plan := gateway.Stopping{Grace: e.cfg.Grace}
+	plan := gateway.Stopping{Grace: e.cfg.Grace, Since: began}
+	e.gateway.Stop(plan)
 	for {
 		passed := time.Since(began)
-		if plan.Refuses(passed) {
-			e.gateway.Refuse()
-		}
 		if plan.Ends(passed, e.gateway.Running()) {
 			e.event("stopped", fmt.Sprintf("%d requests", e.gateway.Running()))
 			return
