--- a/ledger/node_test.go
+++ b/ledger/node_test.go
@@ -23,7 +23,11 @@
 }
 
 func (n *simNode) start() {
-	d, st, err := openDisk(n.fs, n.sim.newDisk)
+	empty := false
+	d, st, err := openDisk(n.fs, func() diskID {
+		empty = true
+		return n.sim.newDisk()
+	})
 	if err != nil {
 		if !errors.Is(err, errCrashed) {
 			n.sim.fail("voter %q does not start: %w", n.name, err)
@@ -44,6 +48,11 @@
 	n.core.now = n.sim.now
 	n.core.keep = simKeptEntries
 	n.core.resetElection()
+	if n.sim.profile.Heal {
+		n.core.heal = true
+		n.core.joining = empty && n.sim.now > 0
+		n.core.self = Member{Name: n.name, Address: n.name}
+	}
 	n.pending = make(map[uint64]simPending)
 	n.reads = make(map[uint64]uint64)
 }
--- a/ledger/sim_test.go
+++ b/ledger/sim_test.go
@@ -15,7 +15,8 @@
 	Cut       int
 	Crash     int
 	LoseDisk  int
-	Change    int // membership changes
+	Change    int  // membership changes
+	Heal      bool // voters replace themselves
 	Steps     int
 }
 
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,100 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+func testTable() Table {
+	return Table{
+		Number:   7,
+		Services: []Service{{Name: "gpu"}, {Name: "book"}},
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/p/", Kind: Idempotent, Timeout: time.Second, Attempts: 1, Split: []Share{{"book", 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/p/q/", Kind: Streaming, Timeout: time.Second, Attempts: 1, Split: []Share{{"gpu", 1}}},
+		},
+	}
+}
+
+func ExampleTable_Match() {
+	t, err := Table{
+		Services: []Service{{Name: "book"}},
+		Routes: []Route{{
+			Name: "orders", Host: "shop.example", Prefix: "/orders/", Kind: NonIdempotent,
+			Timeout: time.Second, Attempts: 1, Split: []Share{{Service: "book", Weight: 1}},
+		}},
+	}.Freeze()
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println(t.Match("shop.example", "/orders/17").Name)
+	fmt.Println(t.Match("shop.example", "/orders") == nil)
+	// Output:
+	// orders
+	// true
+}
+
+func TestMatch(t *testing.T) {
+	table, err := testTable().Freeze()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct{ host, path, want string }{
+		"longest prefix":      {"a.example", "/p/q/x", "long"},
+		"shorter prefix":      {"a.example", "/p/x/y", "short"},
+		"prefix itself":       {"a.example", "/p/q/", "long"},
+		"host with port":      {"a.example:80", "/p/x", "short"},
+		"host in capitals":    {"A.Example", "/p/x", "short"},
+		"no slash at the end": {"a.example", "/p", ""},
+		"other host":          {"b.example", "/p/x", ""},
+		"no path":             {"a.example", "", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := ""
+			if r := table.Match(c.host, c.path); r != nil {
+				got = r.Name
+			}
+			if got != c.want {
+				t.Errorf("route: got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestFreezeRefuses(t *testing.T) {
+	for name, spoil := range map[string]func(*Table){
+		"unknown service": func(t *Table) { t.Routes[0].Split[0].Service = "none" },
+		"same place":      func(t *Table) { t.Routes[1].Prefix = "/p/" },
+		"no weight":       func(t *Table) { t.Routes[0].Split[0].Weight = 0 },
+		"negative weight": func(t *Table) { t.Routes[0].Split = []Share{{"book", 2}, {"gpu", -1}} },
+		"no timeout":      func(t *Table) { t.Routes[0].Timeout = 0 },
+		"no attempt":      func(t *Table) { t.Routes[0].Attempts = 0 },
+		"bad prefix":      func(t *Table) { t.Routes[0].Prefix = "/p" },
+		"unknown kind":    func(t *Table) { t.Routes[0].Kind = "perhaps" },
+		"no host":         func(t *Table) { t.Routes[0].Host = "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := testTable()
+			spoil(&table)
+			_, err := table.Freeze()
+			var refused *CheckError
+			if !errors.As(err, &refused) {
+				t.Errorf("error: got %v, want a *CheckError", err)
+			}
+		})
+	}
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	r := Route{Split: []Share{{"a", 90}, {"b", 10}}}
+	got := map[string]int{}
+	for draw := range uint64(1000) {
+		got[r.Service(draw)]++
+	}
+	if got["a"] != 900 || got["b"] != 100 {
+		t.Errorf("draws: got %v, want 900 and 100", got)
+	}
+}
