--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Every module of the workspace, the root first.
-MODULES := . entry agent bamboostep standin scenario
+MODULES := . entry agent node bamboostep standin scenario
 BIN := $(CURDIR)/bin
 
 .PHONY: all build test race lint format check-format vet demo clean
@@ -8,7 +8,7 @@
 
 build:
 	@mkdir -p $(BIN)
-	@for m in entry agent bamboostep standin scenario; do (cd $$m && go build -o $(BIN)/ ./...) || exit 1; done
+	@for m in entry agent node bamboostep standin scenario; do (cd $$m && go build -o $(BIN)/ ./...) || exit 1; done
 
 # Passes over the tests listed in KNOWN-RED.txt and prints them.
 test:
--- a/fleet/links.go
+++ b/fleet/links.go
@@ -143,7 +143,7 @@
 // request may use it.
 func (l *Links) LoadAdapter(ctx context.Context, address string, n ModelName) error {
 	var r OrderReply
-	if err := l.call(ctx, address, KindAdapter, AdapterCall{n.Model, n.Adapter}, &r); err != nil {
+	if err := l.call(ctx, address, KindAdapter, AdapterCall(n), &r); err != nil {
 		return err
 	}
 	return r.err(address)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -140,7 +140,7 @@
 	}
 	store := p.stores[s.Name]
 	if store == nil {
-		store = &storeWindow{span: p.StoreWindow, over: p.StoreOver}
+		store = newStoreWindow(p.StoreWindow, p.StoreOver)
 		p.stores[s.Name] = store
 	}
 	reports := p.Fleet.Reports(s.Name, now)
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,176 @@
+package placement
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/daemon"
+	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/route"
+	"github.com/bamboostep/bamboostep/stock"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+var start = time.Unix(1000, 0)
+
+// TestStoreWindow is rare models that are all asked for at once: over any window no
+// more loads begin than the store allows, though each begins some time after its order.
+func TestStoreWindow(t *testing.T) {
+	w := newStoreWindow(5*time.Second, 1.1)
+	const perSecond = 2.1
+	delay := rand.New(rand.NewPCG(1, 1))
+	var begun []time.Time
+	for ms := range 30000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if w.free(now, perSecond) > 0 {
+			w.take(now)
+			begun = append(begun, now.Add(time.Duration(delay.Int64N(int64(700*time.Millisecond)))))
+		}
+	}
+	slices.SortFunc(begun, time.Time.Compare)
+	limit := perSecond*5*1.1 + 3
+	for i, from := range begun {
+		n := 0
+		for _, at := range begun[i:] {
+			if at.Sub(from) <= 5*time.Second {
+				n++
+			}
+		}
+		if float64(n) > limit {
+			t.Fatalf("loads within 5 s of %v: got %d, want at most %.1f", from.Sub(start), n, limit)
+		}
+	}
+	if len(begun) < 60 {
+		t.Errorf("loads in 30 s: got %d, want at least 60", len(begun))
+	}
+}
+
+// TestStoreWindowCountsDoubt is an order without an answer, which may begin late.
+func TestStoreWindowCountsDoubt(t *testing.T) {
+	w := newStoreWindow(5*time.Second, 1)
+	free := w.free(start, 1)
+	w.doubt(start)
+	if got := w.free(start.Add(12*time.Second), 1); got != free-1 {
+		t.Errorf("free after 12 s: got %d, want %d", got, free-1)
+	}
+	if got := w.free(start.Add(14*time.Second), 1); got != free {
+		t.Errorf("free after 14 s: got %d, want %d", got, free)
+	}
+}
+
+func TestCopiesFor(t *testing.T) {
+	for name, c := range map[string]struct {
+		rate, total float64
+		engines     int
+		want        int
+	}{
+		"idle":            {0, 100, 9, 1},
+		"some":            {6, 100, 9, 2},
+		"busy":            {30, 100, 9, 3},
+		"busy, one VM":    {30, 100, 1, 1},
+		"first request":   {0.3, 0.3, 9, 1},
+		"no VM is known":  {30, 100, 0, 1},
+		"small and alone": {1, 1, 9, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := copiesFor(c.rate, c.total, c.engines); got != c.want {
+				t.Errorf("copies: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
+func TestDemandFades(t *testing.T) {
+	var d demand
+	if urgent := d.note([]fleet.Demand{{Model: "m", Asked: 30, Tokens: 3000}}, start); urgent {
+		t.Error("urgent: got true, want false")
+	}
+	if urgent := d.note([]fleet.Demand{{Model: "n", Late: 1}}, start); !urgent {
+		t.Error("urgent: got false, want true")
+	}
+	now := d.of("m", start)
+	later := d.of("m", start.Add(3*demandFade))
+	if now.Rate <= 0 || later.Rate > now.Rate/15 || later.Rate < now.Rate/25 {
+		t.Errorf("rate: got %v, then %v, want a twentieth", now.Rate, later.Rate)
+	}
+	if got := d.of("x", start); got.Rate != 0 {
+		t.Errorf("rate of an unknown model: got %v", got.Rate)
+	}
+}
+
+// orders keeps the orders that are given.
+type orders struct {
+	mu    sync.Mutex
+	given []fleet.OrderCall
+}
+
+func (o *orders) Order(_ context.Context, _ string, c fleet.OrderCall) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.given = append(o.given, c)
+	return nil
+}
+
+func (o *orders) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.given)
+}
+
+func newTest(leads *bool) (*Placement, *fleet.Fleet, *orders) {
+	table, err := route.Table{Services: []route.Service{{Name: "llm", Engine: &route.Engine{
+		WeightsMB: 100, LoadsPerS: 1, Models: []route.Model{{Name: "m", WeightsMB: 40, Load: time.Second}, {Name: "n", WeightsMB: 40, Load: time.Second}},
+	}}}}.Freeze()
+	if err != nil {
+		panic(err)
+	}
+	f, o := &fleet.Fleet{}, &orders{}
+	p := &Placement{
+		Fleet: f, Orders: o, StoreWindow: 5 * time.Second, StoreOver: 1,
+		Table:    func() *route.Table { return table },
+		Leader:   func() (uint64, bool) { return 1, *leads },
+		Placer:   func(string) bamboostep.Placer { return &stock.Spread{LeastWork: 1000} },
+		Recorder: &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}},
+	}
+	p.Register(&wire.Mux{})
+	return p, f, o
+}
+
+// TestOnlyTheLeaderOrders, and only once all engines have reported or had the time:
+// what it has not heard of yet is not lost.
+func TestOnlyTheLeaderOrders(t *testing.T) {
+	leads := false
+	p, f, o := newTest(&leads)
+	now := time.Now()
+	f.NoteList([]bamboostep.Listing{
+		{Instance: "i1", Born: 1, Service: "llm", Address: "10.0.0.1:1", Domain: "a"},
+		{Instance: "i2", Born: 1, Service: "llm", Address: "10.0.0.2:1", Domain: "b"},
+	}, now)
+	f.NoteReport(fleet.Report{Address: "10.0.0.1:1", Instance: "i1", Born: 1, Service: "llm", Models: []bamboostep.HeldModel{{Name: "m"}}}, now)
+	ctx := context.Background()
+	p.round(ctx, now)
+	leads = true
+	p.round(ctx, now)
+	p.round(ctx, now.Add(leadDelay/2))
+	time.Sleep(20 * time.Millisecond)
+	if got := o.count(); got != 0 {
+		t.Errorf("orders before all have reported: got %d, want 0", got)
+	}
+	f.NoteReport(fleet.Report{Address: "10.0.0.2:1", Instance: "i2", Born: 1, Service: "llm"}, now)
+	p.round(ctx, now.Add(leadDelay/2))
+	deadline := time.Now().Add(5 * time.Second)
+	for o.count() == 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.given) != 1 || o.given[0].Model != "n" || !o.given[0].Load {
+		t.Errorf("orders: got %+v, want one load of n", o.given)
+	}
+}
--- a/placement/store.go
+++ b/placement/store.go
@@ -19,9 +19,17 @@
 	loads []time.Time
 }
 
+// orderDelay is the time in which a load begins after its order, with the order sent
+// again once.
+const orderDelay = 800 * time.Millisecond
+
+func newStoreWindow(span time.Duration, over float64) *storeWindow {
+	return &storeWindow{span: span, over: over}
+}
+
 // free returns how many loads may be ordered now.
 func (w *storeWindow) free(now time.Time, perSecond float64) int {
-	w.loads = slices.DeleteFunc(w.loads, func(t time.Time) bool { return now.Sub(t) > w.span })
+	w.loads = slices.DeleteFunc(w.loads, func(t time.Time) bool { return now.Sub(t) > w.span+orderDelay })
 	return max(0, int(math.Floor(perSecond*w.span.Seconds()*w.over))+storeExtra-len(w.loads))
 }
 
