Engines whose name is not known yet take orders; refused orders block nothing

Cause: after a loss of power orders began 0.5 s after the election: holders' reports counted only once the engine's new name was known, and an order that a holder refused kept its engine from others for 0.3 s.

Ruled out: demand kept on disk by the voters, so that busy models come back first. Not worth a file and its failure cases: taken out again.

Change: a start without a name counts for placement and is not chosen for requests; a refused order is forgotten at once; the ledger has a folder of its own below the data folder.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -106,7 +106,7 @@
 	reason := ReasonNoServer
 	var good, doubtful []*server
 	for _, s := range f.byService[w.Service] {
-		if s.listing.Leaving || slices.Contains(w.Avoid, s.listing.Address) {
+		if s.listing.Leaving || s.listing.Instance == "" || slices.Contains(w.Avoid, s.listing.Address) {
 			continue
 		}
 		if w.Name.Model != "" && !s.holds(w.Name.Model) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -217,7 +217,7 @@
 	s := f.reported(r)
 	if s == nil {
 		l := bamboostep.Listing{Instance: r.Instance, Born: r.Born, Service: r.Service, Address: r.Address, Domain: r.Domain}
-		if r.Instance == "" || r.Service == "" || !f.supersedes(l) {
+		if r.Service == "" || !f.supersedes(l) {
 			return
 		}
 		s = f.add(l)
@@ -235,13 +235,11 @@
 // reported returns the backend server that a report is of. A holder may not know the
 // name of the start yet; its time tells it apart as well.
 func (f *Fleet) reported(r Report) *server {
-	if r.Instance != "" {
-		return f.servers[key{r.Instance, r.Born}]
-	}
-	if s := f.byAddress[r.Address]; s != nil && s.listing.Born == r.Born {
+	s := f.byAddress[r.Address]
+	if r.Instance == "" && s != nil && s.listing.Born == r.Born {
 		return s
 	}
-	return nil
+	return f.servers[key{r.Instance, r.Born}]
 }
 
 // NoteLoad takes a holder's note that arrived now. It changes the last report.
--- a/node/voter.go
+++ b/node/voter.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"path/filepath"
 	"sync/atomic"
 
 	"github.com/bamboostep/bamboostep"
@@ -20,6 +21,10 @@
 	"github.com/bamboostep/bamboostep/wire"
 )
 
+// ledgerFolder is below the data folder. The ledger empties its own folder of whatever
+// it does not know.
+const ledgerFolder = "ledger"
+
 // leastWork is the work of an engine, in tokens a second, that is not worth a move:
 // about a tenth of what an engine reads.
 const leastWork = 3000
@@ -33,7 +38,7 @@
 		Address:  p.ownAddress(),
 		Domain:   p.cfg.FailureDomain,
 		Members:  seeds,
-		Dir:      p.cfg.DataDir,
+		Dir:      filepath.Join(p.cfg.DataDir, ledgerFolder),
 		Heal:     true,
 		Joining:  !p.cfg.FirstStart,
 		Node:     p.wire,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -195,6 +195,9 @@
 	defer p.mu.Unlock()
 	p.given[givenKey{move.VM, move.Order.Name}] = givenOrder{load, time.Now().Add(shownAfter)}
 	var refused *fleet.RefusedError
+	if errors.As(err, &refused) && !refused.InDoubt() {
+		delete(p.given, givenKey{move.VM, move.Order.Name})
+	}
 	if fromStore && err != nil && (!errors.As(err, &refused) || refused.InDoubt()) {
 		store.doubt(time.Now())
 	}
