Requests that are given up end by a reset; silent orders are sent again sooner

Ruled out: holding requests back from a VM that does not report (the first two seconds of a freeze look like any other).

Change: a connection whose request is given up is reset, which drops what is still under way.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -34,12 +34,12 @@
 	cacheSteps    = 32                     // a 32nd of the cache more or less is told at once
 	pushInterval  = 500 * time.Millisecond // at the latest, though nothing changed
 	downAfter     = 2                      // reports in a row that failed
-	orderTimeout  = 250 * time.Millisecond // of one sending
+	orderTimeout  = 120 * time.Millisecond // of one sending
 	unsettledFor  = 13 * time.Second       // in which an order without an answer may be carried out
 	adapterWait   = 700 * time.Millisecond // for an adapter to be there
 	adapterCheck  = 5 * time.Millisecond
 	maxTransit    = 4 // adapters on their way to one engine
-	orderTries    = 3
+	orderTries    = 6
 	fenceStep     = 1 << 20 // above a fencing number that was refused
 	recentlyInUse = 400 * time.Millisecond
 	orderShown    = 300 * time.Millisecond // after which each report shows an order
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -55,11 +55,11 @@
 	if err != nil {
 		return nil, &SendError{Address: address, Cause: err}
 	}
-	stop := context.AfterFunc(ctx, func() { cn.nc.Close() })
+	stop := context.AfterFunc(ctx, cn.abort)
 	a, sent, err := p.exchange(cn, c, pass)
 	if err != nil {
 		stop()
-		cn.nc.Close()
+		cn.abort()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -204,7 +204,11 @@
 // Close ends the exchange. The connection is kept if all was read and written.
 func (a *Answer) Close() {
 	ended := !a.stop()
-	if ended || !a.whole || !a.framed || a.close || !a.bodyWritten() {
+	switch {
+	case ended || !a.whole:
+		a.conn.abort()
+		return
+	case !a.framed || a.close || !a.bodyWritten():
 		a.conn.nc.Close()
 		return
 	}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -184,6 +185,33 @@
 	}
 }
 
+// TestRequestGivenUpIsReset is a backend server that stands still while a request and
+// its caller's leave reach it: the connection ends by a reset, so that what is still
+// under way is lost and not run later.
+func TestRequestGivenUpIsReset(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := (&Pool{Dialect: platform.HTTP{}}).Do(ctx, l.Addr().String(), call("a"), bamboostep.Passing{}); err == nil {
+		t.Fatal("error: got none")
+	}
+	nc, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	if err := nc.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, nc); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("end of the connection: got %v, want a reset", err)
+	}
+}
+
 // TestCallerLeaves closes the connection, so that the backend server stops.
 func TestCallerLeaves(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -218,6 +218,15 @@
 	delete(p.idle, address)
 }
 
+// abort resets the connection of a request that is given up, so that what a backend
+// server has not read of it yet is lost and not run later.
+func (c *conn) abort() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it is closed all the same
+	}
+	c.nc.Close()
+}
+
 // sound reports whether an idle connection is open and holds no bytes.
 func (c *conn) sound() bool {
 	sc, ok := c.nc.(syscall.Conn)
