Prompts that engines read for other entries count as their backlog

Cause: an engine takes a request into its batch before it has read the prompt, so its report showed nothing waiting while it read several prompts of other entries; entries sent more there.

Ruled out: a slower estimate of the engine's speed (it is right where one entry sends alone).

Change: the holder tells how many running requests have made no event yet; they count like waiting ones.

--- a/call.go
+++ b/call.go
@@ -92,7 +92,8 @@
 	Busy        bool          // carries out an order
 	Orders      uint64        // accepted since its start
 	Waiting     int
-	Running     int
+	Running     int // in the batch
+	Reading     int // of these, requests whose prompt is still being read
 	CacheUsed   int // tokens that cannot yield
 	CacheTokens int
 	NextTokens  int // prompt of the first waiting request
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -237,11 +237,12 @@
 	return !s.reportAt.IsZero() && now.Sub(s.reportAt) <= reportMaxAge
 }
 
+// waiting returns how many requests an engine has that it has not read whole.
 func (s *server) waiting(now time.Time) int {
 	if !s.hasReport(now) {
 		return 0
 	}
-	return s.report.Waiting
+	return s.report.Waiting + s.report.Reading
 }
 
 // lacksRoom reports whether a request would wait for slots or KV cache.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -87,6 +87,7 @@
 	LeftMS      int64                  `msgpack:"left_ms"` // until it is gone, if known
 	Waiting     int                    `msgpack:"waiting"`
 	Running     int                    `msgpack:"running"`
+	Reading     int                    `msgpack:"reading"`    // running requests whose prompt is still being read
 	CacheUsed   int                    `msgpack:"cache_used"` // tokens
 	CacheTokens int                    `msgpack:"cache_tokens"`
 	Models      []bamboostep.HeldModel `msgpack:"models"`
@@ -251,7 +252,7 @@
 	if s == nil || s.reportAt.IsZero() {
 		return
 	}
-	s.report.Waiting, s.report.Running, s.report.CacheUsed = n.Waiting, n.Running, n.CacheUsed
+	s.report.Waiting, s.report.Running, s.report.Reading, s.report.CacheUsed = n.Waiting, n.Running, n.Reading, n.CacheUsed
 	s.reportAt = now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -92,6 +92,19 @@
 	}
 }
 
+// TestOtherEntriesPrompts is an engine that reads prompts of other entries: it has no
+// request waiting, and would still make a new one wait.
+func TestOtherEntriesPrompts(t *testing.T) {
+	f := newFleet(engine(1, "a", holding("m")), engine(2, "b", holding("m")))
+	f.NoteReport(Report{
+		Address: "10.0.0.1:1", Instance: "i1", Born: 1, Running: 4, Reading: 4, CacheTokens: 1 << 20,
+		Models: []bamboostep.HeldModel{holding("m")},
+	}, start)
+	if run, err := f.Choose(start, want("m")); err != nil || run.Instance != "i2" {
+		t.Errorf("got %v, %v, want i2", run, err)
+	}
+}
+
 // TestPromptsWithTheSameBeginning go where the beginning is kept, whichever entry
 // takes them, until that backend server has too much to do.
 func TestPromptsWithTheSameBeginning(t *testing.T) {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -23,6 +23,7 @@
 
 	Waiting   int
 	Running   int
+	Reading   int
 	CacheUsed int
 	AgeMS     int64
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -235,6 +235,7 @@
 		LeftMS:      h.report.Left.Milliseconds(),
 		Waiting:     h.report.Waiting,
 		Running:     h.report.Running,
+		Reading:     h.report.Reading,
 		CacheUsed:   h.report.CacheUsed,
 		CacheTokens: h.report.CacheTokens,
 		Models:      h.report.Models,
@@ -272,7 +273,7 @@
 		h.broadcast(fleet.KindReport, r)
 	case sinceLast >= pushInterval || !sameLoad(r, h.pushed):
 		h.pushed, h.pushedAt = r, now
-		h.broadcast(fleet.KindLoad, fleet.LoadNote{Waiting: r.Waiting, Running: r.Running, CacheUsed: r.CacheUsed, AgeMS: r.AgeMS})
+		h.broadcast(fleet.KindLoad, fleet.LoadNote{Waiting: r.Waiting, Running: r.Running, Reading: r.Reading, CacheUsed: r.CacheUsed, AgeMS: r.AgeMS})
 	}
 }
 
@@ -296,7 +297,7 @@
 
 // sameLoad reports whether two loads differ too little to be told.
 func sameLoad(a, b fleet.Report) bool {
-	return a.Waiting == b.Waiting &&
+	return a.Waiting == b.Waiting && a.Reading == b.Reading &&
 		max(a.Running-b.Running, b.Running-a.Running) < loadStep &&
 		max(a.CacheUsed-b.CacheUsed, b.CacheUsed-a.CacheUsed) < a.CacheTokens/cacheSteps
 }
