Logs are bounded and never wait; metrics pages on the platform

Cause: once 4,096 log lines waited, the next event wrote them itself, so a reader of standard output that stands still stopped requests. The volume under load had no bound.

Ruled out: a smaller buffer alone (it would wait sooner).

Change: lines that wait and lines of routine events in a second are bounded; what does not fit is counted and said in the log and on the metrics page. The roles serve metrics on the ports that deploy/system.toml names.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/origin"
 	"github.com/bamboostep/bamboostep/timeline"
@@ -147,12 +148,19 @@
 	if err != nil {
 		detail += ", not delivered: " + err.Error()
 	}
-	x.record("request_served", address, detail)
+	e := x.event("request_served", address, detail)
+	e.Routine = err == nil && status < http.StatusInternalServerError
+	x.g.Recorder.Record(e)
 }
 
 func (x *exchange) record(kind, address, detail string) {
+	x.g.Recorder.Record(x.event(kind, address, detail))
+}
+
+// event returns an event of the request.
+func (x *exchange) event(kind, address, detail string) timeline.Event {
 	e := timeline.Event{Kind: kind, VM: address, Detail: detail}
-	e.Request = requestID(x.call.ID)
+	e.Request = bamboostep.RequestID(x.call.ID)
 	if x.service != nil {
 		e.Model = x.service.Name
 	}
@@ -165,5 +173,5 @@
 	if x.table != nil {
 		e.Revision = x.table.Number
 	}
-	x.g.Recorder.Record(e)
+	return e
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"time"
 
-	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/origin"
 )
@@ -31,8 +30,6 @@
 
 func (s *relay) begun() bool { return s != nil && s.started }
 
-func requestID(id string) bamboostep.RequestID { return bamboostep.RequestID(id) }
-
 // resumeAfter returns the event after which an attempt goes on.
 func (x *exchange) resumeAfter() string {
 	if x.stream != nil && x.stream.lastID != "" {
--- a/node/process.go
+++ b/node/process.go
@@ -58,10 +58,28 @@
 			Redial:  redialDelay,
 		},
 	}
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: "bamboostep", Subsystem: "log", Name: "lines_dropped_total",
+		Help: "Log lines left out, because the log took them too slowly or they were too many.",
+	}, func() float64 { return float64(p.recorder.Dropped()) }))
 	go p.noteReloads()
+	go p.serveMetrics()
 	return p
 }
 
+// serveMetrics serves the metrics page until the process ends. Without it the process
+// goes on.
+func (p *process) serveMetrics() {
+	address := net.JoinHostPort(p.cfg.IP, metricsPorts[p.role])
+	admin := &daemon.Admin{Address: address, Registry: p.registry, Recorder: p.recorder}
+	if err := admin.Run(p.ctx); err != nil {
+		p.event("metrics_not_served", err.Error())
+	}
+}
+
+// metricsPorts are those that the deploy file names. Two roles may share a VM.
+var metricsPorts = map[string]string{"entry": "9100", "voter": "9101", "holder": "9102"}
+
 func (p *process) event(kind, detail string) {
 	p.recorder.Record(timeline.Event{Kind: kind, Detail: detail})
 }
--- a/timeline/lines.go
+++ b/timeline/lines.go
@@ -1,7 +1,9 @@
 package timeline
 
 import (
+	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -12,12 +14,22 @@
 // Formatting and writing a line takes longer than all else that recording does,
 // and a request records several events before it is answered. Lines are therefore
 // written a moment later, in the order of the events and with the events' times.
-// A process that is killed loses the lines of that moment. One whose log takes
-// lines too slowly waits for it, so the memory of waiting lines is bounded.
+// A process that is killed loses the lines of that moment.
+//
+// The hard point is a log whose reader stands still, or a load that brings more
+// lines than the log may have. Recording never waits for either. The lines that wait
+// are bounded, and so are those of routine events in a second; what does not fit is
+// left out, routine events first, and counted. The next line that is written says how
+// many. The events themselves stay in the Recorder's ring.
 
 const (
-	lineDelay = 5 * time.Millisecond // before the lines of new events are written
-	maxLines  = 4096                 // waiting, before Record writes them itself
+	lineDelay     = 5 * time.Millisecond // before the lines of new events are written
+	maxLines      = 4096                 // waiting
+	maxRoutine    = maxLines / 2         // waiting, beyond which routine events are left out
+	routineRate   = 400                  // lines of routine events a second
+	routineBurst  = 2 * routineRate      // saved up at most
+	flushPatience = time.Second          // that Flush waits for a log that takes no lines
+	droppedKind   = "log_lines_dropped"
 )
 
 // line is one event that waits for its log line.
@@ -28,32 +40,56 @@
 
 // lines is the log of a Recorder.
 type lines struct {
-	mu      sync.Mutex
-	waiting []line
-	spare   []line // memory for the next waiting lines
-	due     bool   // a write is on its way
+	mu       sync.Mutex
+	waiting  []line
+	spare    []line    // memory for the next waiting lines
+	due      bool      // a write is on its way
+	routine  float64   // lines of routine events that may be written now
+	filledAt time.Time // when routine was last filled
+
+	dropped atomic.Uint64 // lines left out since the start
 
 	writing sync.Mutex
 	log     *log.Logger // takes the time of its lines from at; guarded by writing
 	at      time.Time   // guarded by writing
+	told    uint64      // dropped lines that were told of; guarded by writing
 }
 
-// add takes the line of e in, to be written to target.
+// add takes the line of e in, to be written to target. It never waits.
 func (l *lines) add(target *log.Logger, e Event) {
+	now := time.Now()
 	l.mu.Lock()
-	l.waiting = append(l.waiting, line{e, time.Now()})
-	full := len(l.waiting) >= maxLines
-	first := !l.due
-	l.due = true
-	l.mu.Unlock()
-	switch {
-	case full:
-		l.write(target)
-	case first:
+	defer l.mu.Unlock()
+	if !l.admits(e, now) {
+		l.dropped.Add(1)
+		return
+	}
+	l.waiting = append(l.waiting, line{e, now})
+	if !l.due {
+		l.due = true
 		time.AfterFunc(lineDelay, func() { l.write(target) })
 	}
 }
 
+// admits reports whether e gets a line. mu is held.
+func (l *lines) admits(e Event, now time.Time) bool {
+	if !e.Routine {
+		return len(l.waiting) < maxLines
+	}
+	if l.filledAt.IsZero() {
+		l.routine, l.filledAt = routineBurst, now
+	}
+	if passed := now.Sub(l.filledAt); passed > 0 {
+		l.routine = min(l.routine+passed.Seconds()*routineRate, routineBurst)
+		l.filledAt = now
+	}
+	if len(l.waiting) >= maxRoutine || l.routine < 1 {
+		return false
+	}
+	l.routine--
+	return true
+}
+
 // write writes the lines that wait.
 func (l *lines) write(target *log.Logger) {
 	l.writing.Lock()
@@ -67,9 +103,21 @@
 		l.at = n.at
 		l.log.Info(n.event.Kind, keyValues(n.event)...)
 	}
+	l.tellDropped()
 	l.giveBack(batch)
 }
 
+// tellDropped says how many lines were left out since it last did. writing is held.
+func (l *lines) tellDropped() {
+	dropped := l.dropped.Load()
+	if dropped == l.told {
+		return
+	}
+	l.at = time.Now()
+	l.log.Warn(droppedKind, "detail", fmt.Sprintf("%d lines, %d since the start", dropped-l.told, dropped))
+	l.told = dropped
+}
+
 func (l *lines) take() []line {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -88,9 +136,24 @@
 	l.spare = batch[:0]
 }
 
-// Flush writes the log lines that wait. Call it before the process ends.
+// Flush writes the log lines that wait, for a second at most. Call it before the
+// process ends.
 func (r *Recorder) Flush() {
-	if r.Log != nil {
+	if r.Log == nil {
+		return
+	}
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
 		r.lines.write(r.Log)
+	}()
+	t := time.NewTimer(flushPatience)
+	defer t.Stop()
+	select {
+	case <-written:
+	case <-t.C:
 	}
 }
+
+// Dropped returns how many log lines were left out.
+func (r *Recorder) Dropped() uint64 { return r.lines.dropped.Load() }
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -30,6 +30,10 @@
 	Revision uint64               `msgpack:"revision" json:"revision,omitempty"`
 	Term     uint64               `msgpack:"term" json:"term,omitempty"`
 	Detail   string               `msgpack:"detail" json:"detail,omitempty"`
+
+	// Routine events are those of a request that goes well. They are the first whose
+	// log lines are left out under load.
+	Routine bool `msgpack:"-" json:"-"`
 }
 
 // Query selects events. Empty fields select all.
