--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -112,20 +111,3 @@
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(a.Recorder.Find(q))
 }
-
-// ServeHTTP serves on nl until ctx ends, then stops accepting and waits up to
-// grace for the requests that run.
-func ServeHTTP(ctx context.Context, nl net.Listener, s *http.Server, grace time.Duration) error {
-	stopped := make(chan error, 1)
-	stop := context.AfterFunc(ctx, func() {
-		shut, cancel := context.WithTimeout(context.Background(), grace)
-		defer cancel()
-		stopped <- s.Shutdown(shut)
-	})
-	defer stop()
-	err := s.Serve(nl)
-	if errors.Is(err, http.ErrServerClosed) {
-		return <-stopped
-	}
-	return err
-}
