--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -29,6 +29,16 @@
 	defaultRetryBurst     = 200
 )
 
+// SetBurst changes how many retries may be saved up. What is saved beyond is lost.
+func (b *Budget) SetBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Burst = burst
+	if b.ready {
+		b.tokens = min(b.tokens, burst)
+	}
+}
+
 // Request notes that a request arrived.
 func (b *Budget) Request(now time.Time) {
 	b.mu.Lock()
--- a/node/entry.go
+++ b/node/entry.go
@@ -28,7 +28,8 @@
 
 	stopPolling = 20 * time.Millisecond
 
-	budgetUse = 0.8 // part of the retry budget that is used, for entries that count differently
+	leastBurst = 1.0
+	budgetUse  = 0.8 // part of the retry budget that is used, for entries that count differently
 )
 
 // entry is a process that takes callers' requests.
@@ -158,13 +159,33 @@
 		b = &dispatch.Budget{
 			Share:     e.cfg.RetryShare * budgetUse,
 			PerSecond: 0.01,
-			Burst:     max(1, e.cfg.RetryExtra*budgetUse/float64(e.follower.Entries())),
+			Burst:     leastBurst, // an entry that has just started has saved nothing
 		}
 		e.budgets[service] = b
 	}
 	return b
 }
 
+// retryBurst is this entry's part of the retries that all entries may make beside
+// their share. While it does not know how many they are, it takes hardly any.
+func (e *entry) retryBurst() float64 {
+	n := e.follower.Entries()
+	if n == 0 {
+		return leastBurst
+	}
+	return max(leastBurst, e.cfg.RetryExtra*budgetUse/float64(n))
+}
+
+// shareBudgets follows the number of entries.
+func (e *entry) shareBudgets() {
+	burst := e.retryBurst()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, b := range e.budgets {
+		b.SetBurst(burst)
+	}
+}
+
 // sweep does what is due from time to time.
 func (e *entry) sweep(ctx context.Context) error {
 	t := time.NewTicker(demandInterval)
@@ -176,6 +197,7 @@
 		case <-e.fleet.Urgent():
 		case now := <-t.C:
 			e.pool.Sweep(now)
+			e.shareBudgets()
 		}
 		e.follower.SendDemand(fleet.DemandNote{Entry: e.cfg.Node, Demand: e.fleet.TakeDemand()})
 	}
