--- a/entry/callers_docs_test.go
+++ b/entry/callers_docs_test.go
@@ -13,7 +13,7 @@
 
 // Every code that a caller can get is explained to operators.
 func TestRefusalCodesAreDocumented(t *testing.T) {
-	page, err := os.ReadFile("../docs/OPERATING.md")
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,7 +44,7 @@
 	codes := refusalCode.FindAllSubmatch(source, -1)
 	for _, m := range codes {
 		if code := string(m[1]); !strings.Contains(page, "`"+code+"`") {
-			t.Errorf("%s: code %q is not in docs/OPERATING.md", file, code)
+			t.Errorf("%s: code %q is not in docs/OPERATIONS.md", file, code)
 		}
 	}
 	return len(codes)
