Holders hear which adapters are used; limits for callers; voters without a disk

Cause: a holder knew only when an adapter had been loaded, so the one that was used all the time made room first; a report that was asked for earlier could replace a newer one. The published limits on callers' heads and idle connections were not kept. A voter refused to start on a VM without a disk.

Ruled out: counting uses at the holder (it does not see requests).

Change: entries tell holders twice a second which adapters they used; heads over the limit get 431; the server's times are those of the first routes; a voter without a disk keeps the ledger as long as it runs.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -152,6 +152,9 @@
 		began:    now,
 	}
 	e.server.runs[r] = true
+	if w.Name.Adapter != "" && e.adapter {
+		e.server.noteUsed(AdapterCall(w.Name))
+	}
 	if w.Name.Model != "" {
 		f.tally(w.Name).tokens += e.uncached + w.Answer
 	}
--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -64,6 +64,29 @@
 	return t
 }
 
+func (s *server) noteUsed(a AdapterCall) {
+	if s.used == nil {
+		s.used = make(map[AdapterCall]bool)
+	}
+	s.used[a] = true
+}
+
+// TakeUsed returns the adapters that requests used since the last call, by address of
+// the backend server. Its holder is to know, so that others make room first.
+func (f *Fleet) TakeUsed() map[string][]AdapterCall {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	used := make(map[string][]AdapterCall)
+	for _, s := range f.servers {
+		for a := range s.used {
+			used[s.listing.Address] = append(used[s.listing.Address], a)
+		}
+		clear(s.used)
+	}
+	return used
+}
+
 // TakeDemand returns what was asked since the last call, in a fixed order.
 func (f *Fleet) TakeDemand() []Demand {
 	f.mu.Lock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -60,6 +60,7 @@
 	loadAt   time.Time
 
 	runs      map[*Run]bool
+	used      map[AdapterCall]bool // adapters that requests used since the holder was told
 	parts     partMemory
 	failUntil time.Time
 	failures  int     // in a row
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -218,6 +218,24 @@
 	}
 }
 
+// TestUsedAdaptersAreTold is an adapter that was loaded long ago and is used all the
+// time: its holder must hear of that, or it makes room first.
+func TestUsedAdaptersAreTold(t *testing.T) {
+	f := newFleet(engine(1, "a", holding("m", "x")))
+	for range 3 {
+		if _, err := f.Choose(start, Want{Service: "llm", Name: ModelName{"m", "x"}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got := f.TakeUsed()["10.0.0.1:1"]
+	if len(got) != 1 || got[0] != (AdapterCall{"m", "x"}) {
+		t.Errorf("used: got %v, want m/x once", got)
+	}
+	if again := f.TakeUsed(); len(again) != 0 {
+		t.Errorf("used again: got %v", again)
+	}
+}
+
 func TestDemandIsTakenOnce(t *testing.T) {
 	f := newFleet(engine(1, "a", holding("m")))
 	f.NoteAsked(ModelName{Model: "m"})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,6 +132,9 @@
 	if x.route == nil {
 		return x.fail(http.StatusNotFound, "no_route", call.Host+call.Path)
 	}
+	if limit := x.table.Limits.HeaderBytes; limit > 0 && headerBytes(x.r) > limit {
+		return x.fail(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", "")
+	}
 	if x.g.refuses(call, x.arrived) {
 		return x.refuse("stopping", 0)
 	}
@@ -175,6 +178,17 @@
 	x.deadline = x.arrived.Add(within)
 }
 
+// headerBytes returns about how many bytes the head of a request took.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v)
+		}
+	}
+	return n
+}
+
 // readBody reads the whole body, because it may have to be sent more than once.
 func (x *exchange) readBody() bool {
 	limit := x.table.Limits.BodyBytes
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -107,7 +107,7 @@
 	if r.Timeout == 0 {
 		r.Timeout = 3 * time.Second
 	}
-	table, err := route.Table{Number: 1, Routes: []route.Route{r}, Services: []route.Service{{Name: "s"}}, Limits: route.Limits{BodyBytes: 100}}.Freeze()
+	table, err := route.Table{Number: 1, Routes: []route.Route{r}, Services: []route.Service{{Name: "s"}}, Limits: route.Limits{BodyBytes: 100, HeaderBytes: 1000}}.Freeze()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -265,6 +265,7 @@
 		status     int
 	}{
 		"no route":       {"/q/x", "", 404},
+		"head too large": {"/p/" + strings.Repeat("x", 1000), "", 431},
 		"body too large": {"/p/x", strings.Repeat("x", 101), 413},
 		"at the limit":   {"/p/x", strings.Repeat("x", 100), 200},
 	} {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -134,8 +134,11 @@
 	h.take(r, began)
 }
 
-// take makes r the newest report. mu is held.
+// take makes r, asked for at a time, the newest report. mu is held.
 func (h *Holder) take(r bamboostep.EngineReport, at time.Time) {
+	if at.Before(h.reportAt) {
+		return // another poll was faster
+	}
 	if r.Born != h.report.Born {
 		h.record("engine_started", time.UnixMilli(r.Born).UTC().Format(time.RFC3339Nano))
 		h.taken, h.unsettled, h.loading, h.unloading = 0, nil, "", ""
@@ -315,10 +318,13 @@
 	if m.Decode(&note) != nil {
 		return // the frame is counted by wire
 	}
-	now := time.Now()
+	h.noteUsed(note.Used, time.Now())
+}
+
+func (h *Holder) noteUsed(used []fleet.AdapterCall, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, u := range note.Used {
+	for _, u := range used {
 		h.used[fleet.ModelName(u)] = now
 	}
 }
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -217,6 +217,28 @@
 	}
 }
 
+// TestUsedAdapterStays is an adapter that entries say they use: the other one makes
+// room, though it was loaded later.
+func TestUsedAdapterStays(t *testing.T) {
+	h, _ := newTest(t)
+	a1, a2, a3 := fleet.ModelName{Model: "m", Adapter: "a1"}, fleet.ModelName{Model: "m", Adapter: "a2"}, fleet.ModelName{Model: "m", Adapter: "a3"}
+	for _, n := range []fleet.ModelName{a1, a2} {
+		if r := h.loadAdapter(n); r.Code != "" {
+			t.Fatalf("adapter %v: got code %q", n, r.Code)
+		}
+	}
+	h.mu.Lock()
+	h.used[a1], h.used[a2] = time.Now().Add(-3*time.Second), time.Now().Add(-2*time.Second)
+	h.mu.Unlock()
+	h.noteUsed([]fleet.AdapterCall{fleet.AdapterCall(a1)}, time.Now().Add(-time.Second))
+	if r := h.loadAdapter(a3); r.Code != "" {
+		t.Fatalf("adapter a3: got code %q", r.Code)
+	}
+	if !holdsAdapter(h.report, a1) || holdsAdapter(h.report, a2) {
+		t.Errorf("adapters: got %v, want a1 and a3", h.report.Models)
+	}
+}
+
 func TestPendingName(t *testing.T) {
 	for in, want := range map[string]fleet.ModelName{
 		"m/a1@3": {Model: "m", Adapter: "a1"},
--- a/node/entry.go
+++ b/node/entry.go
@@ -23,10 +23,12 @@
 
 const (
 	headerTimeout  = 30 * time.Second // an old device may send its headers slowly
+	headerPatience = 2                // times the published limit, which begins with the first byte
+	firstTableWait = 500 * time.Millisecond
 	sweepInterval  = time.Second
 	demandInterval = 500 * time.Millisecond
 
-	stopPolling = 20 * time.Millisecond
+	pollInterval = 20 * time.Millisecond
 
 	leastBurst = 1.0
 	budgetUse  = 0.8 // part of the retry budget that is used, for entries that count differently
@@ -93,7 +95,7 @@
 	group.Go(func() error { return e.links.Run(work) })
 	group.Go(func() error { return e.sweep(work) })
 	group.Go(func() error { return serve(work, ready, e.readyHandler()) })
-	group.Go(func() error { return serve(work, callers, e.gateway) })
+	group.Go(func() error { return e.serveCallers(work, callers) })
 	group.Go(func() error {
 		e.awaitStop(work)
 		end()
@@ -117,6 +119,31 @@
 	return s.Serve(l)
 }
 
+// serveCallers serves callers under the limits of the first routes. Until they are
+// there, connections wait to be accepted.
+func (e *entry) serveCallers(ctx context.Context, l net.Listener) error {
+	s := &http.Server{Handler: e.gateway, ReadHeaderTimeout: headerTimeout}
+	if t := e.firstTable(ctx); t != nil {
+		s.ReadHeaderTimeout = headerPatience * t.Limits.HeaderTime
+		s.IdleTimeout = t.Limits.IdleTime
+	}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	return s.Serve(l)
+}
+
+// firstTable returns the first routes, or nil if none come for a while.
+func (e *entry) firstTable(ctx context.Context) *route.Table {
+	until := time.Now().Add(firstTableWait)
+	for ctx.Err() == nil && time.Now().Before(until) {
+		if t := e.table.Load(); t != nil {
+			return t
+		}
+		time.Sleep(pollInterval)
+	}
+	return nil
+}
+
 // awaitStop returns when the process has been told to end and may.
 func (e *entry) awaitStop(work context.Context) {
 	select {
@@ -135,7 +162,7 @@
 			e.event("stopped", fmt.Sprintf("%d requests", e.gateway.Running()))
 			return
 		}
-		time.Sleep(stopPolling)
+		time.Sleep(pollInterval)
 	}
 }
 
@@ -198,6 +225,9 @@
 		case now := <-t.C:
 			e.pool.Sweep(now)
 			e.shareBudgets()
+			for address, used := range e.fleet.TakeUsed() {
+				e.links.NoteUsed(address, used)
+			}
 		}
 		e.follower.SendDemand(fleet.DemandNote{Entry: e.cfg.Node, Demand: e.fleet.TakeDemand()})
 	}
--- a/node/process.go
+++ b/node/process.go
@@ -114,7 +114,7 @@
 func checkSettings(role string, cfg platform.Settings) error {
 	needs := map[string]map[string]bool{
 		"entry":  {"address for callers": cfg.CallerAddress != "", "address for readiness": cfg.ReadyAddress != ""},
-		"voter":  {"address for operators": cfg.OperatorAddr != "", "data folder": cfg.DataDir != ""},
+		"voter":  {"address for operators": cfg.OperatorAddr != ""},
 		"holder": {"address of the engine": cfg.Engine != ""},
 	}
 	for setting, there := range needs[role] {
--- a/node/voter.go
+++ b/node/voter.go
@@ -11,6 +11,7 @@
 
 	"net"
 	"net/http"
+	"os"
 
 	"golang.org/x/sync/errgroup"
 
@@ -31,6 +32,10 @@
 
 // runVoter runs a process that votes in the ledger and serves operators.
 func runVoter(p *process) error {
+	dir, err := ledgerDir(p)
+	if err != nil {
+		return err
+	}
 	seeds := p.voters()
 	mux := &wire.Mux{}
 	v := &ledger.Voter{
@@ -38,7 +43,7 @@
 		Address:  p.ownAddress(),
 		Domain:   p.cfg.FailureDomain,
 		Members:  seeds,
-		Dir:      filepath.Join(p.cfg.DataDir, ledgerFolder),
+		Dir:      dir,
 		Heal:     true,
 		Joining:  !p.cfg.FirstStart,
 		Node:     p.wire,
@@ -94,6 +99,16 @@
 	return ignoreEnd(group.Wait())
 }
 
+// ledgerDir returns the ledger's folder. On a VM without a disk it lasts as long as
+// the process; after that the voter is taken in anew by the others.
+func ledgerDir(p *process) (string, error) {
+	if p.cfg.DataDir != "" {
+		return filepath.Join(p.cfg.DataDir, ledgerFolder), nil
+	}
+	p.event("ledger_without_disk", "")
+	return os.MkdirTemp("", ledgerFolder)
+}
+
 func operatorHandler(p *process, client *ledger.Client) http.Handler {
 	routes := &operator.Routes{Ledger: client, Decode: platform.ReadRoutes, Recorder: p.recorder}
 	mux := http.NewServeMux()
