--- a/holder/adapter.go
+++ b/holder/adapter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
@@ -116,18 +117,11 @@
 
 // pendingName decodes MODEL/ADAPTER@VERSION.
 func pendingName(p string) fleet.ModelName {
-	for i := len(p) - 1; i >= 0; i-- {
-		if p[i] == '@' {
-			p = p[:i]
-			break
-		}
-	}
-	for i := range len(p) {
-		if p[i] == '/' {
-			return fleet.ModelName{Model: p[:i], Adapter: p[i+1:]}
-		}
+	if i := strings.LastIndexByte(p, '@'); i >= 0 {
+		p = p[:i]
 	}
-	return fleet.ModelName{Model: p}
+	model, adapter, _ := strings.Cut(p, "/")
+	return fleet.ModelName{Model: model, Adapter: adapter}
 }
 
 // adapters counts the places that are taken. mu is held.
--- a/node/main.go
+++ b/node/main.go
@@ -14,10 +14,8 @@
 	"github.com/bamboostep/bamboostep/platform"
 )
 
-const usage = `usage: node ROLE [--check-settings]
-
-ROLE is entry, voter or holder. The settings stand in the file that the
-environment variable ` + platform.SettingsVariable + ` names.`
+const usage = "usage: node ROLE [--check-settings]; ROLE is entry, voter or holder, and the settings " +
+	"stand in the file that the environment variable " + platform.SettingsVariable + " names"
 
 // memoryShare is the part of the memory limit that the heap may fill before the
 // collector works harder.
--- a/node/process.go
+++ b/node/process.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -150,20 +151,10 @@
 		address := net.JoinHostPort(host, strconv.Itoa(p.cfg.FirstPort))
 		members = append(members, ledger.Member{Name: address, Address: address})
 	}
-	slices.SortFunc(members, func(a, b ledger.Member) int { return compare(a.Name, b.Name) })
+	slices.SortFunc(members, func(a, b ledger.Member) int { return strings.Compare(a.Name, b.Name) })
 	return members
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // addresses returns the voters as they are known now.
 func addresses(c *ledger.Client, seeds []ledger.Member) []string {
 	members := c.State().Members()
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -192,15 +191,6 @@
 	return n, err
 }
 
-// SetReadDeadline bounds the reads of the body.
-func (a *Answer) SetReadDeadline(t time.Time) error { return a.conn.nc.SetReadDeadline(t) }
-
-// Reused reports whether the answer came by a connection that was used before.
-func (a *Answer) Reused() bool { return a.conn.reused }
-
-// LocalAddr returns the own end of the connection.
-func (a *Answer) LocalAddr() net.Addr { return a.conn.nc.LocalAddr() }
-
 // Close ends the exchange. The connection is kept if all was read and written.
 func (a *Answer) Close() {
 	ended := !a.stop()
