--- a/fleet/parts.go
+++ b/fleet/parts.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// homeRank orders backend servers for a prompt's beginning; the highest is its home.
+// homeRank orders backend servers for a prompt's beginning by rendezvous hashing; the
+// highest is its home.
 func homeRank(beginning uint64, instance string) uint64 {
 	d := xxhash.NewWithSeed(beginning)
 	_, _ = d.WriteString(instance)
--- a/stock/level.go
+++ b/stock/level.go
@@ -12,8 +12,8 @@
 const levelSweeps = 4
 
 // levels estimates the work of each worker when entries send every request to the
-// least loaded worker that holds its model: the work of each model fills its holders
-// up to one level, as water would.
+// least loaded worker that holds its model. It is water-filling, model by model: the
+// work of each is spread so that those of its holders that get any end at one level.
 func (v *view) levels() map[*worker]float64 {
 	loads := make(map[*worker]float64, len(v.workers))
 	parts := make(map[*model]map[*worker]float64, len(v.models))
