Dials are staggered, so that a lost first packet costs 100 ms

Ruled out: the election (leader at 38.10 s), the ledger's watch (answers at once where it is connected). Change: package dialer begins another attempt each 100 ms and takes the first that connects; links use it.

--- a/wire/node.go
+++ b/wire/node.go
@@ -19,11 +19,13 @@
 	"sync"
 	"time"
 
+	"github.com/bamboostep/bamboostep/dialer"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
 const (
 	dialTimeout    = 2 * time.Second
+	dialStagger    = 100 * time.Millisecond // between attempts of one dial
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = 2 * time.Second
 )
@@ -199,7 +201,7 @@
 	if l.Node.Source != nil {
 		d.LocalAddr = &net.TCPAddr{IP: l.Node.Source}
 	}
-	nc, err := d.DialContext(ctx, "tcp", l.Address)
+	nc, err := dialer.Staggered{Dial: d.DialContext, Every: dialStagger}.DialContext(ctx, "tcp", l.Address)
 	if err != nil {
 		return
 	}
