An empty engine loads what its disk took up last before a leader is there

Cause: engines are up at 37.6 s and get their first order at 38.2 s, from a leader that had to be elected and to learn routes and reports; a load from disk takes 0.35 to 0.6 s more, so that no model answers before 38.7 s. Change: until a leader has given its first order, a holder has an empty engine load the weights that the VM's disk took up last.

--- a/holder/holder.go
+++ b/holder/holder.go
@@ -74,6 +74,7 @@
 	unsettled   *unsettled
 	loading     string // model of the order that the engine carries out
 	unloading   string
+	restored    int64         // start of the engine that a model was restored for
 	fresh       chan struct{} // closed at the next report
 }
 
@@ -103,6 +104,7 @@
 	defer t.Stop()
 	for {
 		h.poll(ctx)
+		h.restore()
 		h.push(time.Now())
 		select {
 		case <-ctx.Done():
--- a/holder/holder_test.go
+++ b/holder/holder_test.go
@@ -250,3 +250,39 @@
 		}
 	}
 }
+
+// All VMs have lost power. The engine is up, and no leader has said anything yet.
+func TestEmptyEngineLoadsWhatItsDiskTookUpLast(t *testing.T) {
+	for name, c := range map[string]struct {
+		report bamboostep.EngineReport
+		term   uint64
+		want   []string
+	}{
+		"empty, with weights on disk":   {bamboostep.EngineReport{Born: 1, OnDisk: []string{"n", "o"}}, 0, []string{"o"}},
+		"empty, with an empty disk":     {bamboostep.EngineReport{Born: 1}, 0, nil},
+		"holds a model already":         {bamboostep.EngineReport{Born: 1, OnDisk: []string{"n", "o"}, Models: []bamboostep.HeldModel{{Name: "n"}}}, 0, []string{"n"}},
+		"leaves":                        {bamboostep.EngineReport{Born: 1, OnDisk: []string{"n", "o"}, Leaving: true}, 0, nil},
+		"a leader has given orders":     {bamboostep.EngineReport{Born: 1, OnDisk: []string{"n", "o"}}, 3, nil},
+		"carries out an order":          {bamboostep.EngineReport{Born: 1, OnDisk: []string{"n", "o"}, Busy: true}, 0, nil},
+		"its report has not been heard": {bamboostep.EngineReport{OnDisk: []string{"n", "o"}}, 0, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, e := newTest(t)
+			h.Spec = func() *route.Engine { return nil } // no routes yet
+			e.report = c.report
+			h.term = c.term
+			ctx, cancel := context.WithTimeout(t.Context(), 4*pollInterval)
+			defer cancel()
+			_ = h.Run(ctx) // ends with ctx
+			h.orders.Lock()
+			defer h.orders.Unlock()
+			var got []string
+			for _, m := range e.report.Models {
+				got = append(got, m.Name)
+			}
+			if !slices.Equal(got, c.want) {
+				t.Errorf("got models %v, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/holder/order.go
+++ b/holder/order.go
@@ -38,17 +38,9 @@
 	if r := h.admit(call); r.Code != "" {
 		return r
 	}
-	err := h.give(bamboostep.EngineOrder{Load: call.Load, Model: call.Model})
-	if err != nil {
+	if err := h.giveModel(bamboostep.EngineOrder{Load: call.Load, Model: call.Model}); err != nil {
 		return replyOf(err)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if call.Load {
-		h.loading = call.Model
-	} else {
-		h.unloading = call.Model
-	}
 	return fleet.OrderReply{}
 }
 
@@ -93,7 +85,11 @@
 	}
 	used += float64(len(h.report.Pending)) * largestAdapter(spec)
 	if h.loading != "" && !holds(h.report, h.loading) {
-		used += modelNamed(spec, h.loading).WeightsMB
+		m := modelNamed(spec, h.loading)
+		if m == nil {
+			return false // restored from the disk, and no longer declared
+		}
+		used += m.WeightsMB
 	}
 	return used+moreMB <= spec.WeightsMB
 }
