No spare copies in the first three seconds of a leader

An engine that loads weights takes no order for an adapter, and half of the short questions ask for one. Ruled out: the store (these loads come from disks). Change: the placer makes spare copies only from three seconds after its first round.

--- a/stock/spread.go
+++ b/stock/spread.go
@@ -20,18 +20,20 @@
 	// LeastWork is the work of a VM, in tokens a second, that is not worth a move.
 	LeastWork float64
 
-	placer Placer // restores lost copies and remembers for whom room was made
+	placer Placer    // restores lost copies and remembers for whom room was made
+	began  time.Time // of the first round
 }
 
 var _ bamboostep.Placer = (*Spread)(nil)
 
 const (
-	spreadMoves  = 8    // in one round
-	spreadRatio  = 0.85 // work of the VM that gets a copy, to that of the busiest holder, at most
-	spreadGain   = 0.3  // least gain, in LeastWork
-	spreadLost   = 0.4  // work that unloaded copies carried, to that of one copy of the model, at most
-	storePart    = 0.7  // part of the gain that counts for a load from the store, which others wait for
-	idleRate     = 0.1  // requests a second, below which nobody misses a model
+	spreadMoves  = 8               // in one round
+	spreadRatio  = 0.85            // work of the VM that gets a copy, to that of the busiest holder, at most
+	spreadGain   = 0.3             // least gain, in LeastWork
+	spreadLost   = 0.4             // work that unloaded copies carried, to that of one copy of the model, at most
+	storePart    = 0.7             // part of the gain that counts for a load from the store, which others wait for
+	spareAfter   = 3 * time.Second // of the first round, when all that is asked for has its copies
+	idleRate     = 0.1             // requests a second, below which nobody misses a model
 	reasonSpread = "spread"
 )
 
@@ -39,6 +41,7 @@
 func (p *Spread) Place(now time.Time, fleet bamboostep.Fleet) []bamboostep.Move {
 	if p.placer.rooms == nil {
 		p.placer.rooms = make(map[string]room)
+		p.began = now
 	}
 	return eachPlace(fleet, func(v *view) {
 		v.withdraw(fleet)
@@ -49,7 +52,9 @@
 				break
 			}
 		}
-		v.fillAtHand()
+		if now.Sub(p.began) >= spareAfter {
+			v.fillAtHand()
+		}
 	})
 }
 
--- a/stock/spread_test.go
+++ b/stock/spread_test.go
@@ -89,3 +89,40 @@
 		}
 	})
 }
+
+// TestSpareCopiesWaitAfterRestart is a fleet that has lost power: disks keep all
+// weights, and callers ask for one model. In the first seconds no VM may be busy with
+// weights that nobody asks for; afterwards free memory is used for them.
+func TestSpareCopiesWaitAfterRestart(t *testing.T) {
+	f := newTestFleet(3, 4, 3300)
+	for name, v := range f.Versions {
+		v.Quick = true
+		f.Versions[name] = v
+	}
+	for i := range f.VMs {
+		for _, m := range f.Models {
+			f.VMs[i].Kept = append(f.VMs[i].Kept, m.Version)
+		}
+	}
+	f.askFor("m0", 9000)
+	p := &Spread{LeastWork: 500}
+	spare := func(at time.Duration) int {
+		n := 0
+		for _, m := range p.Place(time.Unix(0, 0).Add(at), f.Fleet) {
+			f.start(m)
+			if m.Order.Kind == bamboostep.LoadModel && m.Order.Name != "m0" {
+				n++
+			}
+		}
+		f.finish(func() bool { return true })
+		return n
+	}
+	for at := time.Duration(0); at < 2900*time.Millisecond; at += 250 * time.Millisecond {
+		if got := spare(at); got != 0 {
+			t.Fatalf("loads of idle models after %v: got %d, want none", at, got)
+		}
+	}
+	if got := spare(3500 * time.Millisecond); got == 0 {
+		t.Error("loads of idle models after 3.5 s: got none, want some")
+	}
+}
