The placer keeps copies that it would restore at once, and spares engines spare copies while demand moves

Ruled out: the demand's account (it showed the model), the store's limit. Change: room for a model that others answer for is made only by copies above what is restored; spare copies are made only after 3 s without moves for demand.

--- a/stock/spread.go
+++ b/stock/spread.go
@@ -21,7 +21,7 @@
 	LeastWork float64
 
 	placer Placer    // restores lost copies and remembers for whom room was made
-	began  time.Time // of the first round
+	moved  time.Time // of the first round, or the last that moved a copy for demand
 }
 
 var _ bamboostep.Placer = (*Spread)(nil)
@@ -32,7 +32,7 @@
 	spreadGain   = 0.3             // least gain, in LeastWork
 	spreadLost   = 0.4             // work that unloaded copies carried, to that of one copy of the model, at most
 	storePart    = 0.7             // part of the gain that counts for a load from the store, which others wait for
-	spareAfter   = 3 * time.Second // of the first round, when all that is asked for has its copies
+	spareAfter   = 3 * time.Second // without moves for demand
 	idleRate     = 0.1             // requests a second, below which nobody misses a model
 	reasonSpread = "spread"
 )
@@ -41,7 +41,7 @@
 func (p *Spread) Place(now time.Time, fleet bamboostep.Fleet) []bamboostep.Move {
 	if p.placer.rooms == nil {
 		p.placer.rooms = make(map[string]room)
-		p.began = now
+		p.moved = now
 	}
 	return eachPlace(fleet, func(v *view) {
 		v.withdraw(fleet)
@@ -52,7 +52,10 @@
 				break
 			}
 		}
-		if now.Sub(p.began) >= spareAfter {
+		if len(v.moves) > 0 {
+			p.moved = now
+		}
+		if now.Sub(p.moved) >= spareAfter {
 			v.fillAtHand()
 		}
 	})
@@ -121,13 +124,11 @@
 		slices.ContainsFunc(v.workers, func(w *worker) bool { return slices.Contains(w.copied, m.Version) })
 }
 
-// keepUnlessIdle lets copies go as long as one answers, and the last of an idle model.
-func (v *view) keepUnlessIdle(r *replica) int {
-	if v.idle(r.model) {
-		return 0
-	}
-	return 1
-}
+// keepOneUnlessIdle lets copies go as long as one answers, and the last of an idle model.
+func (v *view) keepOneUnlessIdle(r *replica) int { return min(1, v.needs(r.model)) }
+
+// keepNeeded lets copies go that are more than are restored.
+func (v *view) keepNeeded(r *replica) int { return v.needs(r.model) }
 
 // spreading is one copy that would relieve a VM.
 type spreading struct {
@@ -205,7 +206,11 @@
 	if s.to.free >= s.model.size {
 		return true
 	}
-	s.evict = s.to.surplus(s.model.size, v.keepUnlessIdle, false)
+	floor := v.keepOneUnlessIdle
+	if others {
+		floor = v.keepNeeded
+	}
+	s.evict = s.to.surplus(s.model.size, floor, false)
 	enough := s.evict.free >= s.model.size && len(s.evict.copies) > 0 && len(s.evict.copies) <= v.unloads
 	if !enough || others && s.evict.work > max(float64(len(s.evict.copies)), spreadLost*s.model.workOfOne()) {
 		return false
--- a/stock/spread_test.go
+++ b/stock/spread_test.go
@@ -126,3 +126,24 @@
 		t.Error("loads of idle models after 3.5 s: got none, want some")
 	}
 }
+
+// TestNeededCopiesStay is a fleet that is full, with a busy model that would like the
+// place of another model's second copy. That copy would be restored at once, so it
+// must not go; nothing moves.
+func TestNeededCopiesStay(t *testing.T) {
+	f := newTestFleet(2, 5, 3300)
+	f.Models[1].MinCopies = 2
+	p := &Spread{LeastWork: 500}
+	if _, settled := f.settle(p, 60); !settled {
+		t.Fatal("placement without demand did not settle")
+	}
+	if got := f.holding("m1"); got != 2 {
+		t.Fatalf("copies of the model that has two: got %d, want 2", got)
+	}
+	f.askFor("m0", 9000)
+	f.askFor("m1", 600)
+	moves, settled := f.settle(p, 60)
+	if !settled || moves != 0 {
+		t.Errorf("moves: got %d (settled %v), want none", moves, settled)
+	}
+}
