Streams' lines say when their first event came, what was expected, and the longest pause

Change: request_served of a stream names first event, expectation, age of the report behind it, longest pause and sends; one that missed its route's targets is no routine line; longest_pause_seconds on the metrics page. No change of what is served.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -51,6 +51,10 @@
 	Adapter  bool          // the adapter is there already, or none is needed
 	Wait     time.Duration // expected until the first event
 
+	// ReportAge is how old the backend server's report was that Wait rests on; below 0
+	// without one.
+	ReportAge time.Duration
+
 	fleet   *Fleet
 	server  *server
 	hashes  []uint64
@@ -138,18 +142,19 @@
 func (f *Fleet) begin(now time.Time, w Want, e estimated, hashes []uint64) *Run {
 	l := e.server.listing
 	r := &Run{
-		Address:  l.Address,
-		Instance: l.Instance,
-		Domain:   l.Domain,
-		Adapter:  e.adapter,
-		Wait:     e.wait,
-		fleet:    f,
-		server:   e.server,
-		hashes:   hashes,
-		prompt:   w.Prompt,
-		tokens:   e.uncached,
-		memory:   w.Tokens + w.Answer,
-		began:    now,
+		Address:   l.Address,
+		Instance:  l.Instance,
+		Domain:    l.Domain,
+		Adapter:   e.adapter,
+		Wait:      e.wait,
+		ReportAge: e.server.reportAge(now),
+		fleet:     f,
+		server:    e.server,
+		hashes:    hashes,
+		prompt:    w.Prompt,
+		tokens:    e.uncached,
+		memory:    w.Tokens + w.Answer,
+		began:     now,
 	}
 	e.server.runs[r] = true
 	if w.Name.Adapter != "" && e.adapter {
--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -110,6 +110,13 @@
 	return !s.reportAt.IsZero() && now.Sub(s.reportAt) <= reportMaxAge
 }
 
+func (s *server) reportAge(now time.Time) time.Duration {
+	if s.reportAt.IsZero() {
+		return -1
+	}
+	return now.Sub(s.reportAt)
+}
+
 // waiting returns how many requests an engine has that it has not read whole.
 func (s *server) waiting(now time.Time) int {
 	if !s.hasReport(now) {
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -103,7 +104,7 @@
 func (x *exchange) fail(status int, reason, detail string) bool {
 	http.Error(x.w, reason, status)
 	x.g.Metrics.refused(status, reason)
-	x.record("request_failed", "", reason+" "+strconv.Itoa(status)+" after "+time.Since(x.arrived).Round(time.Millisecond).String()+" "+detail)
+	x.record("request_failed", "", reason+" "+strconv.Itoa(status)+" after "+milliseconds(time.Since(x.arrived))+" "+detail)
 	return false
 }
 
@@ -144,15 +145,41 @@
 func (x *exchange) done(address string, status int, err error) {
 	took := time.Since(x.arrived)
 	x.g.Metrics.served(x.route.Kind, status, took)
-	detail := strconv.Itoa(status) + " in " + took.Round(time.Millisecond).String()
+	detail := strconv.Itoa(status) + " in " + milliseconds(took) + x.course()
 	if err != nil {
 		detail += ", not delivered: " + err.Error()
 	}
 	e := x.event("request_served", address, detail)
-	e.Routine = err == nil && status < http.StatusInternalServerError
+	e.Routine = err == nil && status < http.StatusInternalServerError && !x.late()
 	x.g.Recorder.Record(e)
 }
 
+// course says how a stream went, and what was expected when its backend server was
+// chosen.
+func (x *exchange) course() string {
+	if !x.stream.begun() {
+		return ""
+	}
+	s := x.stream
+	basis := "no report"
+	if x.run.ReportAge >= 0 {
+		basis = "a report " + milliseconds(x.run.ReportAge) + " old"
+	}
+	return fmt.Sprintf(", first event after %s (expected %s, from %s), longest pause %s, sends %d",
+		milliseconds(s.first), milliseconds(x.run.Wait), basis, milliseconds(s.pause), x.sends)
+}
+
+func milliseconds(d time.Duration) string { return d.Round(time.Millisecond).String() }
+
+// late reports whether a stream missed what its route declares.
+func (x *exchange) late() bool {
+	if !x.stream.begun() {
+		return false
+	}
+	r := x.route
+	return r.Target > 0 && x.stream.first > r.Target || r.Pause > 0 && x.stream.pause > r.Pause
+}
+
 func (x *exchange) record(kind, address, detail string) {
 	x.g.Recorder.Record(x.event(kind, address, detail))
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -134,6 +134,7 @@
 
 // attempt sends the request to one backend server.
 func (x *exchange) attempt(ctx context.Context, run *fleet.Run) result {
+	x.run = run
 	if !run.Adapter && !x.loadAdapter(ctx, run) {
 		return resultAgain
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,9 +99,10 @@
 	service  *route.Service
 	deadline time.Time
 
-	sends    int      // that reached a backend server
-	mayRun   int      // of these, sends that may have run
-	tried    []string // addresses that failed
+	run      *fleet.Run // of the last attempt
+	sends    int        // that reached a backend server
+	mayRun   int        // of these, sends that may have run
+	tried    []string   // addresses that failed
 	unsent   int
 	promised bool // no backend server has run it or will
 	stream   *relay
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -16,6 +16,7 @@
 	attempts *prometheus.HistogramVec
 	duration *prometheus.HistogramVec
 	first    prometheus.Histogram
+	pause    prometheus.Histogram
 }
 
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.5, 3, 6, 12}
@@ -43,8 +44,12 @@
 			Namespace: "bamboostep", Subsystem: "gateway", Name: "first_event_seconds",
 			Help: "Time from the arrival of a request to the first event of its stream.", Buckets: latencyBuckets,
 		}),
+		pause: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: "bamboostep", Subsystem: "gateway", Name: "longest_pause_seconds",
+			Help: "Longest time between two events of a stream that was passed on whole.", Buckets: latencyBuckets,
+		}),
 	}
-	r.MustRegister(m.requests, m.refusals, m.attempts, m.duration, m.first)
+	r.MustRegister(m.requests, m.refusals, m.attempts, m.duration, m.first, m.pause)
 	return m
 }
 
@@ -74,5 +79,11 @@
 	}
 }
 
+func (m *Metrics) longestPause(d time.Duration) {
+	if m != nil {
+		m.pause.Observe(d.Seconds())
+	}
+}
+
 // statusClass bounds the label to five values.
 func statusClass(status int) string { return strconv.Itoa(status/100) + "xx" }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -26,6 +26,10 @@
 	started bool   // the head was sent
 	lastID  string // of the last event that was passed on
 	events  int
+
+	first  time.Duration // from the arrival of the request to the first event
+	passed time.Time     // of the last event
+	pause  time.Duration // the longest between two events
 }
 
 func (s *relay) begun() bool { return s != nil && s.started }
@@ -52,6 +56,7 @@
 	switch {
 	case err == nil:
 		run.End(fleet.EndedWell, now)
+		x.g.Metrics.longestPause(x.stream.pause)
 		x.done(run.Address, http.StatusOK, nil)
 		return resultDone
 	case errors.As(err, &gone) || x.r.Context().Err() != nil:
@@ -108,6 +113,7 @@
 	}
 	x.stream.started = true
 	after := time.Since(x.arrived)
+	x.stream.first = after
 	x.g.Metrics.firstEvent(after)
 	if x.route.Target > 0 && after > x.route.Target {
 		x.g.Fleet.NoteLate(x.name())
@@ -122,13 +128,22 @@
 	if id := lastEventID(events); id != "" {
 		x.stream.lastID = id
 	}
-	x.stream.events++
+	x.stream.note(time.Now())
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
 	return http.NewResponseController(x.w).Flush()
 }
 
+// note counts events that are passed on at a time.
+func (s *relay) note(now time.Time) {
+	if s.events > 0 {
+		s.pause = max(s.pause, now.Sub(s.passed))
+	}
+	s.events++
+	s.passed = now
+}
+
 // breakOff ends a stream so that it does not look whole.
 func (x *exchange) breakOff(reason string) {
 	x.g.Metrics.refused(http.StatusBadGateway, "stream_broken")
