The time line of log files alone, and log levels for what was lost

Cause: on-call engineers have only logs when the processes are gone or their rings written over; `bamboostep timeline` asked entries only, and lines carried wall times, which differ between VMs. A failed disk and a lost dependency were lines at level info. An unknown command suggested none. Lost dependencies are warnings, lost disks errors.

--- a/bamboostep/main.go
+++ b/bamboostep/main.go
@@ -63,7 +63,17 @@
 
 func missingCommand(_ context.Context, cmd *cli.Command) error {
 	if cmd.Args().Present() {
-		return &usageProblem{fmt.Sprintf("command %q is unknown", cmd.Args().First())}
+		return unknownCommand(cmd)
 	}
 	return cli.ShowAppHelp(cmd)
 }
+
+// unknownCommand names the command that was probably meant.
+func unknownCommand(cmd *cli.Command) error {
+	name := cmd.Args().First()
+	issue := fmt.Sprintf("command %q is unknown", name)
+	if near := cli.SuggestCommand(cmd.Commands, name); near != "" {
+		issue += fmt.Sprintf("; did you mean %q?", near)
+	}
+	return &usageProblem{issue}
+}
--- a/bamboostep/status.go
+++ b/bamboostep/status.go
@@ -142,8 +142,10 @@
 		Flags: entryFlags(
 			&cli.StringFlag{Name: "request", Usage: "only events of the request `ID`"},
 			&cli.StringFlag{Name: "model", Usage: "only events of the model, adapter or service `NAME`"},
+			&cli.StringFlag{Name: "vm", Usage: "only events of the VM or backend server `NAME`"},
 			&cli.TimestampFlag{Name: "since", Usage: "only events at or after `TIME`", Config: timestampConfig},
 			&cli.TimestampFlag{Name: "until", Usage: "only events at or before `TIME`", Config: timestampConfig},
+			&cli.StringSliceFlag{Name: "log", Usage: "read the log `FILE` of processes instead of asking entries, - for standard input; may be repeated"},
 		),
 		OnUsageError: usageError,
 		Action:       action(findEvents, writeEvents),
@@ -153,16 +155,21 @@
 var timestampConfig = cli.TimestampConfig{Layouts: []string{time.RFC3339Nano}}
 
 func findEvents(ctx context.Context, cmd *cli.Command) ([]timeline.Event, error) {
-	client, err := newClient(cmd)
-	if err != nil {
-		return nil, err
-	}
-	return client.Timeline(ctx, timeline.Query{
+	q := timeline.Query{
 		Request: bamboostep.RequestID(cmd.String("request")),
 		Model:   cmd.String("model"),
+		VM:      cmd.String("vm"),
 		Since:   cmd.Timestamp("since"),
 		Until:   cmd.Timestamp("until"),
-	})
+	}
+	if files := cmd.StringSlice("log"); len(files) > 0 {
+		return eventsOfLogs(files, q, cmd.Root().ErrWriter)
+	}
+	client, err := newClient(cmd)
+	if err != nil {
+		return nil, err
+	}
+	return client.Timeline(ctx, q)
 }
 
 func writeEvents(w io.Writer, events []timeline.Event) {
--- a/timeline/lines.go
+++ b/timeline/lines.go
@@ -101,12 +101,40 @@
 	batch := l.take()
 	for _, n := range batch {
 		l.at = n.at
-		l.log.Info(n.event.Kind, keyValues(n.event)...)
+		l.log.Log(levelOf(n.event.Kind), n.event.Kind, keyValues(n.event)...)
 	}
 	l.tellDropped()
 	l.giveBack(batch)
 }
 
+// levels are those of the events that an on-call engineer looks for first: what was
+// lost or damaged. All others are for information.
+var levels = map[string]log.Level{
+	"ledger_disk_failed":   log.ErrorLevel,
+	"ledger_disk_refused":  log.ErrorLevel,
+	"ledger_voter_stopped": log.ErrorLevel,
+	"routes_invalid":       log.ErrorLevel,
+	"routes_unreadable":    log.ErrorLevel,
+	"agent_lost":           log.WarnLevel,
+	"backend_down":         log.WarnLevel,
+	"engine_lost":          log.WarnLevel,
+	"holder_lost":          log.WarnLevel,
+	"list_lost":            log.WarnLevel,
+	"list_read_directly":   log.WarnLevel,
+	"list_unreadable":      log.WarnLevel,
+	"metrics_not_served":   log.WarnLevel,
+	"platform_list_lost":   log.WarnLevel,
+	"quorum_lost":          log.WarnLevel,
+	"voter_lost":           log.WarnLevel,
+}
+
+func levelOf(kind string) log.Level {
+	if l, ok := levels[kind]; ok {
+		return l
+	}
+	return log.InfoLevel
+}
+
 // tellDropped says how many lines were left out since it last did. writing is held.
 func (l *lines) tellDropped() {
 	dropped := l.dropped.Load()
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -10,6 +10,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -40,6 +41,7 @@
 type Query struct {
 	Request bamboostep.RequestID `msgpack:"request"`
 	Model   string               `msgpack:"model"`
+	VM      string               `msgpack:"vm"`
 	Since   time.Time            `msgpack:"since"`
 	Until   time.Time            `msgpack:"until"`
 }
@@ -52,6 +54,9 @@
 	if q.Model != "" && q.Model != e.Model {
 		return false
 	}
+	if q.VM != "" && q.VM != e.VM {
+		return false
+	}
 	at := e.Stamp.Time()
 	if !q.Since.IsZero() && at.Before(q.Since) {
 		return false
@@ -59,6 +64,17 @@
 	return q.Until.IsZero() || !at.After(q.Until)
 }
 
+// Select returns the events that q selects, in their order.
+func (q Query) Select(events []Event) []Event {
+	var found []Event
+	for _, e := range events {
+		if q.Matches(e) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
 // defaultEvents is the number of events that a Recorder keeps.
 const defaultEvents = 4096
 
@@ -131,18 +147,19 @@
 }
 
 func keyValues(e Event) []any {
-	kv := make([]any, 0, 16)
+	kv := make([]any, 0, 18)
 	add := func(key string, value any, set bool) {
 		if set {
 			kv = append(kv, key, value)
 		}
 	}
-	add("request", e.Request, e.Request != "")
-	add("attempt", e.Attempt, e.Attempt != "")
-	add("model", e.Model, e.Model != "")
-	add("vm", e.VM, e.VM != "")
-	add("revision", e.Revision, e.Revision != 0)
-	add("term", e.Term, e.Term != 0)
-	add("detail", e.Detail, e.Detail != "")
+	add(fieldRequest, e.Request, e.Request != "")
+	add(fieldAttempt, e.Attempt, e.Attempt != "")
+	add(fieldModel, e.Model, e.Model != "")
+	add(fieldVM, e.VM, e.VM != "")
+	add(fieldRevision, e.Revision, e.Revision != 0)
+	add(fieldTerm, e.Term, e.Term != 0)
+	add(fieldDetail, e.Detail, e.Detail != "")
+	add(fieldStamp, strconv.FormatUint(uint64(e.Stamp), stampBase), true)
 	return kv
 }
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -85,7 +86,7 @@
 		r := newLogged(&out)
 		var want []string
 		for i := range 3 {
-			want = append(want, fmt.Sprintf("time=%s level=info msg=event_%d vm=vm-1", time.Now().Format(time.RFC3339Nano), i))
+			want = append(want, fmt.Sprintf("time=%s level=info msg=event_%d vm=vm-1 stamp=%s", time.Now().Format(time.RFC3339Nano), i, strconv.FormatInt(1<<16+int64(i), 36)))
 			r.Record(timeline.Event{Kind: fmt.Sprint("event_", i), VM: "vm-1"})
 			time.Sleep(time.Millisecond)
 		}
