--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -59,6 +59,14 @@
 	return true
 }
 
+// Left returns how many retries may be made now.
+func (b *Budget) Left(now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fill(now)
+	return b.tokens
+}
+
 func (b *Budget) fill(now time.Time) {
 	if !b.ready {
 		b.ready = true
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,6 +43,7 @@
 	servers   map[key]*server
 	byAddress map[string]*server
 	byService map[string][]*server
+	listAt    time.Time // when the newest list was true; zero for none
 	changed   chan struct{}
 	urgent    chan struct{} // a model that no backend server holds was asked for
 	demand    map[ModelName]*tally
@@ -133,6 +134,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.init()
+	if at.After(f.listAt) {
+		f.listAt = at
+	}
 	named := make(map[key]bool, len(listings))
 	for _, l := range listings {
 		named[key{l.Instance, l.Born}] = true
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -101,6 +101,12 @@
 // testGateway serves one route to the given backend servers, which are chosen in
 // their order while nothing is known of them.
 func testGateway(t *testing.T, r route.Route, servers ...*standIn) *httptest.Server {
+	t.Helper()
+	return testGatewayWith(t, &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}, r, servers...)
+}
+
+// testGatewayWith is testGateway with a recorder of the test's own.
+func testGatewayWith(t *testing.T, recorder *timeline.Recorder, r route.Route, servers ...*standIn) *httptest.Server {
 	t.Helper()
 	r.Name, r.Host, r.Prefix = "r", "h.example", "/p/"
 	r.Split = []route.Share{{Service: "s", Weight: 1}}
@@ -125,7 +131,7 @@
 		Pool:     &origin.Pool{Dialect: platform.HTTP{}},
 		Adapters: noAdapters{},
 		Budget:   func(string) *dispatch.Budget { return budget },
-		Recorder: &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}},
+		Recorder: recorder,
 	}
 	s := httptest.NewServer(g)
 	t.Cleanup(s.Close)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,6 +17,7 @@
 	duration *prometheus.HistogramVec
 	first    prometheus.Histogram
 	pause    prometheus.Histogram
+	budget   *prometheus.GaugeVec
 }
 
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.5, 3, 6, 12}
@@ -48,8 +49,12 @@
 			Namespace: "bamboostep", Subsystem: "gateway", Name: "longest_pause_seconds",
 			Help: "Longest time between two events of a stream that was passed on whole.", Buckets: latencyBuckets,
 		}),
+		budget: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Namespace: "bamboostep", Subsystem: "gateway", Name: "retry_budget",
+			Help: "Retries that this entry may make now, by service.",
+		}, []string{"service"}),
 	}
-	r.MustRegister(m.requests, m.refusals, m.attempts, m.duration, m.first, m.pause)
+	r.MustRegister(m.requests, m.refusals, m.attempts, m.duration, m.first, m.pause, m.budget)
 	return m
 }
 
@@ -85,5 +90,12 @@
 	}
 }
 
+// BudgetLeft notes how many retries may be made for a service.
+func (m *Metrics) BudgetLeft(service string, n float64) {
+	if m != nil {
+		m.budget.WithLabelValues(service).Set(n)
+	}
+}
+
 // statusClass bounds the label to five values.
 func statusClass(status int) string { return strconv.Itoa(status/100) + "xx" }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -54,6 +54,7 @@
 	Engine   bamboostep.OrderedEngine
 	Spec     func() *route.Engine // as published; nil before anything is
 	Recorder *timeline.Recorder
+	Metrics  *Metrics // may be nil
 
 	orders sync.Mutex // one order at a time
 
@@ -193,9 +194,9 @@
 	}
 	switch {
 	case r.Orders > u.order.After:
-		h.record("order_settled", u.order.Model)
+		h.recordOrder("order_settled", u.order, "")
 	case now.After(u.until):
-		h.record("order_expired", u.order.Model)
+		h.recordOrder("order_expired", u.order, "")
 	default:
 		return
 	}
@@ -205,11 +206,11 @@
 // finished notes that the engine carries out no order. mu is held.
 func (h *Holder) finished(r bamboostep.EngineReport) {
 	if h.loading != "" && holds(r, h.loading) {
-		h.record("model_loaded", h.loading)
+		h.recordModel("model_loaded", h.loading, "")
 		h.loading = ""
 	}
 	if h.unloading != "" && !holds(r, h.unloading) {
-		h.record("model_unloaded", h.unloading)
+		h.recordModel("model_unloaded", h.unloading, "")
 		h.unloading = ""
 	}
 	if h.unsettled == nil && r.Orders >= h.taken {
@@ -331,6 +332,18 @@
 	}
 }
 
+func (h *Holder) recordOrder(kind string, o bamboostep.EngineOrder, detail string) {
+	name := o.Model
+	if o.Adapter != "" {
+		name += "/" + o.Adapter
+	}
+	h.recordModel(kind, name, detail)
+}
+
+func (h *Holder) recordModel(kind, model, detail string) {
+	h.Recorder.Record(timeline.Event{Kind: kind, VM: h.Address, Model: model, Detail: detail})
+}
+
 func (h *Holder) record(kind, detail string) {
 	h.Recorder.Record(timeline.Event{Kind: kind, VM: h.Address, Detail: detail})
 }
--- /dev/null
+++ b/holder/metrics.go
@@ -0,0 +1,80 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// Outcomes of orders to the engine.
+const (
+	outcomeTaken      = "taken"
+	outcomeRefused    = "refused"
+	outcomeUnanswered = "unanswered"
+)
+
+// Metrics counts the orders of a holder. A nil *Metrics counts nothing.
+type Metrics struct {
+	orders *prometheus.CounterVec
+}
+
+// NewMetrics registers the counters, and gauges of the last report of h's engine.
+func NewMetrics(r prometheus.Registerer, h *Holder) *Metrics {
+	m := &Metrics{orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "bamboostep", Subsystem: "holder", Name: "orders_total",
+		Help: "Orders to the engine, by what they are and by outcome.",
+	}, []string{"order", "outcome"})}
+	r.MustRegister(m.orders)
+	gauge := func(name, help string, of func(e bamboostep.EngineReport) float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "bamboostep", Subsystem: "holder", Name: name, Help: help,
+		}, func() float64 { return of(h.lastReport()) }))
+	}
+	gauge("waiting", "Requests that wait at the engine.", func(e bamboostep.EngineReport) float64 { return float64(e.Waiting) })
+	gauge("running", "Requests that run at the engine.", func(e bamboostep.EngineReport) float64 { return float64(e.Running) })
+	gauge("reading", "Running requests whose prompt is still being read.", func(e bamboostep.EngineReport) float64 { return float64(e.Reading) })
+	gauge("cache_used_tokens", "Tokens of KV cache that requests need.", func(e bamboostep.EngineReport) float64 { return float64(e.CacheUsed) })
+	gauge("cache_tokens", "Tokens of KV cache that the engine has.", func(e bamboostep.EngineReport) float64 { return float64(e.CacheTokens) })
+	gauge("models", "Models that the engine holds.", func(e bamboostep.EngineReport) float64 { return float64(len(e.Models)) })
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "bamboostep", Subsystem: "holder", Name: "report_age_seconds",
+		Help: "Age of the engine's last report; -1 before the first.",
+	}, func() float64 { return h.reportSeconds(time.Now()) }))
+	return m
+}
+
+func (m *Metrics) ordered(o bamboostep.EngineOrder, outcome string) {
+	if m != nil {
+		m.orders.WithLabelValues(orderName(o), outcome).Inc()
+	}
+}
+
+// orderName bounds the label to four values.
+func orderName(o bamboostep.EngineOrder) string {
+	switch {
+	case o.Load && o.Adapter != "":
+		return "load_adapter"
+	case o.Load:
+		return "load_model"
+	case o.Adapter != "":
+		return "unload_adapter"
+	}
+	return "unload_model"
+}
+
+func (h *Holder) lastReport() bamboostep.EngineReport {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.report
+}
+
+func (h *Holder) reportSeconds(now time.Time) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.reportAt.IsZero() {
+		return -1
+	}
+	return now.Sub(h.reportAt).Seconds()
+}
--- a/holder/order.go
+++ b/holder/order.go
@@ -116,15 +116,18 @@
 		switch {
 		case err == nil:
 			h.noteTaken(o)
+			h.Metrics.ordered(o, outcomeTaken)
 			return nil
 		case errors.As(err, &refused) && refused.Fenced:
 			o.Fence = h.raiseFence()
 		case errors.As(err, &refused):
-			h.record("order_refused", o.Model+"/"+o.Adapter+": "+err.Error())
+			h.recordOrder("order_refused", o, err.Error())
+			h.Metrics.ordered(o, outcomeRefused)
 			return err
 		}
 	}
 	h.noteUnsettled(o, err)
+	h.Metrics.ordered(o, outcomeUnanswered)
 	return err
 }
 
@@ -143,14 +146,14 @@
 	if o.Load {
 		kind = "order_taken_load"
 	}
-	h.record(kind, o.Model+"/"+o.Adapter)
+	h.recordOrder(kind, o, "")
 }
 
 func (h *Holder) noteUnsettled(o bamboostep.EngineOrder, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.unsettled = &unsettled{order: o, until: time.Now().Add(unsettledFor)}
-	h.record("order_unanswered", o.Model+"/"+o.Adapter+": "+err.Error())
+	h.recordOrder("order_unanswered", o, err.Error())
 }
 
 // raiseFence takes a higher fencing number, because this VM alone orders the engine
--- a/holder/restore.go
+++ b/holder/restore.go
@@ -21,10 +21,10 @@
 	h.orders.Lock()
 	defer h.orders.Unlock()
 	if err := h.giveModel(bamboostep.EngineOrder{Load: true, Model: model}); err != nil {
-		h.record("model_not_restored", model+": "+err.Error())
+		h.recordModel("model_not_restored", model, err.Error())
 		return
 	}
-	h.record("model_restored", model)
+	h.recordModel("model_restored", model, "")
 }
 
 // takeRestore returns the model to load, or "" if there is none. It does so once for
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/timeline"
 	"github.com/bamboostep/bamboostep/wire"
@@ -115,6 +117,22 @@
 	return watched
 }
 
+// RegisterMetrics adds a gauge of how old the proof is that State is current.
+func (c *Client) RegisterMetrics(r prometheus.Registerer) {
+	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: "bamboostep", Subsystem: "ledger", Name: "proof_age_seconds",
+		Help: "Time since the state that this process has was last proved to be the newest; -1 if never.",
+	}, func() float64 { return c.proofSeconds(time.Now()) }))
+}
+
+func (c *Client) proofSeconds(now time.Time) float64 {
+	at := c.Current()
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at).Seconds()
+}
+
 // Leader returns the leader and its term, as far as the process knows.
 func (c *Client) Leader() (name string, term uint64) {
 	c.init()
--- a/ledger/metrics.go
+++ b/ledger/metrics.go
@@ -14,6 +14,9 @@
 	overflow   prometheus.Counter
 	names      prometheus.Gauge
 	refused    prometheus.Gauge
+	last       prometheus.Gauge
+	commit     prometheus.Gauge
+	appliedTo  prometheus.Gauge
 	saveSecond prometheus.Histogram
 }
 
@@ -22,12 +25,15 @@
 		return prometheus.Opts{Namespace: "bamboostep", Subsystem: "ledger", Name: name, Help: help}
 	}
 	m := &metrics{
-		leader:   prometheus.NewGauge(prometheus.GaugeOpts(opts("leader", "1 while this voter leads."))),
-		term:     prometheus.NewGauge(prometheus.GaugeOpts(opts("term", "Newest term that this voter knows."))),
-		entries:  prometheus.NewCounter(prometheus.CounterOpts(opts("applied_entries_total", "Log entries applied."))),
-		overflow: prometheus.NewCounter(prometheus.CounterOpts(opts("dropped_messages_total", "Messages of voters dropped because too many waited."))),
-		names:    prometheus.NewGauge(prometheus.GaugeOpts(opts("claimed_names", "Names of requests that are taken; at 65,536 new claims are refused."))),
-		refused:  prometheus.NewGauge(prometheus.GaugeOpts(opts("disk_refused", "1 while the other voters know another disk under this voter's name."))),
+		leader:    prometheus.NewGauge(prometheus.GaugeOpts(opts("leader", "1 while this voter leads."))),
+		term:      prometheus.NewGauge(prometheus.GaugeOpts(opts("term", "Newest term that this voter knows."))),
+		entries:   prometheus.NewCounter(prometheus.CounterOpts(opts("applied_entries_total", "Log entries applied."))),
+		overflow:  prometheus.NewCounter(prometheus.CounterOpts(opts("dropped_messages_total", "Messages of voters dropped because too many waited."))),
+		names:     prometheus.NewGauge(prometheus.GaugeOpts(opts("claimed_names", "Names of requests that are taken; at 65,536 new claims are refused."))),
+		refused:   prometheus.NewGauge(prometheus.GaugeOpts(opts("disk_refused", "1 while the other voters know another disk under this voter's name."))),
+		last:      prometheus.NewGauge(prometheus.GaugeOpts(opts("last_index", "Index of the last entry of this voter's log."))),
+		commit:    prometheus.NewGauge(prometheus.GaugeOpts(opts("commit_index", "Index up to which this voter knows the log to be committed."))),
+		appliedTo: prometheus.NewGauge(prometheus.GaugeOpts(opts("applied_index", "Index up to which this voter has applied the log."))),
 		saveSecond: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: "bamboostep",
 			Subsystem: "ledger",
@@ -37,7 +43,7 @@
 		}),
 	}
 	if r != nil {
-		r.MustRegister(m.leader, m.term, m.entries, m.overflow, m.names, m.refused, m.saveSecond)
+		r.MustRegister(m.leader, m.term, m.entries, m.overflow, m.names, m.refused, m.last, m.commit, m.appliedTo, m.saveSecond)
 	}
 	return m
 }
@@ -46,6 +52,12 @@
 
 func (m *metrics) applied(n int) { m.entries.Add(float64(n)) }
 
+func (m *metrics) indexes(last, commit, applied uint64) {
+	m.last.Set(float64(last))
+	m.commit.Set(float64(commit))
+	m.appliedTo.Set(float64(applied))
+}
+
 func (m *metrics) claimed(names int) { m.names.Set(float64(names)) }
 
 func (m *metrics) dropped() { m.overflow.Inc() }
--- a/ledger/voter.go
+++ b/ledger/voter.go
@@ -353,6 +353,7 @@
 		s.current = v.started.Add(v.core.currentAt)
 	}
 	v.status.Store(s)
+	v.metrics.indexes(v.core.log.lastIndex(), v.core.commit, v.machine.state.index)
 	if !leads {
 		v.dropPending(codeUncertain)
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -53,8 +53,10 @@
 func runEntry(p *process) error {
 	e := &entry{process: p, budgets: make(map[string]*dispatch.Budget)}
 	e.fleet = &fleet.Fleet{Domain: p.cfg.FailureDomain}
+	e.fleet.RegisterMetrics(p.registry)
 	seeds := p.voters()
 	e.client = &ledger.Client{Node: p.wire, Members: seeds, Recorder: p.recorder, Applied: func(s *ledger.State) { noteTable(p, s, &e.table) }}
+	e.client.RegisterMetrics(p.registry)
 	e.links = &fleet.Links{Node: p.wire, Fleet: e.fleet, Port: p.cfg.FirstPort, Services: func() []string { return e.table.Load().EngineServices() }, Recorder: p.recorder}
 	e.follower = &fleet.Follower{
 		Node:      p.wire,
@@ -208,8 +210,9 @@
 	burst := e.retryBurst()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, b := range e.budgets {
+	for service, b := range e.budgets {
 		b.SetBurst(burst)
+		e.gateway.Metrics.BudgetLeft(service, b.Left(time.Now()))
 	}
 }
 
--- a/node/holder.go
+++ b/node/holder.go
@@ -21,6 +21,7 @@
 	client := &ledger.Client{Node: p.wire, Members: p.voters(), Recorder: p.recorder, Applied: func(s *ledger.State) {
 		noteTable(p, s, &table)
 	}}
+	client.RegisterMetrics(p.registry)
 	h := &holder.Holder{
 		Name:    p.cfg.Node,
 		Address: p.cfg.Engine,
@@ -34,6 +35,7 @@
 		Spec:     func() *route.Engine { return table.Load().Engine(p.cfg.EngineService) },
 		Recorder: p.recorder,
 	}
+	h.Metrics = holder.NewMetrics(p.registry, h)
 	mux := &wire.Mux{}
 	h.Register(mux)
 	own, err := p.listen()
--- a/node/voter.go
+++ b/node/voter.go
@@ -52,7 +52,9 @@
 	}
 	v.Register(mux)
 	client := &ledger.Client{Node: p.wire, Members: seeds, Local: v, Recorder: p.recorder}
+	client.RegisterMetrics(p.registry)
 	known := &fleet.Fleet{Domain: p.cfg.FailureDomain}
+	known.RegisterMetrics(p.registry)
 	var table atomic.Pointer[route.Table]
 	v.Applied = func(s *ledger.State) { noteTable(p, s, &table) }
 	reader := &fleet.Reader{Directory: p.directory(), Fleet: known, Recorder: p.recorder}
@@ -74,6 +76,7 @@
 		},
 		Placer:      func(string) bamboostep.Placer { return &stock.Spread{LeastWork: leastWork} },
 		Recorder:    p.recorder,
+		Metrics:     placement.NewMetrics(p.registry),
 		StoreWindow: p.cfg.StoreWindow,
 		StoreOver:   p.cfg.StoreOver,
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -47,6 +47,7 @@
 	Leader   func() (term uint64, leads bool)       // of the ledger
 	Placer   func(service string) bamboostep.Placer // a new one
 	Recorder *timeline.Recorder
+	Metrics  *Metrics // may be nil
 
 	// StoreWindow is the span over which loads from the store are counted.
 	StoreWindow time.Duration
@@ -167,6 +168,7 @@
 			return
 		}
 		store.take(now)
+		p.Metrics.storeLoad()
 	}
 	p.given[givenKey{move.VM, move.Order.Name}] = givenOrder{load, now.Add(orderTimeout)}
 	p.record("order_given", move, fmt.Sprintf("load %v, %s, from store %v", load, move.Reason, fromStore))
@@ -191,6 +193,7 @@
 	if err != nil {
 		p.record("order_not_taken", move, err.Error())
 	}
+	p.Metrics.ordered(load, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.given[givenKey{move.VM, move.Order.Name}] = givenOrder{load, time.Now().Add(shownAfter)}
