Streams move off engines that go at short notice

Cause: an engine that is taken away at short notice (scale_in, spot: two seconds) cuts off what still runs then, and a route that may not be repeated cannot be resumed elsewhere. The platform's moves of KV caches, which count as the same run, were not used. Change: a holder's report says when its engine goes; a stream that still runs 0.6 s before is stopped there, its cache moved to another engine that holds the model, and the request goes on there after the last event, each event once. One retry of the budget each. If no engine takes it, it stays; if the caller has left, the cache is freed.

--- a/call.go
+++ b/call.go
@@ -1,6 +1,8 @@
 package bamboostep
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -42,8 +44,43 @@
 	Instance    string        // backend server that is meant
 	Rank        int           // 0 is the most urgent
 	ResumeAfter string
+	Cache       MovedCache // of this request; the zero value for none
 }
 
+// MovedCache names the KV cache of a request that was stopped, to go on from it at
+// another engine.
+type MovedCache struct {
+	Source string // address of the engine that had it
+	Handle string
+}
+
+// CacheMover moves the KV cache of running requests between engines. A Dialect may be
+// one.
+type CacheMover interface {
+	// StopAndMove stops the request named id at the engine source, and returns once
+	// its cache is at the engine target. The error is a *MoveError.
+	StopAndMove(ctx context.Context, source, target, id string) (MovedCache, error)
+	// DropCache frees a cache that will not be used.
+	DropCache(ctx context.Context, c MovedCache) error
+}
+
+// MoveError says why a KV cache was not moved.
+type MoveError struct {
+	Status int // of the answer; 0 for none
+	Cause  error
+}
+
+// Error implements error.
+func (e *MoveError) Error() string {
+	if e.Status != 0 {
+		return fmt.Sprintf("cache not moved: status %d", e.Status)
+	}
+	return fmt.Sprintf("cache not moved: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *MoveError) Unwrap() error { return e.Cause }
+
 // AnswerMark is what the head of a backend server's answer says of itself.
 type AnswerMark struct {
 	CallID      string // of the request that it answers
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -63,6 +63,7 @@
 	memory  int // tokens of KV cache
 	began   time.Time
 	started bool
+	leaves  chan struct{} // closed once it is known when the backend server goes
 }
 
 // Choose picks a backend server and counts the request there until Run.End. The
@@ -155,6 +156,10 @@
 		tokens:    e.uncached,
 		memory:    w.Tokens + w.Answer,
 		began:     now,
+		leaves:    make(chan struct{}),
+	}
+	if !e.server.goesAt.IsZero() {
+		close(r.leaves)
 	}
 	e.server.runs[r] = true
 	if w.Name.Adapter != "" && e.adapter {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,6 +63,7 @@
 	runs      map[*Run]bool
 	used      map[AdapterCall]bool // adapters that requests used since the holder was told
 	parts     partMemory
+	goesAt    time.Time // when it goes, by its holder; zero while that is not known
 	failUntil time.Time
 	failures  int     // in a row
 	failShare float64 // share of requests that failed of late
@@ -233,6 +234,9 @@
 	s.report, s.reportAt = r, at
 	s.listing.Leaving = s.listing.Leaving || r.Leaving
 	s.hold(r.Models)
+	if r.Leaving && r.LeftMS > 0 && s.goesAt.IsZero() {
+		s.goes(at.Add(time.Duration(r.LeftMS) * time.Millisecond))
+	}
 	if changed {
 		f.wake()
 	}
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -31,6 +31,25 @@
 	r.server.load, r.server.loadAt = m.Load, now
 }
 
+// Leaves returns a channel that is closed once it is known when the backend server
+// goes, whether or not the request has ended.
+func (r *Run) Leaves() <-chan struct{} { return r.leaves }
+
+// GoesAt returns when the backend server goes, the zero time while that is not known.
+func (r *Run) GoesAt() time.Time {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	return r.server.goesAt
+}
+
+// goes notes when a backend server goes. The fleet's mu is held.
+func (s *server) goes(at time.Time) {
+	s.goesAt = at
+	for r := range s.runs {
+		close(r.leaves)
+	}
+}
+
 // Ending says how a request ended at a backend server.
 type Ending int
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,6 +12,8 @@
 	"github.com/bamboostep/bamboostep/route"
 )
 
+var errBudget = errors.New("retry budget is empty")
+
 const (
 	maxUnsent      = 4                       // backend servers that could not be reached, for one request
 	maxRefusals    = 4                       // backend servers that refused one request
@@ -50,6 +52,8 @@
 // mayRepeat reports whether another attempt is allowed. If not, it answers.
 func (x *exchange) mayRepeat() bool {
 	switch {
+	case x.moved != nil:
+		return true // the same run goes on
 	case x.r.Context().Err() != nil:
 		return false
 	case !x.promised && !x.route.Repeatable():
@@ -67,6 +71,9 @@
 // choose finds a backend server, waiting for a while if there may soon be one. It
 // answers and returns false if there is none.
 func (x *exchange) choose(ctx context.Context) (*fleet.Run, bool) {
+	if x.moved != nil {
+		return x.moved.to, true
+	}
 	began := time.Now()
 	late := false
 	for {
@@ -135,7 +142,8 @@
 // attempt sends the request to one backend server.
 func (x *exchange) attempt(ctx context.Context, run *fleet.Run) result {
 	x.run = run
-	if !run.Adapter && !x.loadAdapter(ctx, run) {
+	cache := x.takeMoved()
+	if cache.Handle == "" && !run.Adapter && !x.loadAdapter(ctx, run) {
 		return resultAgain
 	}
 	left := time.Until(x.deadline)
@@ -151,6 +159,7 @@
 		Instance:    run.Instance,
 		Rank:        x.route.Rank,
 		ResumeAfter: x.resumeAfter(),
+		Cache:       cache,
 	})
 	if err != nil {
 		return x.unanswered(run, err)
@@ -166,6 +175,16 @@
 	return x.deliver(ctx, run, a)
 }
 
+// takeMoved returns the KV cache from which the attempt goes on, if there is one.
+func (x *exchange) takeMoved() bamboostep.MovedCache {
+	if x.moved == nil {
+		return bamboostep.MovedCache{}
+	}
+	cache := x.moved.cache
+	x.moved = nil
+	return cache
+}
+
 // loadAdapter has the adapter loaded at the chosen backend server.
 func (x *exchange) loadAdapter(ctx context.Context, run *fleet.Run) bool {
 	ctx, cancel := context.WithTimeout(ctx, adapterTimeout)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -106,6 +106,7 @@
 	unsent   int
 	promised bool // no backend server has run it or will
 	stream   *relay
+	moved    *move // to whose engine the next attempt goes; nil for none
 }
 
 func (x *exchange) serve() {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -50,16 +50,27 @@
 	if x.stream == nil {
 		x.stream = &relay{}
 	}
+	m := x.followDeparture(ctx, run)
 	err := x.relayEvents(run, a)
+	moved := m.end()
 	now := time.Now()
 	var gone *callerError
+	left := errors.As(err, &gone) || x.r.Context().Err() != nil
+	switch {
+	case moved && (err == nil || left || ctx.Err() != nil):
+		m.drop()
+	case moved:
+		run.End(fleet.EndedByUs, now)
+		x.moved = m
+		return resultAgain
+	}
 	switch {
 	case err == nil:
 		run.End(fleet.EndedWell, now)
 		x.g.Metrics.longestPause(x.stream.pause)
 		x.done(run.Address, http.StatusOK, nil)
 		return resultDone
-	case errors.As(err, &gone) || x.r.Context().Err() != nil:
+	case left:
 		run.End(fleet.EndedByUs, now)
 		x.record("caller_left", run.Address, "")
 		return resultDone
--- a/node/entry.go
+++ b/node/entry.go
@@ -67,7 +67,7 @@
 	}
 	e.pool = &origin.Pool{Dialect: platform.HTTP{}, Metrics: origin.NewMetrics(p.registry)}
 	e.gateway = &gateway.Gateway{
-		Dialect:  platform.HTTP{},
+		Dialect:  platform.CacheMoves{Client: platform.NewEngineClient(engineTimeout)},
 		Table:    e.table.Load,
 		Fleet:    e.fleet,
 		Pool:     e.pool,
