Room for a model that another copy has taken is not waited for

Room is made for each by unloading; the copy of another missing model takes it first, and the model for which it was made counts as provided for until the room's five seconds are over. Requests for it waited 2.5 s and were refused (model_not_held). Change: a room is given up when its VM has neither free memory for the model nor unloads on their way that would free it.

--- a/stock/demand.go
+++ b/stock/demand.go
@@ -60,6 +60,8 @@
 		case w.free >= m.size && v.loads > 0:
 			v.addLoad(m, w, reasonDemand)
 			delete(p.rooms, w.name)
+		case w.free+w.coming < m.size:
+			delete(p.rooms, w.name) // another copy has taken it
 		default:
 			w.setAside(m)
 		}
--- a/stock/spread_test.go
+++ b/stock/spread_test.go
@@ -147,3 +147,28 @@
 		t.Errorf("moves: got %d (settled %v), want none", moves, settled)
 	}
 }
+
+// TestRoomThatWasTakenIsNotWaitedFor is a model without a copy, for which room was made
+// on a VM that another copy has filled since. It must be loaded elsewhere in the next round,
+// not when the room's time is over.
+func TestRoomThatWasTakenIsNotWaitedFor(t *testing.T) {
+	f := newTestFleet(2, 5, 3300)
+	p := &Spread{LeastWork: 500}
+	if _, settled := f.settle(p, 60); !settled {
+		t.Fatal("placement without demand did not settle")
+	}
+	lost := f.VMs[1].Replicas[0].Name
+	f.VMs[1].Replicas = nil
+	f.VMs[1].ReservedMiB, f.VMs[1].HeldMiB = 0, 0
+	now := time.Unix(100, 0)
+	p.placer.rooms[f.VMs[0].VM] = room{lost, now.Add(roomKept)}
+	for range 2 {
+		for _, m := range p.Place(now, f.Fleet) {
+			if m.Order.Kind == bamboostep.LoadModel && m.Order.Name == lost && m.VM == f.VMs[1].VM {
+				return
+			}
+		}
+		now = now.Add(250 * time.Millisecond)
+	}
+	t.Errorf("got no order within two rounds to load %s on the VM with free memory", lost)
+}
