--- a/fleet/list.go
+++ b/fleet/list.go
@@ -113,15 +113,8 @@
 	r.entries[m.Conn().Peer().Name] = time.Now()
 	changed, newer := r.changed, r.history.number != call.Newer && !r.at.IsZero()
 	r.mu.Unlock()
-	if !newer {
-		t := time.NewTimer(listWait)
-		defer t.Stop()
-		select {
-		case <-changed:
-		case <-t.C:
-		case <-m.Conn().Done():
-			return
-		}
+	if !newer && !m.Await(changed, listWait) {
+		return
 	}
 	m.Reply(r.reply(call, time.Now()))
 }
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -49,15 +49,8 @@
 
 func (v *Voter) watch(m *wire.Message, call watchCall) {
 	changed := v.watchers.wait()
-	if v.State().content <= call.Content {
-		t := time.NewTimer(progressInterval)
-		defer t.Stop()
-		select {
-		case <-changed:
-		case <-t.C:
-		case <-m.Conn().Done():
-			return
-		}
+	if v.State().content <= call.Content && !m.Await(changed, progressInterval) {
+		return
 	}
 	m.Reply(v.watchReply(call, time.Now()))
 }
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -63,6 +63,20 @@
 	return m.conn.send(m.Kind, m.call, true, v)
 }
 
+// Await holds the answer back until changed is closed, or for a time. It returns false
+// if the connection has ended, so that nobody waits for the answer any more.
+func (m *Message) Await(changed <-chan struct{}, atMost time.Duration) bool {
+	t := time.NewTimer(atMost)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-t.C:
+	case <-m.Conn().Done():
+		return false
+	}
+	return true
+}
+
 // Fail answers a call with an error that the caller gets as a *RemoteError.
 func (m *Message) Fail(code string, err error) error {
 	if m.call == 0 {
