Lines of callers that left say how far their stream was and what was expected

Change: caller_left says after how long, and for a stream its first event, expectation and longest pause, or that no event came.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		if x.r.Context().Err() != nil {
 			run.End(fleet.EndedByUs, now)
-			x.record("caller_left", run.Address, "")
+			x.left(run.Address)
 			return resultDone
 		}
 		return x.spoilt(run, err.Error())
@@ -131,7 +131,7 @@
 func (x *exchange) timeOut() {
 	switch {
 	case x.r.Context().Err() != nil:
-		x.record("caller_left", "", "")
+		x.left("")
 	case x.stream.begun():
 		x.breakOff("deadline")
 	case x.promised:
@@ -161,12 +161,28 @@
 		return ""
 	}
 	s := x.stream
+	return fmt.Sprintf(", first event after %s (%s), longest pause %s, sends %d", milliseconds(s.first), x.expectation(), milliseconds(s.pause), x.sends)
+}
+
+// expectation says what was expected of the last backend server when it was chosen.
+func (x *exchange) expectation() string {
 	basis := "no report"
 	if x.run.ReportAge >= 0 {
 		basis = "a report " + milliseconds(x.run.ReportAge) + " old"
 	}
-	return fmt.Sprintf(", first event after %s (expected %s, from %s), longest pause %s, sends %d",
-		milliseconds(s.first), milliseconds(x.run.Wait), basis, milliseconds(s.pause), x.sends)
+	return "expected " + milliseconds(x.run.Wait) + ", from " + basis
+}
+
+// left records that the caller has left, and what it had until then.
+func (x *exchange) left(address string) {
+	detail := "after " + milliseconds(time.Since(x.arrived))
+	switch {
+	case x.stream.begun():
+		detail += x.course()
+	case x.run != nil:
+		detail += ", no event (" + x.expectation() + ")"
+	}
+	x.record("caller_left", address, detail)
 }
 
 func milliseconds(d time.Duration) string { return d.Round(time.Millisecond).String() }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -205,7 +205,7 @@
 	now := time.Now()
 	if x.r.Context().Err() != nil {
 		run.End(fleet.EndedByUs, now)
-		x.record("caller_left", run.Address, "")
+		x.left(run.Address)
 		return resultDone
 	}
 	var failed *origin.SendError
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -72,7 +72,7 @@
 		return resultDone
 	case left:
 		run.End(fleet.EndedByUs, now)
-		x.record("caller_left", run.Address, "")
+		x.left(run.Address)
 		return resultDone
 	case ctx.Err() != nil:
 		run.End(fleet.EndedByUs, now)
