Long prompts and long answers are kept apart where several engines hold a model

Ruled out: memory of the engines (no request was put back); the wait for the first event. Change: the choice of an engine also counts what a prompt holds up of the streams that run there, and how much longer the answer takes on an engine that reads prompts much of the time (by its reports, faded over 2 s).

--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -47,6 +47,9 @@
 		}
 	}
 	e.cost = e.wait + time.Duration(s.failing(now)*float64(failShareCost))
+	if w.Name.Model != "" {
+		e.cost += s.streamCost(now, w, e.uncached)
+	}
 	if s.listing.Domain != f.Domain {
 		e.cost += farCost + farCost*time.Duration(w.Bytes/farBytes)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,6 +63,7 @@
 	runs      map[*Run]bool
 	used      map[AdapterCall]bool // adapters that requests used since the holder was told
 	parts     partMemory
+	reading   readingShare
 	goesAt    time.Time // when it goes, by its holder; zero while that is not known
 	failUntil time.Time
 	failures  int     // in a row
@@ -232,6 +233,7 @@
 	}
 	changed := !sameHolding(s.report, r) || s.reportAt.IsZero()
 	s.report, s.reportAt = r, at
+	s.reading.note(r.Reading+r.Waiting > 0, now)
 	s.listing.Leaving = s.listing.Leaving || r.Leaving
 	s.hold(r.Models)
 	if r.Leaving && r.LeftMS > 0 && s.goesAt.IsZero() {
@@ -263,6 +265,7 @@
 	}
 	s.report.Waiting, s.report.Running, s.report.Reading, s.report.CacheUsed = n.Waiting, n.Running, n.Reading, n.CacheUsed
 	s.reportAt = now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
+	s.reading.note(n.Reading+n.Waiting > 0, now)
 }
 
 func sameHolding(a, b Report) bool {
