Scenario domain_lost waits until the stream that it is about has begun

A status can only be sent while no token has been: the domain was lost before the first token. `underway 7` counts requests of the load too, so it does not see to that. Ruled out: the model's return (reachable after 4.1 and 4.6 s, bound 15 s). Change: a command `begun`, and the scenario waits for the first token of that stream before it loses the domain. Checks and bounds stay.

--- a/scenario/caller/caller.go
+++ b/scenario/caller/caller.go
@@ -18,6 +18,7 @@
 type Caller struct {
 	BaseURL string
 	Client  *http.Client // a new connection for each request if nil
+	Begun   func()       // called at the first token of a stream; may be nil
 }
 
 // Answer is what a caller got.
@@ -101,7 +102,7 @@
 	}
 	read := readChat
 	if stream {
-		read = readStream
+		read = c.readStream
 	}
 	return c.send(ctx, "/v1/chat/completions", body, read)
 }
@@ -169,9 +170,10 @@
 	}
 }
 
-func readStream(a *Answer, r io.Reader, began time.Time) {
+func (c *Caller) readStream(a *Answer, r io.Reader, began time.Time) {
 	lines := bufio.NewScanner(r)
 	a.Broken = io.ErrUnexpectedEOF
+	told := false
 	for lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), "data: ")
 		if !ok {
@@ -189,5 +191,9 @@
 			a.First = time.Since(began)
 		}
 		a.add(parsed)
+		if a.Text != "" && !told && c.Begun != nil {
+			told = true
+			c.Begun()
+		}
 	}
 }
--- a/scenario/calls_test.go
+++ b/scenario/calls_test.go
@@ -40,11 +40,12 @@
 }
 
 func (s *scenario) begin(ts *testscript.TestScript, args []string) error {
-	send, want, err := s.request(args[1], args[2:])
+	begun := make(chan struct{})
+	send, want, err := s.request(args[1], args[2:], func() { close(begun) })
 	if err != nil {
 		return err
 	}
-	p := &pendingCall{done: make(chan struct{}), want: want}
+	p := &pendingCall{done: make(chan struct{}), begun: begun, want: want}
 	s.mu.Lock()
 	s.calls[args[0]] = p
 	s.mu.Unlock()
@@ -59,8 +60,8 @@
 
 // request returns what sends the request that the arguments describe, and the
 // reference text of a model's answer.
-func (s *scenario) request(entry string, args []string) (func(context.Context) (caller.Answer, error), string, error) {
-	c := &caller.Caller{BaseURL: s.cluster.CallersURL(entry)}
+func (s *scenario) request(entry string, args []string, begun func()) (func(context.Context) (caller.Answer, error), string, error) {
+	c := &caller.Caller{BaseURL: s.cluster.CallersURL(entry), Begun: begun}
 	if args[0] == "post" {
 		return func(ctx context.Context) (caller.Answer, error) { return c.Post(ctx, args[1], []byte(args[2])) }, "", nil
 	}
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -50,6 +50,7 @@
 //	busy VM SPAN                    the engine starts something new in time
 //	started ORDER SPAN              a service has begun to run the order in time
 //	underway N SPAN                 the engines run N requests in time
+//	begun NAME SPAN                 waits until the stream NAME has brought its first token
 //	crashed N                       just N engines have exited by themselves
 //	restart_crashed                 starts them again
 //	busiest                         sets $vm to the VM whose engine runs most
@@ -98,7 +99,8 @@
 
 type pendingCall struct {
 	done   chan struct{}
-	want   string // reference text, for models
+	begun  chan struct{} // closed at the first token of a stream
+	want   string        // reference text, for models
 	answer caller.Answer
 	err    error
 }
@@ -175,6 +177,7 @@
 	"busy":       command(2, (*scenario).busy),
 	"started":    command(2, (*scenario).started),
 	"underway":   command(2, (*scenario).underway),
+	"begun":      command(2, (*scenario).begun),
 	"crashed":    command(1, (*scenario).crashed),
 	"healthy":    command(1, (*scenario).healthy),
 	"answering":  command(1, (*scenario).answering),
--- a/scenario/watch_test.go
+++ b/scenario/watch_test.go
@@ -63,6 +63,24 @@
 	})
 }
 
+// begun waits until a stream has brought its first token.
+func (s *scenario) begun(ts *testscript.TestScript, args []string) error {
+	p, err := s.pending(args[0])
+	if err != nil {
+		return err
+	}
+	span, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	select {
+	case <-p.begun:
+		return nil
+	case <-time.After(span):
+		return fmt.Errorf("stream %q has brought no token within %v", args[0], span)
+	}
+}
+
 // underway waits until the engines together run n requests.
 func (s *scenario) underway(ts *testscript.TestScript, args []string) error {
 	want, err := strconv.Atoi(args[0])
