Backend servers that say that they leave, or ask for a rest, get no new requests

A worker that leaves says so in all its answers, and one that refuses may say for how long it wants nothing from this machine. Neither header was read: an entry learned of a leaving server from the list, a second later, and came back after 60 ms to one that had refused.

Ruled out: only plain answers or only refusals carrying the news; every answer's head is looked at before its status is.

An entry keeps a leaving server out for the rest of its life, and a resting one until its time, also as the last that is left; such a request is refused with reason all_resting.

Not done: telling the other entries; they learn it from the list, as before.

--- a/call.go
+++ b/call.go
@@ -83,10 +83,12 @@
 
 // AnswerMark is what the head of a backend server's answer says of itself.
 type AnswerMark struct {
-	CallID      string // of the request that it answers
-	Signed      bool   // bears the backend server's signature
-	NotRun      bool   // the request has not run and will not
-	Misdirected bool   // another backend server has the address, or it does not hold the model
+	CallID      string        // of the request that it answers
+	Signed      bool          // bears the backend server's signature
+	NotRun      bool          // the request has not run and will not
+	Misdirected bool          // another backend server has the address, or it does not hold the model
+	Leaving     bool          // the backend server takes no new requests soon
+	Rest        time.Duration // in which it wants nothing from whom it refused; 0 if it does not say
 	Load        Load
 	LoadKnown   bool
 	KeepIdle    time.Duration // how long the connection may be idle; 0 if it does not say
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -36,6 +36,7 @@
 	ReasonNoServer Reason = "no_backend_server" // none of the service is known to be up
 	ReasonNoModel  Reason = "model_not_held"    // none holds the model
 	ReasonBusy     Reason = "all_busy"          // none would begin in time
+	ReasonResting  Reason = "all_resting"       // those that could have asked this entry to wait
 )
 
 // Error implements error.
@@ -91,7 +92,8 @@
 }
 
 // candidates returns the backend servers that could run a request. Those that
-// failed or refused of late are left out while there are others.
+// failed or refused of late are left out while there are others; those that leave or
+// asked this entry to wait always are.
 func (f *Fleet) candidates(now time.Time, w Want) ([]*server, Reason) {
 	reason := ReasonNoServer
 	var good, doubtful []*server
@@ -100,7 +102,13 @@
 			continue
 		}
 		if w.Name.Model != "" && !s.holds(w.Name.Model) {
-			reason = ReasonNoModel
+			if reason == ReasonNoServer {
+				reason = ReasonNoModel
+			}
+			continue
+		}
+		if now.Before(s.restUntil) {
+			reason = ReasonResting
 			continue
 		}
 		if now.Before(s.failUntil) || now.Before(s.fullUntil) || s.report.Down {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,6 +70,7 @@
 	failShare float64 // share of requests that failed of late
 	failAt    time.Time
 	fullUntil time.Time
+	restUntil time.Time // it wants nothing from this entry before
 	gone      bool
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -281,3 +281,37 @@
 		}
 	})
 }
+
+// TestAnswerOfAServerThatLeaves ends new requests to it at once, though the list and
+// its report, both older, still call it ready.
+func TestAnswerOfAServerThatLeaves(t *testing.T) {
+	f := newFleet(engine(1, "a", holding("m")))
+	run, err := f.Choose(start, want("m"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	run.Answered(bamboostep.AnswerMark{Leaving: true}, start)
+	f.NoteList([]bamboostep.Listing{engine(1, "a", holding("m"))}, start.Add(time.Second))
+	f.NoteReport(Report{Address: "10.0.0.1:1", Instance: "i1", Born: 1, Models: []bamboostep.HeldModel{holding("m")}}, start.Add(time.Second))
+	if run, err := f.Choose(start.Add(time.Second), want("m")); err == nil {
+		t.Errorf("got %s, want none", run.Instance)
+	}
+}
+
+// TestServerThatRests gets nothing before its time, not even as the last that is left.
+func TestServerThatRests(t *testing.T) {
+	f := newFleet(engine(1, "a", holding("m")))
+	run, err := f.Choose(start, want("m"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	run.Answered(bamboostep.AnswerMark{NotRun: true, Rest: 2 * time.Second}, start)
+	run.End(EndedFull, start)
+	var none *NoServerError
+	if _, err := f.Choose(start.Add(1900*time.Millisecond), want("m")); !errors.As(err, &none) || none.Reason != ReasonResting {
+		t.Errorf("within its time: got %v, want %s", err, ReasonResting)
+	}
+	if _, err := f.Choose(start.Add(2100*time.Millisecond), want("m")); err != nil {
+		t.Errorf("after its time: got %v", err)
+	}
+}
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -21,14 +21,21 @@
 	r.server.failures = 0
 }
 
-// Answered notes what the head of an answer says.
+// Answered notes what the head of an answer says, whatever its status.
 func (r *Run) Answered(m bamboostep.AnswerMark, now time.Time) {
-	if !m.LoadKnown {
-		return
+	f, s := r.fleet, r.server
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.LoadKnown {
+		s.load, s.loadAt = m.Load, now
+	}
+	if m.Rest > 0 {
+		s.restUntil = now.Add(m.Rest)
+	}
+	if m.Leaving && !s.listing.Leaving {
+		s.listing.Leaving = true
+		f.wake()
 	}
-	r.fleet.mu.Lock()
-	defer r.fleet.mu.Unlock()
-	r.server.load, r.server.loadAt = m.Load, now
 }
 
 // Leaves returns a channel that is closed once it is known when the backend server
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -337,3 +337,41 @@
 		})
 	}
 }
+
+// TestServerThatLeavesOrRests is a backend server that says in an answer, whichever it
+// is, that it takes no more from this entry: the next requests go elsewhere or are
+// refused.
+func TestServerThatLeavesOrRests(t *testing.T) {
+	leaving := func(a answer) answer {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Server-Leaving", "1")
+			a(w, r)
+		}
+	}
+	for name, c := range map[string]struct {
+		kind  route.Kind
+		first answer
+	}{
+		"plain answer": {route.Idempotent, leaving(whole("ok"))},
+		"stream":       {route.Streaming, leaving(events(3, 0))},
+		"refusal":      {route.Streaming, leaving(full)},
+		"failure":      {route.NonIdempotent, leaving(status(500))},
+		"refusal that says how long": {route.NonIdempotent, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Retry-After", "60.5")
+			full(w, r)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStandIn(t, true, c.first)
+			g := testGateway(t, route.Route{Kind: c.kind, Attempts: 1}, s)
+			for range 4 {
+				if _, _, err := send(t, g, "/p/x", ""); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := len(s.ran()); got != 1 {
+				t.Errorf("requests that reached it: got %d, want 1", got)
+			}
+		})
+	}
+}
