Entries leave to chance which of several engines with about the same to do gets a prompt

Cause: all entries choose by the same reports, a tenth of a second old, so the engine with the least to do gets the prompts of all of them at once.

Ruled out: too few engines alone (7 of 12 had the busy model, evenly enough).

Change: an entry adds between none and twice of what the other entries are expected to have sent to an engine since its report, as they send about what it sends itself.

Pauses are still what streams are late by.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -175,6 +175,7 @@
 	}
 	if w.Name.Model != "" {
 		f.tally(w.Name).tokens += e.uncached + w.Answer
+		f.noteSent(w.Service, e.uncached, now)
 	}
 	return r
 }
--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -37,7 +37,7 @@
 		e.wait = s.plainWait(now, w.Slots)
 	} else {
 		e.uncached = w.Tokens - s.cachedTokens(w, hashes, s == home)
-		e.wait = s.engineWait(now, w, e.uncached)
+		e.wait = s.engineWait(now, w, e.uncached+f.unseen(now, s))
 		if w.Name.Adapter != "" && !s.models[w.Name.Model].adapters[w.Name.Adapter] {
 			e.adapter = false
 			e.wait += adapterCost
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,7 @@
 package fleet
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +39,7 @@
 // Fleet is what one entry knows. Set the exported fields before the first use.
 type Fleet struct {
 	Domain string // the entry's own failure domain
+	Seed   uint64 // of what is left to chance; entries have different ones
 
 	mu        sync.Mutex
 	servers   map[key]*server
@@ -47,6 +49,9 @@
 	changed   chan struct{}
 	urgent    chan struct{} // a model that no backend server holds was asked for
 	demand    map[ModelName]*tally
+	entries   int                  // that there are, 0 while not known
+	sent      map[string]*sentRate // by service
+	chance    *rand.Rand
 }
 
 // server is one backend server.
@@ -116,6 +121,8 @@
 	f.changed = make(chan struct{})
 	f.urgent = make(chan struct{}, 1)
 	f.demand = make(map[ModelName]*tally)
+	f.sent = make(map[string]*sentRate)
+	f.chance = newChance(f.Seed)
 }
 
 // Changed returns a channel that is closed when backend servers came, went or
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -113,6 +113,7 @@
 		f.lastAt = at
 	}
 	f.mu.Unlock()
+	f.Fleet.NoteEntries(f.Entries())
 	f.Fleet.NoteList(listings, at)
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -52,7 +53,7 @@
 
 func runEntry(p *process) error {
 	e := &entry{process: p, budgets: make(map[string]*dispatch.Budget)}
-	e.fleet = &fleet.Fleet{Domain: p.cfg.FailureDomain}
+	e.fleet = &fleet.Fleet{Domain: p.cfg.FailureDomain, Seed: rand.Uint64()}
 	e.fleet.RegisterMetrics(p.registry)
 	seeds := p.voters()
 	e.client = &ledger.Client{Node: p.wire, Members: seeds, Recorder: p.recorder, Applied: func(s *ledger.State) { noteTable(p, s, &e.table) }}
