A retry is paid once, though several backend servers are tried for it

Cause: a request that one engine had refused and whose adapter another could not load in time paid the retry budget for both, though it was sent once.

Ruled out: tries without any send, which paid nothing before either.

Change: what has been paid is counted in sends. Lines of streams also say how many requests ran and waited at the engine by the report that decided.

Test: TestRetryIsPaidOnce (503 retry_budget_empty without the change).

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -55,6 +55,8 @@
 	// ReportAge is how old the backend server's report was that Wait rests on; below 0
 	// without one.
 	ReportAge time.Duration
+	Running   int // by that report
+	Waiting   int // by that report, for a place or while their prompts are read
 
 	fleet   *Fleet
 	server  *server
@@ -157,6 +159,8 @@
 		Adapter:   e.adapter,
 		Wait:      e.wait,
 		ReportAge: e.server.reportAge(now),
+		Running:   e.server.report.Running,
+		Waiting:   e.server.waiting(now),
 		fleet:     f,
 		server:    e.server,
 		hashes:    hashes,
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -168,7 +168,7 @@
 func (x *exchange) expectation() string {
 	basis := "no report"
 	if x.run.ReportAge >= 0 {
-		basis = "a report " + milliseconds(x.run.ReportAge) + " old"
+		basis = fmt.Sprintf("a report %s old, %d running, %d waiting", milliseconds(x.run.ReportAge), x.run.Running, x.run.Waiting)
 	}
 	return "expected " + milliseconds(x.run.Wait) + ", from " + basis
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,9 +62,10 @@
 		return x.giveUp("attempts_used")
 	case x.unsent >= maxUnsent || x.sends >= x.route.Attempts+maxRefusals:
 		return x.giveUp("too_many_failures")
-	case x.sends > 0 && !x.g.Budget(x.service.Name).Retry(time.Now()):
+	case x.sends > x.paid && !x.g.Budget(x.service.Name).Retry(time.Now()):
 		return x.giveUp("retry_budget_empty")
 	}
+	x.paid = x.sends
 	return true
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -104,6 +104,7 @@
 	mayRun   int        // of these, sends that may have run
 	tried    []string   // addresses that failed
 	unsent   int
+	paid     int  // of sends, those after which the retry budget has allowed another
 	promised bool // no backend server has run it or will
 	stream   *relay
 	moved    *move // to whose engine the next attempt goes; nil for none
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -107,6 +107,13 @@
 
 // testGatewayWith is testGateway with a recorder of the test's own.
 func testGatewayWith(t *testing.T, recorder *timeline.Recorder, r route.Route, servers ...*standIn) *httptest.Server {
+	t.Helper()
+	table, known := testRoutes(t, r, servers...)
+	return serveGateway(t, &dispatch.Budget{}, recorder, table, known)
+}
+
+// testRoutes returns a table of one route, and the fleet of its backend servers.
+func testRoutes(t *testing.T, r route.Route, servers ...*standIn) (*route.Table, *fleet.Fleet) {
 	t.Helper()
 	r.Name, r.Host, r.Prefix = "r", "h.example", "/p/"
 	r.Split = []route.Share{{Service: "s", Weight: 1}}
@@ -123,7 +130,11 @@
 		listings = append(listings, bamboostep.Listing{Instance: fmt.Sprintf("i%d", i), Born: 1, Service: "s", Address: strings.TrimPrefix(s.URL, "http://"), Domain: "a", Slots: 8})
 	}
 	known.NoteList(listings, time.Now())
-	budget := &dispatch.Budget{}
+	return table, known
+}
+
+func serveGateway(t *testing.T, budget *dispatch.Budget, recorder *timeline.Recorder, table *route.Table, known *fleet.Fleet) *httptest.Server {
+	t.Helper()
 	g := &Gateway{
 		Dialect:  platform.HTTP{},
 		Table:    func() *route.Table { return table },
@@ -375,3 +386,20 @@
 		})
 	}
 }
+
+// TestRetryIsPaidOnce is a request that one backend server refuses, a second cannot take
+// and the third serves. It was sent once more, so it costs one retry and not two.
+func TestRetryIsPaidOnce(t *testing.T) {
+	refuses, gone, serves := newStandIn(t, false, full), newStandIn(t, false, full), newStandIn(t, true, whole("ok"))
+	gone.Close()
+	table, known := testRoutes(t, route.Route{Kind: route.Idempotent, Attempts: 2}, refuses, gone, serves)
+	budget := &dispatch.Budget{Share: 1e-9, PerSecond: 1e-9, Burst: 1}
+	recorder := &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}
+	s := serveGateway(t, budget, recorder, table, known)
+	if resp, body, err := send(t, s, "/p/x", ""); err != nil || resp.StatusCode != 200 || body != "ok" {
+		t.Errorf("answer: got %v, %q, %v, want ok", resp, body, err)
+	}
+	if left := budget.Left(time.Now()); left > 0.5 {
+		t.Errorf("retries left: got %.1f, want none", left)
+	}
+}
