Holders tell all entries which beginnings of prompts their engines have read

Cause: with 33 entries each sees so few prompts of one beginning that it knows of 8 in 100 whether an engine keeps it. Caches themselves lost hardly anything (beginnings came back within 20 s and were found).

Ruled out: eviction; the one home for each failure domain (homes over all domains read 7.3 M again, a second home 8.7 M).

Change: an entry tells the holder of an engine the beginnings (from 1,024 tokens) that it has had read there, with the first event; the holder tells all followers with its next report, a new follower the newest 128. The entries' estimate then knows them.

What is left is read where a model's copy is new.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,7 @@
 	listAt    time.Time // when the newest list was true; zero for none
 	changed   chan struct{}
 	urgent    chan struct{} // a model that no backend server holds was asked for
+	hasNews   chan struct{} // of beginnings that were read
 	demand    map[ModelName]*tally
 	entries   int                  // that there are, 0 while not known
 	sent      map[string]*sentRate // by service
@@ -68,6 +69,7 @@
 	runs      map[*Run]bool
 	used      map[AdapterCall]bool // adapters that requests used since the holder was told
 	parts     partMemory
+	news      []KeptPart // beginnings read here that its holder has not been told
 	reading   readingShare
 	goesAt    time.Time // when it goes, by its holder; zero while that is not known
 	failUntil time.Time
@@ -108,7 +110,8 @@
 	OnDisk      []string               `msgpack:"on_disk"`
 	Orders      uint64                 `msgpack:"orders"`
 	Busy        bool                   `msgpack:"busy"`
-	AgeMS       int64                  `msgpack:"age_ms"` // when it was sent
+	AgeMS       int64                  `msgpack:"age_ms"`         // when it was sent
+	Kept        []KeptPart             `msgpack:"kept,omitempty"` // news; to a new follower all that is known
 }
 
 func (f *Fleet) init() {
@@ -120,6 +123,7 @@
 	f.byService = make(map[string][]*server)
 	f.changed = make(chan struct{})
 	f.urgent = make(chan struct{}, 1)
+	f.hasNews = make(chan struct{}, 1)
 	f.demand = make(map[ModelName]*tally)
 	f.sent = make(map[string]*sentRate)
 	f.chance = newChance(f.Seed)
@@ -244,6 +248,7 @@
 	s.reading.note(r.Reading+r.Waiting > 0, now)
 	s.listing.Leaving = s.listing.Leaving || r.Leaving
 	s.hold(r.Models)
+	s.noteKept(r.Kept)
 	if r.Leaving && r.LeftMS > 0 && s.goesAt.IsZero() {
 		s.goes(at.Add(time.Duration(r.LeftMS) * time.Millisecond))
 	}
@@ -274,6 +279,7 @@
 	s.report.Waiting, s.report.Running, s.report.Reading, s.report.CacheUsed = n.Waiting, n.Running, n.Reading, n.CacheUsed
 	s.reportAt = now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
 	s.reading.note(n.Reading+n.Waiting > 0, now)
+	s.noteKept(n.Kept)
 }
 
 func sameHolding(a, b Report) bool {
--- /dev/null
+++ b/fleet/kept_test.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// TestBeginningsThatOtherEntriesHadRead is many entries that each see few prompts of one
+// beginning. The second entry sends it where the first had it read, which is not
+// the home that its own failure domain would have for it.
+func TestBeginningsThatOtherEntriesHadRead(t *testing.T) {
+	listings := []bamboostep.Listing{
+		engine(1, "a", holding("m")), engine(2, "a", holding("m")), engine(3, "b", holding("m")), engine(4, "b", holding("m")),
+	}
+	for n := range 8 {
+		w := want("m")
+		w.Tokens = 9000
+		w.Prompt = []bamboostep.PromptPart{{ID: "system", Tokens: 2500}, {ID: fmt.Sprint("case", n), Tokens: 3800}, {ID: "own", Tokens: 2700}}
+		first, second := newFleet(listings...), newFleet(listings...)
+		second.Domain = "b"
+		run, err := first.Choose(start, w)
+		if err != nil {
+			t.Fatal(err)
+		}
+		run.Started()
+		<-first.HasNews()
+		for address, parts := range first.TakeNews() {
+			second.NoteReport(Report{
+				Address: address, Instance: run.Instance, Born: 1, CacheTokens: 1 << 20, Kept: parts,
+				Models: []bamboostep.HeldModel{holding("m")},
+			}, start)
+		}
+		if other, err := second.Choose(start, w); err != nil || other.Instance != run.Instance {
+			t.Errorf("beginning %d: got %v, %v, want %s", n, other, err, run.Instance)
+		}
+	}
+}
--- a/fleet/links.go
+++ b/fleet/links.go
@@ -188,6 +188,13 @@
 	return &RefusedError{address, r.Code, r.Detail}
 }
 
+// NoteKept tells the holder of an engine which beginnings of prompts it has read.
+func (l *Links) NoteKept(address string, parts []KeptPart) {
+	if c := l.conn(address); c != nil {
+		_ = c.Send(KindKept, KeptNote{parts}) // a lost note only has a beginning read again
+	}
+}
+
 // NoteUsed tells the holder of an engine which adapters requests have used there.
 func (l *Links) NoteUsed(address string, used []AdapterCall) {
 	if c := l.conn(address); c != nil {
--- a/fleet/parts.go
+++ b/fleet/parts.go
@@ -56,13 +56,23 @@
 	tokens := 0
 	for i, h := range hashes {
 		tokens += prompt[i].Tokens
-		c := p.chains[h]
-		if c == nil {
-			c = &chain{tokens: tokens}
-			p.chains[h] = c
-		}
-		c.used = p.clock
+		p.use(h, tokens)
+	}
+}
+
+// noteOne remembers that a beginning was read.
+func (p *partMemory) noteOne(hash uint64, tokens int) {
+	p.clock++
+	p.use(hash, tokens)
+}
+
+func (p *partMemory) use(hash uint64, tokens int) {
+	c := p.chains[hash]
+	if c == nil {
+		c = &chain{tokens: tokens}
+		p.chains[hash] = c
 	}
+	c.used = p.clock
 	if len(p.chains) > maxChains {
 		p.forgetOld()
 	}
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -17,7 +17,7 @@
 		return
 	}
 	r.started = true
-	r.server.parts.note(r.hashes, r.prompt)
+	r.fleet.noteRead(r.server, r)
 	r.server.failures = 0
 }
 
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -77,6 +77,7 @@
 	unloading   string
 	restored    int64         // start of the engine that a model was restored for
 	fresh       chan struct{} // closed at the next report
+	kept        keptParts
 }
 
 // unsettled is an order that got no answer.
@@ -96,6 +97,7 @@
 	mux.On(fleet.KindSubscribe, h.handleSubscribe)
 	mux.On(fleet.KindAdapter, func(m *wire.Message) { go h.handleAdapter(m) })
 	mux.On(fleet.KindUsed, h.handleUsed)
+	mux.On(fleet.KindKept, h.handleKept)
 	mux.On(fleet.KindOrder, func(m *wire.Message) { go h.handleOrder(m) })
 }
 
@@ -146,6 +148,7 @@
 		h.record("engine_started", time.UnixMilli(r.Born).UTC().Format(time.RFC3339Nano))
 		h.taken, h.unsettled, h.loading, h.unloading = 0, nil, "", ""
 		h.instance = ""
+		h.kept = keptParts{}
 	}
 	if h.instance == "" && !h.identifying && h.Spec() != nil {
 		h.identifying = true
@@ -276,10 +279,14 @@
 	switch {
 	case !sameHolding(r, h.pushed):
 		h.pushed, h.pushedAt = r, now
+		r.Kept = h.kept.takeNews()
 		h.broadcast(fleet.KindReport, r)
 	case sinceLast >= pushInterval || !sameLoad(r, h.pushed):
 		h.pushed, h.pushedAt = r, now
-		h.broadcast(fleet.KindLoad, fleet.LoadNote{Waiting: r.Waiting, Running: r.Running, Reading: r.Reading, CacheUsed: r.CacheUsed, AgeMS: r.AgeMS})
+		h.broadcast(fleet.KindLoad, fleet.LoadNote{
+			Waiting: r.Waiting, Running: r.Running, Reading: r.Reading, CacheUsed: r.CacheUsed, AgeMS: r.AgeMS,
+			Kept: h.kept.takeNews(),
+		})
 	}
 }
 
@@ -312,6 +319,7 @@
 	h.mu.Lock()
 	h.subscribers[m.Conn()] = true
 	r := h.account(time.Now())
+	r.Kept = h.kept.all()
 	h.mu.Unlock()
 	m.Reply(r)
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -225,6 +225,9 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-e.fleet.HasNews():
+			e.tellNews()
+			continue
 		case <-e.fleet.Urgent():
 		case now := <-t.C:
 			e.pool.Sweep(now)
@@ -236,3 +239,10 @@
 		e.follower.SendDemand(fleet.DemandNote{Entry: e.cfg.Node, Demand: e.fleet.TakeDemand()})
 	}
 }
+
+// tellNews tells holders which beginnings of prompts their engines read.
+func (e *entry) tellNews() {
+	for address, parts := range e.fleet.TakeNews() {
+		e.links.NoteKept(address, parts)
+	}
+}
