Bytes without end from a backend server cost little memory and end soon

A backend server that only ever announces answers (status 100) kept a request and its connection busy until the deadline, since each such head had a new bound. And what is held of answers was bounded for each alone: a hundred bodies without end took 632 MB of heap, streams without an event 221 MB, where a small VM has 184 MB.

Change: at most 8 heads that announce an answer; at most 16 MB held of all answers and events that are not whole, beside 16 kB of each; an event has 256 kB at most (1 MB before).

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,11 +15,10 @@
 )
 
 const (
-	maxHeldAnswer = 8 << 20                // bytes of an answer that is held until it is whole
-	drainLimit    = 64 << 10               // bytes read of an answer that is not passed on
-	retrySoon     = 300 * time.Millisecond // for what mends itself within moments
-	retryBusy     = 700 * time.Millisecond
-	retryModel    = 1500 * time.Millisecond // about the time that a model takes to load
+	drainLimit = 64 << 10               // bytes read of an answer that is not passed on
+	retrySoon  = 300 * time.Millisecond // for what mends itself within moments
+	retryBusy  = 700 * time.Millisecond
+	retryModel = 1500 * time.Millisecond // about the time that a model takes to load
 )
 
 // notReturned are headers of a backend server's answer that concern one connection.
@@ -33,12 +30,10 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(a, drainLimit)) // a broken one closes the connection
 }
 
-var errLongAnswer = errors.New("answer is too long to be held")
-
 // deliverWhole passes on an answer once all of it is there, since a broken one may
 // be asked for again, or must not look whole.
 func (x *exchange) deliverWhole(ctx context.Context, run *fleet.Run, a *origin.Answer, good bool) result {
-	body, err := readWhole(a)
+	body, err := x.readWhole(a)
 	now := time.Now()
 	if err != nil {
 		if x.r.Context().Err() != nil {
@@ -72,15 +67,6 @@
 	return x.route.Repeatable() && x.mayRun < x.route.Attempts && time.Until(x.deadline) > leastTime
 }
 
-func readWhole(a *origin.Answer) ([]byte, error) {
-	var b bytes.Buffer
-	n, err := io.Copy(&b, io.LimitReader(a, maxHeldAnswer))
-	if err == nil && n == maxHeldAnswer {
-		err = errLongAnswer
-	}
-	return b.Bytes(), err
-}
-
 func copyHeader(to, from http.Header) {
 	closing := to.Get("Connection")
 	for name, values := range from {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,7 @@
 
 	stopping atomic.Pointer[Stopping] // nil unless the process was told to stop
 	running  atomic.Int64
+	held     atomic.Int64 // bytes of answers and events that are not whole
 }
 
 var _ http.Handler = (*Gateway)(nil)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -16,10 +16,7 @@
 // finish is dropped, so that what the caller has always ends between two events,
 // and the stream can go on at another backend server after the last of them.
 
-const (
-	streamBuffer  = 16 << 10
-	maxEventBytes = 1 << 20
-)
+const streamBuffer = 16 << 10 // bytes
 
 // relay is what a caller has of a stream.
 type relay struct {
@@ -89,6 +86,8 @@
 
 // relayEvents passes on whole events. It returns nil when the stream is whole.
 func (x *exchange) relayEvents(run *fleet.Run, a *origin.Answer) error {
+	h := holding{total: &x.g.held}
+	defer h.release()
 	var held []byte
 	chunk := make([]byte, streamBuffer)
 	for {
@@ -114,6 +113,9 @@
 		case len(held) > maxEventBytes:
 			return errLongAnswer
 		}
+		if err := h.grow(len(held)); err != nil {
+			return err
+		}
 	}
 }
 
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -18,6 +18,7 @@
 	largeBody      = 16 << 10 // bytes; a larger body is written while the answer is awaited
 	strayBodyLimit = 1 << 20  // bytes read of an answer that belongs to another request
 	maxStrays      = 4        // answers to other requests that are passed over
+	maxInterim     = 8        // heads that announce an answer
 	bodyGrace      = 50 * time.Millisecond
 )
 
@@ -26,6 +27,7 @@
 	errNoID      = errors.New("answer names no request")
 	errUnframed  = errors.New("answer to another request has no end")
 	errLongHead  = errors.New("head of the answer is too long")
+	errInterim   = errors.New("too many heads that only announce an answer")
 	errMalformed = errors.New("bytes that are no answer")
 )
 
@@ -132,7 +134,7 @@
 }
 
 func (a *Answer) readOne(c bamboostep.Call) (*http.Response, error) {
-	for {
+	for range maxInterim {
 		a.conn.bound.left = maxHeadBytes
 		if err := checkStart(a.conn.r); err != nil {
 			return nil, err
@@ -146,6 +148,7 @@
 			return resp, nil
 		}
 	}
+	return nil, errInterim
 }
 
 // checkStart refuses what is no answer before it is parsed.
