Sets of routes travel compressed to the processes that watch the ledger

Cause: a change of 1,012 routes is 300 kB and more, and every later change sends all of it again to each of 187 processes, over voters' links of 100 Mbit/s and entries' of 10.

Ruled out: the entry's own time to read routes (30 to 50 ms between received and in force).

Processes of an earlier version get it plain.

--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -132,7 +132,12 @@
 		_, revision := s.Set()
 		asked := time.Now()
 		var r watchReply
-		if c.callWatch(ctx, conn, watchCall{s.index, revision, s.content, c.NoSet}, &r) != nil {
+		if c.callWatch(ctx, conn, watchCall{s.index, revision, s.content, c.NoSet, true}, &r) != nil {
+			return
+		}
+		if err := r.unpack(); err != nil {
+			c.Recorder.Record(timeline.Event{Kind: "ledger_state_unreadable", Detail: err.Error()})
+			conn.Close()
 			return
 		}
 		age := time.Duration(r.AgeMS) * time.Millisecond
--- a/ledger/voter.go
+++ b/ledger/voter.go
@@ -54,6 +54,7 @@
 	status   atomic.Pointer[status]
 	ended    atomic.Bool // Run has returned
 	watchers watchers
+	packer   packer
 	metrics  *metrics
 
 	core    *core
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -71,14 +71,34 @@
 	r.Changed = true
 	r.Drained, r.Members = s.Drains(), s.members
 	if s.newest().Number > call.Revision {
-		if !call.NoSet {
-			r.Set = s.set
-		}
+		v.putSet(&r, call, s)
 		r.Revisions, r.Reset = s.revisionsAfter(call.Revision)
 	}
 	return r
 }
 
+// putSet adds the set of s to a reply, in the form that the client takes.
+func (v *Voter) putSet(r *watchReply, call watchCall, s *State) {
+	if call.NoSet {
+		return
+	}
+	if call.Unpacks {
+		r.Packed = v.packer.pack(s.set, s.newest().Number)
+	}
+	if r.Packed == nil {
+		r.Set = s.set
+	}
+}
+
+// unpack puts the set of a reply in its plain form.
+func (r *watchReply) unpack() (err error) {
+	if r.Packed != nil {
+		r.Set, err = unpack(r.Packed)
+		r.Packed = nil
+	}
+	return err
+}
+
 // apply returns the state that r makes of old, or nil if r is not newer.
 func (r watchReply) apply(old *State) *State {
 	if r.Index < old.index || r.Content < old.content {
--- a/ledger/wiretype.go
+++ b/ledger/wiretype.go
@@ -56,6 +56,7 @@
 	Revision uint64 `msgpack:"revision"` // of the client's state
 	Content  uint64 `msgpack:"content"`  // index of the last change that the client has
 	NoSet    bool   `msgpack:"no_set"`   // leave the set out
+	Unpacks  bool   `msgpack:"unpacks"`  // the set may be compressed
 }
 
 // watchReply is a progress mark: it proves up to which index the client is
@@ -71,6 +72,7 @@
 	Revisions  []bamboostep.Revision `msgpack:"revisions"` // those after the client's, or all kept if Reset
 	Reset      bool                  `msgpack:"reset"`     // the client was too far behind for a delta
 	Set        []byte                `msgpack:"set"`       // if the revision is newer
+	Packed     []byte                `msgpack:"packed"`    // in place of Set, compressed
 	Drained    []string              `msgpack:"drained"`
 	Members    []Member              `msgpack:"members"`
 }
