Backend servers that have gone do not come back by an older list

An entry takes each backend server from whichever voter names it. A list that is older than the newest, or of a voter that was suspended and does not know for how long, put a server that had left in use again until the next list.

Ruled out: the mark of leaving itself, which stays as long as the server is known.

Change: a list that is older than the newest adds nothing, and none brings back what went within the last 5 s; what had said that it leaves is still leaving if it is listed.

Test: TestServerThatHasLeftStaysAway (two of its four cases fail without).

Traced: the programs set the garbage collector a limit by their VM's memory (0.6 of it) and the test did not, so it measured garbage.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,6 +46,7 @@
 	byAddress map[string]*server
 	byService map[string][]*server
 	listAt    time.Time // when the newest list was true; zero for none
+	gone      map[key]departure
 	changed   chan struct{}
 	urgent    chan struct{} // a model that no backend server holds was asked for
 	hasNews   chan struct{} // of beginnings that were read
@@ -120,6 +121,7 @@
 	}
 	f.servers = make(map[key]*server)
 	f.byAddress = make(map[string]*server)
+	f.gone = make(map[key]departure)
 	f.byService = make(map[string][]*server)
 	f.changed = make(chan struct{})
 	f.urgent = make(chan struct{}, 1)
@@ -159,17 +161,20 @@
 	for k, s := range f.servers {
 		if !named[k] && at.Sub(s.seen) > goneAfter {
 			f.remove(k, s)
+			f.noteGone(k, s.listing.Leaving, at)
 		}
 	}
 	f.wake()
 }
 
 func (f *Fleet) noteListing(l bamboostep.Listing, at time.Time) {
-	s := f.servers[key{l.Instance, l.Born}]
+	k := key{l.Instance, l.Born}
+	s := f.servers[k]
 	if s == nil {
-		if !f.supersedes(l) {
+		if !f.supersedes(l) || !f.comesBack(k, at) {
 			return
 		}
+		l.Leaving = l.Leaving || f.gone[k].leaving
 		s = f.add(l)
 	}
 	if at.Before(s.seen) {
--- /dev/null
+++ b/fleet/gone_test.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+// TestServerThatHasLeftStaysAway is a backend server that left the list, and a voter that
+// brings an older list afterwards.
+func TestServerThatHasLeftStaysAway(t *testing.T) {
+	stays, leaves := engine(1, "a", holding("other")), engine(2, "a", holding("m"))
+	leaving := leaves
+	leaving.Leaving = true
+	both, one := []bamboostep.Listing{stays, leaves}, []bamboostep.Listing{stays}
+	for name, c := range map[string]struct {
+		last []bamboostep.Listing // that names it
+		old  []bamboostep.Listing
+		at   time.Duration // of the old list, as far as its voter knows
+		want bool          // it is in use again
+	}{
+		"older list":                          {both, both, 2 * time.Second, false},
+		"voter that was suspended":            {both, both, 5 * time.Second, false},
+		"later, once it is listed all along":  {both, both, 20 * time.Second, true},
+		"later, though it had said it leaves": {[]bamboostep.Listing{stays, leaving}, both, 20 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(c.last...)
+			f.NoteList(one, start.Add(4*time.Second))
+			f.NoteList(c.old, start.Add(c.at))
+			_, err := f.Choose(start.Add(c.at), want("m"))
+			if got := err == nil; got != c.want {
+				t.Errorf("in use: got %v (%v), want %v", got, err, c.want)
+			}
+		})
+	}
+}
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"testing"
@@ -22,6 +23,9 @@
 		memory  = 100 << 20 // bytes, half of a small VM's
 		within  = 20 * time.Second
 	)
+	// The programs set the collector such a limit, by their VM's memory.
+	before := debug.SetMemoryLimit(memory * 4 / 5)
+	t.Cleanup(func() { debug.SetMemoryLimit(before) })
 	kilobyte := strings.Repeat("x", 1<<10)
 	for name, kind := range map[string]route.Kind{
 		"plain answer": route.NonIdempotent,
