--- a/fleet/kept.go
+++ b/fleet/kept.go
@@ -20,7 +20,8 @@
 )
 
 // noteRead remembers that an engine has read a prompt, and what is news of it.
-func (f *Fleet) noteRead(s *server, r *Run) {
+func (f *Fleet) noteRead(r *Run) {
+	s := r.server
 	if beginning, ok := sharedPart(r); ok && s.parts.chains[beginning.Hash] == nil && len(s.news) < maxNews {
 		s.news = append(s.news, beginning)
 		select {
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -17,7 +17,7 @@
 		return
 	}
 	r.started = true
-	r.fleet.noteRead(r.server, r)
+	r.fleet.noteRead(r)
 	r.server.failures = 0
 }
 
