--- a/fleet/run.go
+++ b/fleet/run.go
@@ -21,8 +21,9 @@
 	r.server.failures = 0
 }
 
-// Answered notes what the head of an answer says, whatever its status.
-func (r *Run) Answered(m bamboostep.AnswerMark, now time.Time) {
+// Answered notes what the head of an answer says, whatever its status. It returns true if
+// it is news that the backend server leaves.
+func (r *Run) Answered(m bamboostep.AnswerMark, now time.Time) (leaves bool) {
 	f, s := r.fleet, r.server
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -32,10 +33,12 @@
 	if m.Rest > 0 {
 		s.restUntil = now.Add(m.Rest)
 	}
-	if m.Leaving && !s.listing.Leaving {
+	leaves = m.Leaving && !s.listing.Leaving
+	if leaves {
 		s.listing.Leaving = true
 		f.wake()
 	}
+	return leaves
 }
 
 // Leaves returns a channel that is closed once it is known when the backend server
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -166,7 +166,7 @@
 		return x.unanswered(run, err)
 	}
 	defer a.Close()
-	run.Answered(a.Mark, time.Now())
+	x.noteMark(run, a.Mark)
 	x.g.Metrics.answered(x.route.Kind, a.Status, time.Since(sent))
 	if a.Mark.NotRun {
 		return x.notRun(run, a)
@@ -176,6 +176,16 @@
 	return x.deliver(ctx, run, a)
 }
 
+// noteMark takes what the head of an answer says of its backend server.
+func (x *exchange) noteMark(run *fleet.Run, m bamboostep.AnswerMark) {
+	if run.Answered(m, time.Now()) {
+		x.record("server_leaving", run.Address, "by its own answer")
+	}
+	if m.Rest > 0 {
+		x.record("server_rests", run.Address, "for "+milliseconds(m.Rest))
+	}
+}
+
 // takeMoved returns the KV cache from which the attempt goes on, if there is one.
 func (x *exchange) takeMoved() bamboostep.MovedCache {
 	if x.moved == nil {
