The longest rest that a backend server asked for holds; news of beginnings has its own message

Several answers to one entry may ask for rests of different lengths; the last counted, though the longest is owed (TestLongerRestHolds fails without). And LoadNote travels as an array, which a process of an earlier version refuses when it has one more field: news of beginnings is a message of its own now, which such a process ignores.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -315,3 +315,18 @@
 		t.Errorf("after its time: got %v", err)
 	}
 }
+
+// TestLongerRestHolds is a server that has asked for a long rest, and then for a short one
+// in the answer to a request that it had already.
+func TestLongerRestHolds(t *testing.T) {
+	f := newFleet(engine(1, "a", holding("m")))
+	run, err := f.Choose(start, want("m"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	run.Answered(bamboostep.AnswerMark{NotRun: true, Rest: 5 * time.Second}, start)
+	run.Answered(bamboostep.AnswerMark{NotRun: true, Rest: time.Second}, start)
+	if run, err := f.Choose(start.Add(4*time.Second), want("m")); err == nil {
+		t.Errorf("within the longer time: got %s, want none", run.Instance)
+	}
+}
--- a/fleet/kept.go
+++ b/fleet/kept.go
@@ -69,6 +69,16 @@
 	return news
 }
 
+// NoteKept takes a holder's news of what its engine has read.
+func (f *Fleet) NoteKept(address string, kept []KeptPart) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.init()
+	if s := f.byAddress[address]; s != nil {
+		s.noteKept(kept)
+	}
+}
+
 // noteKept takes the beginnings that an engine keeps by the word of its holder.
 func (s *server) noteKept(kept []KeptPart) {
 	for _, part := range kept {
--- a/fleet/kept_test.go
+++ b/fleet/kept_test.go
@@ -27,10 +27,7 @@
 		run.Started()
 		<-first.HasNews()
 		for address, parts := range first.TakeNews() {
-			second.NoteReport(Report{
-				Address: address, Instance: run.Instance, Born: 1, CacheTokens: 1 << 20, Kept: parts,
-				Models: []bamboostep.HeldModel{holding("m")},
-			}, start)
+			second.NoteKept(address, parts)
 		}
 		if other, err := second.Choose(start, w); err != nil || other.Instance != run.Instance {
 			t.Errorf("beginning %d: got %v, %v, want %s", n, other, err, run.Instance)
--- a/fleet/links.go
+++ b/fleet/links.go
@@ -121,6 +121,11 @@
 		if err = m.Decode(&n); err == nil {
 			l.Fleet.NoteLoad(address, n, time.Now())
 		}
+	case KindKept:
+		var n KeptNote
+		if err = m.Decode(&n); err == nil {
+			l.Fleet.NoteKept(address, n.Parts)
+		}
 	}
 	if err != nil {
 		l.Recorder.Record(timeline.Event{Kind: "report_unreadable", VM: address, Detail: err.Error()})
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -11,7 +11,7 @@
 	KindLoad      = "fleet.load"      // holder to subscriber: a LoadNote; no answer
 	KindAdapter   = "fleet.adapter"   // entry to holder: AdapterCall, answered by OrderReply
 	KindUsed      = "fleet.used"      // entry to holder: UsedNote; no answer
-	KindKept      = "fleet.kept"      // entry to holder: KeptNote; no answer
+	KindKept      = "fleet.kept"      // entry to holder, and holder to subscriber: KeptNote; no answer
 	KindOrder     = "fleet.order"     // leader to holder: OrderCall, answered by OrderReply
 	KindList      = "fleet.list"      // entry to voter: ListCall, answered by ListReply
 	KindDemand    = "fleet.demand"    // entry to voter: DemandNote; no answer
@@ -27,7 +27,6 @@
 	Reading   int
 	CacheUsed int
 	AgeMS     int64
-	Kept      []KeptPart // news
 }
 
 // AdapterCall asks a holder to have an adapter loaded.
@@ -41,7 +40,7 @@
 	Used []AdapterCall `msgpack:"used"`
 }
 
-// KeptNote tells a holder which beginnings of prompts its engine has read.
+// KeptNote says which beginnings of prompts an engine has read.
 type KeptNote struct {
 	Parts []KeptPart `msgpack:"parts"`
 }
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -34,7 +34,7 @@
 	Orders      uint64                 `msgpack:"orders"`
 	Busy        bool                   `msgpack:"busy"`
 	AgeMS       int64                  `msgpack:"age_ms"`         // when it was sent
-	Kept        []KeptPart             `msgpack:"kept,omitempty"` // news; to a new follower all that is known
+	Kept        []KeptPart             `msgpack:"kept,omitempty"` // to a new follower: beginnings of prompts that the engine has read
 }
 
 // NoteReport takes a holder's report that arrived now.
@@ -88,7 +88,6 @@
 	s.report.Waiting, s.report.Running, s.report.Reading, s.report.CacheUsed = n.Waiting, n.Running, n.Reading, n.CacheUsed
 	s.reportAt = now.Add(-time.Duration(n.AgeMS) * time.Millisecond)
 	s.reading.note(n.Reading+n.Waiting > 0, now)
-	s.noteKept(n.Kept)
 }
 
 func sameHolding(a, b Report) bool {
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -30,8 +30,8 @@
 	if m.LoadKnown {
 		s.load, s.loadAt = m.Load, now
 	}
-	if m.Rest > 0 {
-		s.restUntil = now.Add(m.Rest)
+	if until := now.Add(m.Rest); until.After(s.restUntil) {
+		s.restUntil = until
 	}
 	leaves = m.Leaving && !s.listing.Leaving
 	if leaves {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -279,14 +279,13 @@
 	switch {
 	case !sameHolding(r, h.pushed):
 		h.pushed, h.pushedAt = r, now
-		r.Kept = h.kept.takeNews()
 		h.broadcast(fleet.KindReport, r)
 	case sinceLast >= pushInterval || !sameLoad(r, h.pushed):
 		h.pushed, h.pushedAt = r, now
-		h.broadcast(fleet.KindLoad, fleet.LoadNote{
-			Waiting: r.Waiting, Running: r.Running, Reading: r.Reading, CacheUsed: r.CacheUsed, AgeMS: r.AgeMS,
-			Kept: h.kept.takeNews(),
-		})
+		h.broadcast(fleet.KindLoad, fleet.LoadNote{Waiting: r.Waiting, Running: r.Running, Reading: r.Reading, CacheUsed: r.CacheUsed, AgeMS: r.AgeMS})
+	}
+	if news := h.kept.takeNews(); len(news) > 0 {
+		h.broadcast(fleet.KindKept, fleet.KeptNote{Parts: news})
 	}
 }
 
