A failure in the midst of a stream breaks it off

An engine crashed in a stream that its caller had begun to get; the stream went on at another, which answered 500; that answer's body was written behind the events and the response ended as if it were whole.

Ruled out: the crash itself, and resuming: events before it were right.

Change: while a stream has begun, an answer that is no success is not passed on; the request goes on elsewhere if it may, or the stream is broken off so that it shows.

Test: TestStreamThatFailsElsewhere (three statuses; fails without the change).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
@@ -265,6 +266,9 @@
 		return x.spoilt(run, "answer bears no signature")
 	case good && x.route.Kind == route.Streaming:
 		return x.deliverStream(ctx, run, a)
+	case x.stream.begun():
+		drain(a)
+		return x.spoilt(run, "status "+strconv.Itoa(a.Status)+" in the midst of a stream")
 	}
 	return x.deliverWhole(ctx, run, a, good)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -403,3 +403,20 @@
 		t.Errorf("retries left: got %.1f, want none", left)
 	}
 }
+
+// TestStreamThatFailsElsewhere is a stream whose backend server dies, and that another, to
+// which it goes on, answers with a failure: it must not look whole.
+func TestStreamThatFailsElsewhere(t *testing.T) {
+	for name, code := range map[string]int{"failure": 500, "not found": 404, "timeout": 504} {
+		t.Run(name, func(t *testing.T) {
+			a, b := newStandIn(t, true, events(5, 3)), newStandIn(t, true, status(code))
+			s := testGateway(t, route.Route{Kind: route.Streaming, Attempts: 2, Resumable: true}, a, b)
+			if _, body, err := send(t, s, "/p/x", ""); err == nil {
+				t.Errorf("stream: got %q as if it were whole, want a broken one", body)
+			}
+			if got := len(b.ran()); got != 1 {
+				t.Errorf("runs at the second: got %d, want 1", got)
+			}
+		})
+	}
+}
