--- a/bamboostep/status.go
+++ b/bamboostep/status.go
@@ -143,6 +143,7 @@
 			&cli.StringFlag{Name: "request", Usage: "only events of the request `ID`"},
 			&cli.StringFlag{Name: "model", Usage: "only events of the model, adapter or service `NAME`"},
 			&cli.StringFlag{Name: "vm", Usage: "only events of the VM or backend server `NAME`"},
+			&cli.StringFlag{Name: "content", Usage: "only events of requests with the content `HASH`, whichever ID each sending had"},
 			&cli.TimestampFlag{Name: "since", Usage: "only events at or after `TIME`", Config: timestampConfig},
 			&cli.TimestampFlag{Name: "until", Usage: "only events at or before `TIME`", Config: timestampConfig},
 			&cli.StringSliceFlag{Name: "log", Usage: "read the log `FILE` of processes instead of asking entries, - for standard input; may be repeated"},
@@ -159,6 +160,7 @@
 		Request: bamboostep.RequestID(cmd.String("request")),
 		Model:   cmd.String("model"),
 		VM:      cmd.String("vm"),
+		Content: cmd.String("content"),
 		Since:   cmd.Timestamp("since"),
 		Until:   cmd.Timestamp("until"),
 	}
@@ -191,6 +193,7 @@
 	add("attempt", string(e.Attempt))
 	add("model", e.Model)
 	add("vm", e.VM)
+	add("content", e.Content)
 	if e.Revision > 0 {
 		add("revision", fmt.Sprint(e.Revision))
 	}
--- a/call.go
+++ b/call.go
@@ -32,6 +32,12 @@
 	return c
 }
 
+// Fingerprint is the same for the same request sent again, whoever sends it and under
+// whichever ID.
+func (c Call) Fingerprint() uint64 {
+	return Fingerprint(c.Body, c.Method, c.Host, c.Target, c.Model, c.Adapter)
+}
+
 // PromptPart is one part of a prompt that other prompts may share.
 type PromptPart struct {
 	ID     string
--- a/entry/chat.go
+++ b/entry/chat.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/dispatch"
 )
@@ -175,18 +173,7 @@
 	q.Header = forwardedHeader(x.r)
 	q.Body = x.body
 	q.Revision = x.set.Revision()
-	q.Fingerprint = fingerprint(x.target, x.r, x.body)
-}
-
-// fingerprint is the same for the same request sent again.
-func fingerprint(target string, r *http.Request, body []byte) uint64 {
-	d := xxhash.New()
-	for _, s := range []string{target, r.Method, r.URL.RequestURI()} {
-		d.WriteString(s)
-		d.Write([]byte{0})
-	}
-	d.Write(body)
-	return d.Sum64()
+	q.Fingerprint = bamboostep.Fingerprint(x.body, x.target, x.r.Method, x.r.URL.RequestURI())
 }
 
 // chatAnswer turns the pieces of an answer into what the caller reads.
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -183,7 +183,11 @@
 }
 
 func (x *exchange) record(kind, address, detail string) {
-	x.g.Recorder.Record(x.event(kind, address, detail))
+	e := x.event(kind, address, detail)
+	if x.content != 0 {
+		e.Content = strconv.FormatUint(x.content, 16)
+	}
+	x.g.Recorder.Record(e)
 }
 
 // event returns an event of the request.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -95,6 +95,7 @@
 	arrived time.Time
 
 	call     bamboostep.Call
+	content  uint64 // fingerprint of the call; 0 until its body is read
 	table    *route.Table
 	route    *route.Route
 	service  *route.Service
@@ -209,5 +210,6 @@
 		return x.fail(http.StatusBadRequest, "body_unreadable", err.Error())
 	}
 	x.call = x.call.WithBody(data)
+	x.content = x.call.Fingerprint()
 	return true
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -154,13 +154,19 @@
 func (noAdapters) LoadAdapter(context.Context, string, fleet.ModelName) error { return nil }
 
 func send(t *testing.T, s *httptest.Server, path, body string) (*http.Response, string, error) {
+	t.Helper()
+	return sendCall(t, s, "a1", path, body)
+}
+
+// sendCall is send under an ID of the test's own.
+func sendCall(t *testing.T, s *httptest.Server, id, path, body string) (*http.Response, string, error) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, s.URL+path, strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = "h.example"
-	req.Header.Set("X-Attempt-Id", "a1")
+	req.Header.Set("X-Attempt-Id", id)
 	req.Header.Set("X-Request-Deadline", "2000")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/gateway/trace_test.go
+++ b/gateway/trace_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -177,3 +178,27 @@
 		})
 	}
 }
+
+// TestAllSendsAreFoundFromOneID guards against repeats that cannot be told from other
+// requests: a request that is sent again has another ID each time.
+func TestAllSendsAreFoundFromOneID(t *testing.T) {
+	var f logFile
+	recorder := loggedRecorder(&f, "edge-1/entry")
+	g := testGatewayWith(t, recorder, route.Route{Kind: route.NonIdempotent, Attempts: 1}, newStandIn(t, true, reset))
+	for _, id := range []string{"a1", "a2", "a3"} {
+		sendCall(t, g, id, "/p/x", "the same")
+		sendCall(t, g, id+"-other", "/p/x", "another "+id)
+	}
+	recorder.Flush()
+	all := f.events(t)
+	content := timeline.Query{Request: "a2"}.Select(all)[0].Content
+	var got []bamboostep.RequestID
+	for _, e := range (timeline.Query{Content: content}).Select(all) {
+		if e.Kind == "attempt_unanswered" {
+			got = append(got, e.Request)
+		}
+	}
+	if want := []bamboostep.RequestID{"a1", "a2", "a3"}; content == "" || !slices.Equal(got, want) {
+		t.Errorf("attempts of content %q: got %v, want %v", content, got, want)
+	}
+}
--- a/timeline/query.go
+++ b/timeline/query.go
@@ -8,10 +8,10 @@
 	"github.com/bamboostep/bamboostep"
 )
 
-// ParseQuery reads a Query from URL parameters: request, model, vm, since and until,
-// the last two in RFC 3339.
+// ParseQuery reads a Query from URL parameters: request, model, vm, content, since and
+// until, the last two in RFC 3339.
 func ParseQuery(v url.Values) (Query, error) {
-	q := Query{Request: bamboostep.RequestID(v.Get("request")), Model: v.Get("model"), VM: v.Get("vm")}
+	q := Query{Request: bamboostep.RequestID(v.Get("request")), Model: v.Get("model"), VM: v.Get("vm"), Content: v.Get("content")}
 	var err error
 	if q.Since, err = parseTime(v, "since"); err != nil {
 		return Query{}, err
@@ -31,6 +31,7 @@
 	set("request", string(q.Request))
 	set("model", q.Model)
 	set("vm", q.VM)
+	set("content", q.Content)
 	if !q.Since.IsZero() {
 		set("since", q.Since.Format(time.RFC3339Nano))
 	}
--- a/timeline/read.go
+++ b/timeline/read.go
@@ -32,6 +32,7 @@
 	fieldAttempt  = "attempt"
 	fieldModel    = "model"
 	fieldVM       = "vm"
+	fieldContent  = "content"
 	fieldRevision = "revision"
 	fieldTerm     = "term"
 	fieldDetail   = "detail"
@@ -114,6 +115,8 @@
 		e.Model = value
 	case fieldVM:
 		e.VM = value
+	case fieldContent:
+		e.Content = value
 	case fieldDetail:
 		e.Detail = value
 	}
--- a/timeline/read_test.go
+++ b/timeline/read_test.go
@@ -17,7 +17,7 @@
 		var out logText
 		r := newLogged(&out)
 		r.Log = r.Log.With("process", r.Process)
-		r.Record(timeline.Event{Kind: "request_failed", Request: "r1", Attempt: "a1", Model: "m/a", VM: "10.0.0.1:80", Revision: 7, Term: 3, Detail: `no "answer": x=1, 2 of 3`})
+		r.Record(timeline.Event{Kind: "request_failed", Request: "r1", Attempt: "a1", Model: "m/a", VM: "10.0.0.1:80", Content: "9f3c", Revision: 7, Term: 3, Detail: `no "answer": x=1, 2 of 3`})
 		r.Record(timeline.Event{Kind: "ledger_disk_failed", Detail: "sync /data: no space left"})
 		time.Sleep(time.Second)
 		text := strings.Join(out.lines(), "\n")
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -28,6 +28,7 @@
 	Attempt  bamboostep.AttemptID `msgpack:"attempt" json:"attempt,omitempty"`
 	Model    string               `msgpack:"model" json:"model,omitempty"` // model, adapter or service
 	VM       string               `msgpack:"vm" json:"vm,omitempty"`
+	Content  string               `msgpack:"content" json:"content,omitempty"` // of a request: the same each time it is sent
 	Revision uint64               `msgpack:"revision" json:"revision,omitempty"`
 	Term     uint64               `msgpack:"term" json:"term,omitempty"`
 	Detail   string               `msgpack:"detail" json:"detail,omitempty"`
@@ -42,6 +43,7 @@
 	Request bamboostep.RequestID `msgpack:"request"`
 	Model   string               `msgpack:"model"`
 	VM      string               `msgpack:"vm"`
+	Content string               `msgpack:"content"`
 	Since   time.Time            `msgpack:"since"`
 	Until   time.Time            `msgpack:"until"`
 }
@@ -57,6 +59,9 @@
 	if q.VM != "" && q.VM != e.VM {
 		return false
 	}
+	if q.Content != "" && q.Content != e.Content {
+		return false
+	}
 	at := e.Stamp.Time()
 	if !q.Since.IsZero() && at.Before(q.Since) {
 		return false
@@ -146,8 +151,11 @@
 	return all
 }
 
+// maxFields is the number of fields that a log line may have.
+const maxFields = 8
+
 func keyValues(e Event) []any {
-	kv := make([]any, 0, 18)
+	kv := make([]any, 0, 2*maxFields)
 	add := func(key string, value any, set bool) {
 		if set {
 			kv = append(kv, key, value)
@@ -157,6 +165,7 @@
 	add(fieldAttempt, e.Attempt, e.Attempt != "")
 	add(fieldModel, e.Model, e.Model != "")
 	add(fieldVM, e.VM, e.VM != "")
+	add(fieldContent, e.Content, e.Content != "")
 	add(fieldRevision, e.Revision, e.Revision != 0)
 	add(fieldTerm, e.Term, e.Term != 0)
 	add(fieldDetail, e.Detail, e.Detail != "")
