One copy of writing a file whole with its checksum

The feed's file and, next, another need it; the ledger syncs folders the same way. Moved from catalog and ledger to internal/sumfile, behaviour as before.

--- a/catalog/feed_file.go
+++ b/catalog/feed_file.go
@@ -5,23 +5,17 @@
 // reach. A feed with a file therefore keeps its newest set there, and starts from
 // it. This also lets an entry serve from its first moment while no quorum stands.
 //
-// The file is replaced whole: written beside, synced, renamed, and its folder
-// synced, all before the set is in force. A checksum at its end tells a damaged
-// file, which is passed over, since the ledger and the peers have the set too.
+// The file is replaced whole before the set is in force (package sumfile). A damaged
+// one is passed over, since the ledger and the peers have the set too.
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"io/fs"
-	"os"
-	"path/filepath"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/bamboostep/bamboostep/internal/sumfile"
 )
 
-const sumBytes = 8
-
 // FileError says that the file of a feed is damaged.
 type FileError struct {
 	File  string
@@ -52,17 +46,14 @@
 }
 
 func readSetFile(file string) (*Set, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
+	body, err := sumfile.Read(file)
+	var damaged *sumfile.DamagedError
+	switch {
+	case errors.As(err, &damaged):
+		return nil, &FileError{file, damaged.Issue}
+	case err != nil:
 		return nil, fmt.Errorf("feed: %w", err)
 	}
-	if len(data) < sumBytes {
-		return nil, &FileError{file, fmt.Sprintf("it has only %d bytes", len(data))}
-	}
-	body, sum := data[:len(data)-sumBytes], data[len(data)-sumBytes:]
-	if xxhash.Sum64(body) != binary.BigEndian.Uint64(sum) {
-		return nil, &FileError{file, "its checksum is wrong"}
-	}
 	s, err := Decode(body)
 	if err != nil {
 		return nil, &FileError{file, err.Error()}
@@ -76,32 +67,5 @@
 	if err != nil {
 		return err
 	}
-	data := make([]byte, 0, len(body)+sumBytes)
-	data = append(data, body...)
-	data = binary.BigEndian.AppendUint64(data, xxhash.Sum64(body))
-	next := file + ".new"
-	if err := writeSynced(next, data); err != nil {
-		return err
-	}
-	if err := os.Rename(next, file); err != nil {
-		return err
-	}
-	return syncFolder(filepath.Dir(file))
-}
-
-func writeSynced(file string, data []byte) error {
-	w, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = w.Write(data)
-	return errors.Join(err, w.Sync(), w.Close())
-}
-
-func syncFolder(folder string) error {
-	d, err := os.Open(folder)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
+	return sumfile.Write(file, body)
 }
--- a/ledger/files.go
+++ b/ledger/files.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 	"syscall"
+
+	"github.com/bamboostep/bamboostep/internal/sumfile"
 )
 
 // fileSystem is the one folder that a disk uses. Tests replace it by one that
@@ -40,7 +42,7 @@
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, fmt.Errorf("ledger folder %q: %w", path, err)
 	}
-	if err := syncFolder(filepath.Dir(path)); err != nil {
+	if err := sumfile.SyncFolder(filepath.Dir(path)); err != nil {
 		return nil, err
 	}
 	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, 0o600)
@@ -107,15 +109,6 @@
 func (f *folder) Remove(name string) error { return os.Remove(f.file(name)) }
 
 // SyncFolder implements fileSystem.
-func (f *folder) SyncFolder() error { return syncFolder(f.path) }
-
-func syncFolder(path string) error {
-	d, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
-}
+func (f *folder) SyncFolder() error { return sumfile.SyncFolder(f.path) }
 
 var _ fileSystem = (*folder)(nil)
