A request that crashes its backend servers is refused by all entries

Sent 12 times on a route with 3 attempts, it ended 36 backend servers.

Cause: a request was known for one send alone, to one entry alone. Attempts bound one send; the next, at any entry, had all of them again. The own interface has had crash suspects for long; the platform's request path never got them (docs/PLATFORM.md said so under what is not done). Class of fault: a bound on the whole fleet that each process keeps by itself, and forgets.

Ruled out: miscounted attempts, resuming, and answers that ask for the repeat; see docs/incidents/crashing-request.md.

Change: package quarantine. An answer that breaks off while nothing listens at the address any more is a crash; all that broke off there are suspects, by their content. Entries tell all voters, voters put it together, tell entries of those that were at two crashes or more, and keep these on their disks. A suspect that completes or gets further is cleared; one at two crashes runs at another time and another backend server than the rest; one at three is refused with 503 before anything is sent, for long if nobody else was at the same crashes and few others happened, else for 2 s, then 15 s. After that one entry at a time may try it, if a majority of voters agrees. An entry is ready once a voter has told it what it knows.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -19,6 +19,7 @@
 	Slots   int           // of one backend server, where its listing does not say
 	Avoid   []string      // addresses that failed this request
 	Longest time.Duration // a longer wait for the first event is of no use; 0 for any
+	Apart   bool          // any backend server by chance, not the one that others choose too
 }
 
 // NoServerError says why no backend server can take a request.
@@ -80,6 +81,9 @@
 	if len(candidates) == 0 {
 		return nil, &NoServerError{Service: w.Service, Reason: reason}
 	}
+	if w.Apart {
+		candidates = candidates[f.chance.IntN(len(candidates)):][:1]
+	}
 	home := f.homeOf(candidates, hashes)
 	best := f.estimate(now, w, candidates[0], hashes, home)
 	for _, s := range candidates[1:] {
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -23,6 +23,10 @@
 	Directory bamboostep.Directory // read when no voter brings a list
 	Recorder  *timeline.Recorder
 
+	// Reached is called with each connection to a voter that comes up, in a goroutine of its
+	// own, with a context that ends when the voter is followed no more. May be nil.
+	Reached func(ctx context.Context, c *wire.Conn)
+
 	mu      sync.Mutex
 	links   map[string]*holderLink // by address of the voter
 	lastAt  time.Time              // newest list that came
@@ -75,6 +79,9 @@
 		Up: func(c *wire.Conn) {
 			f.Recorder.Record(timeline.Event{Kind: "voter_reached", VM: address})
 			go f.watch(ctx, c)
+			if f.Reached != nil {
+				go f.Reached(ctx, c)
+			}
 		},
 		Down: func(*wire.Conn) { f.Recorder.Record(timeline.Event{Kind: "voter_lost", VM: address}) },
 	}
@@ -166,11 +173,21 @@
 
 // SendDemand tells all voters what callers asked of this entry.
 func (f *Follower) SendDemand(n DemandNote) {
+	conns, _ := f.Conns()
+	for _, c := range conns {
+		_ = c.Send(KindDemand, n) // the next one makes up for a lost one
+	}
+}
+
+// Conns returns the connections to the voters that are reached, and how many voters
+// there are.
+func (f *Follower) Conns() (conns []*wire.Conn, all int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, h := range f.links {
 		if c := h.link.Conn(); c != nil {
-			_ = c.Send(KindDemand, n) // the next one makes up for a lost one
+			conns = append(conns, c)
 		}
 	}
+	return conns, len(f.links)
 }
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -45,6 +45,13 @@
 // goes, whether or not the request has ended.
 func (r *Run) Leaves() <-chan struct{} { return r.leaves }
 
+// Leaving reports whether the backend server was told to go.
+func (r *Run) Leaving() bool {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	return r.server.listing.Leaving || !r.server.goesAt.IsZero()
+}
+
 // GoesAt returns when the backend server goes, the zero time while that is not known.
 func (r *Run) GoesAt() time.Time {
 	r.fleet.mu.Lock()
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -11,6 +11,7 @@
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/origin"
+	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -41,8 +42,10 @@
 			x.left(run.Address)
 			return resultDone
 		}
+		x.brokeOff(run)
 		return x.spoilt(run, err.Error())
 	}
+	x.passed()
 	if !good && a.Status >= http.StatusInternalServerError && x.couldRepeat() {
 		return x.spoilt(run, "status "+strconv.Itoa(a.Status))
 	}
@@ -185,7 +188,7 @@
 func (x *exchange) record(kind, address, detail string) {
 	e := x.event(kind, address, detail)
 	if x.content != 0 {
-		e.Content = strconv.FormatUint(x.content, 16)
+		e.Content = quarantine.FormatContent(x.content)
 	}
 	x.g.Recorder.Record(e)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,6 +36,7 @@
 // attempts makes attempts until one has answered the caller.
 func (x *exchange) attempts(ctx context.Context) {
 	for ctx.Err() == nil {
+		x.keepApart(ctx)
 		run, ok := x.choose(ctx)
 		if !ok {
 			return
@@ -57,6 +58,8 @@
 		return true // the same run goes on
 	case x.r.Context().Err() != nil:
 		return false
+	case !x.judge():
+		return x.giveUp(reasonCrashes)
 	case !x.promised && !x.route.Repeatable():
 		return x.giveUp("may_have_run")
 	case x.mayRun >= x.route.Attempts:
@@ -128,7 +131,7 @@
 }
 
 func (x *exchange) want(now time.Time) fleet.Want {
-	w := fleet.Want{Service: x.service.Name, Avoid: x.tried, Bytes: len(x.call.Body)}
+	w := fleet.Want{Service: x.service.Name, Avoid: x.tried, Bytes: len(x.call.Body), Apart: x.verdict.Apart}
 	if x.service.Engine == nil {
 		return w
 	}
@@ -239,6 +242,7 @@
 		return resultDone
 	}
 	run.End(fleet.EndedFailed, now)
+	x.brokeOff(run)
 	return resultAgain
 }
 
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +15,8 @@
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/timeline"
 )
@@ -37,6 +41,7 @@
 	server  *http.Server
 	ended   int
 	reached int // times that a request with crashBody arrived
+	down    bool
 	stopped bool
 }
 
@@ -67,6 +72,7 @@
 		return
 	}
 	m.address = l.Addr().String()
+	m.down = false
 	m.server = &http.Server{Handler: http.HandlerFunc(m.serve)}
 	go m.server.Serve(l)
 }
@@ -96,6 +102,10 @@
 func (m *mortal) crash() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.down {
+		return
+	}
+	m.down = true
 	m.ended++
 	m.server.Close()
 	time.AfterFunc(downTime, m.start)
@@ -125,6 +135,52 @@
 	return reached, ended
 }
 
+// entries are entries that tell each other of crashes, as voters do it for them.
+type entries struct {
+	t      *testing.T
+	table  *route.Table
+	known  *fleet.Fleet
+	mu     sync.Mutex
+	voter  *quarantine.Table
+	tables []*quarantine.Table
+	urls   []*httptest.Server
+}
+
+func newEntries(t *testing.T, n int, r route.Route, listings []bamboostep.Listing) *entries {
+	t.Helper()
+	e := &entries{t: t, voter: &quarantine.Table{}, tables: make([]*quarantine.Table, n), urls: make([]*httptest.Server, n)}
+	e.table, e.known = testRoutes(t, r)
+	e.known.NoteList(listings, time.Now())
+	for i := range n {
+		e.start(i)
+	}
+	return e
+}
+
+// start starts an entry, again if it runs: it knows what the voter knows.
+func (e *entries) start(i int) {
+	table := &quarantine.Table{}
+	recorder := &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}
+	guard := &quarantine.Guard{Table: table, Tell: e.tell, Try: func(context.Context, uint64) bool { return false }, Recorder: recorder}
+	e.mu.Lock()
+	table.Note(time.Now(), e.voter.All())
+	e.tables[i] = table
+	e.mu.Unlock()
+	if e.urls[i] != nil {
+		e.urls[i].Close()
+	}
+	e.urls[i] = serveGuarded(e.t, guard, &dispatch.Budget{Burst: 10_000}, recorder, e.table, e.known)
+}
+
+func (e *entries) tell(records []quarantine.Record) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.voter.Note(time.Now(), records)
+	for _, table := range e.tables {
+		table.Note(time.Now(), e.voter.All())
+	}
+}
+
 // TestRequestThatCrashesBackendServersIsNotSentOn guards against issue 20: a request under
 // which three backend servers had ended was sent to all others each time it came again.
 func TestRequestThatCrashesBackendServersIsNotSentOn(t *testing.T) {
@@ -151,3 +207,72 @@
 		t.Errorf("another request: got %v %q, %v, want ok", resp, body, err)
 	}
 }
+
+// TestEntryThatStartsAgainRefusesStill guards against issue 20 over restarts and at several
+// entries: the request comes to another entry each time, and each has just started.
+func TestEntryThatStartsAgainRefusesStill(t *testing.T) {
+	const sends = 12
+	servers, listings := mortals(t, 8, whole("ok"))
+	e := newEntries(t, 3, route.Route{Kind: route.NonIdempotent, Attempts: 1}, listings)
+	for i := range sends {
+		if _, _, err := sendCall(t, e.urls[i%3], fmt.Sprintf("a%d", i), "/p/x", crashBody); err != nil {
+			t.Fatal(err)
+		}
+		e.start(i % 3)
+	}
+	if reached, ended := counts(servers); reached > crashesToProve+retriesAfter {
+		t.Errorf("sent %d times: reached %d backend servers and ended %d, want at most %d", sends, reached, ended, crashesToProve+retriesAfter)
+	}
+}
+
+// TestRequestsBesideACrashingOneAreServed guards against a remedy of issue 20 that is
+// worse than it: streams break off at the same crashes, and get their answers all the same. In
+// the storm backend servers crash besides.
+func TestRequestsBesideACrashingOneAreServed(t *testing.T) {
+	for name, storm := range map[string]bool{"calm": false, "storm": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const streams, length = 60, 12
+			servers, listings := mortals(t, 8, slowEvents(length, 25*time.Millisecond))
+			e := newEntries(t, 2, route.Route{Kind: route.Streaming, Resumable: true, Attempts: 6, Timeout: 20 * time.Second}, listings)
+			var all sync.WaitGroup
+			all.Go(func() {
+				for i := range 12 {
+					_, _, _ = sendCall(t, e.urls[i%2], fmt.Sprintf("a%d", i), "/p/x", crashBody) // it fails
+					if storm && i%3 == 0 {
+						servers[i%len(servers)].crash()
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+			})
+			for i := range streams {
+				all.Go(func() {
+					time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+					e.expectStream(fmt.Sprintf("s%d", i), length)
+				})
+			}
+			all.Wait()
+			if reached, ended := counts(servers); reached > crashesToProve+retriesAfter {
+				t.Errorf("reached %d backend servers and %d ended, want at most %d reached", reached, ended, crashesToProve+retriesAfter)
+			}
+		})
+	}
+}
+
+// expectStream sends a request whose caller comes back once if it fails.
+func (e *entries) expectStream(id string, length int) {
+	e.t.Helper()
+	var status int
+	var events int
+	var text string
+	for n := range 2 {
+		resp, body, err := sendCall(e.t, e.urls[n%2], fmt.Sprint(id, "-", n), "/p/x", id)
+		if resp != nil {
+			status = resp.StatusCode
+		}
+		if text, events = body, strings.Count(body, "data:"); err == nil && status == http.StatusOK && events == length {
+			return
+		}
+	}
+	e.t.Errorf("stream %s: got status %d with %d events, %q, want %d events", id, status, events, text[:min(len(text), 80)], length)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/bamboostep/bamboostep/dispatch"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/origin"
+	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/timeline"
 )
@@ -49,6 +50,7 @@
 	Pool     *origin.Pool
 	Adapters Adapters
 	Budget   func(service string) *dispatch.Budget
+	Guard    *quarantine.Guard // may be nil
 	Recorder *timeline.Recorder
 	Metrics  *Metrics
 
@@ -101,6 +103,7 @@
 	service  *route.Service
 	deadline time.Time
 
+	verdict  quarantine.Verdict
 	run      *fleet.Run // of the last attempt
 	sends    int        // that reached a backend server
 	mayRun   int        // of these, sends that may have run
@@ -146,6 +149,9 @@
 	if !x.readBody() {
 		return false
 	}
+	if !x.admitContent() {
+		return x.refuse(reasonCrashes, x.verdict.RetryAfter)
+	}
 	x.setDeadline()
 	x.service = x.table.Service(x.route.Service(rand.Uint64()))
 	x.g.Budget(x.service.Name).Request(x.arrived)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -18,6 +18,7 @@
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/origin"
 	"github.com/bamboostep/bamboostep/platform"
+	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/timeline"
 )
@@ -134,6 +135,12 @@
 }
 
 func serveGateway(t *testing.T, budget *dispatch.Budget, recorder *timeline.Recorder, table *route.Table, known *fleet.Fleet) *httptest.Server {
+	t.Helper()
+	guard := &quarantine.Guard{Table: &quarantine.Table{}, Tell: func([]quarantine.Record) {}, Try: func(context.Context, uint64) bool { return true }, Recorder: recorder}
+	return serveGuarded(t, guard, budget, recorder, table, known)
+}
+
+func serveGuarded(t *testing.T, guard *quarantine.Guard, budget *dispatch.Budget, recorder *timeline.Recorder, table *route.Table, known *fleet.Fleet) *httptest.Server {
 	t.Helper()
 	g := &Gateway{
 		Dialect:  platform.HTTP{},
@@ -142,6 +149,7 @@
 		Pool:     &origin.Pool{Dialect: platform.HTTP{}},
 		Adapters: noAdapters{},
 		Budget:   func(string) *dispatch.Budget { return budget },
+		Guard:    guard,
 		Recorder: recorder,
 	}
 	s := httptest.NewServer(g)
--- a/gateway/pace_test.go
+++ b/gateway/pace_test.go
@@ -15,11 +15,13 @@
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
-// slowEvents sends events with a pause before each, long against what engines need.
+// slowEvents sends events from the one after Last-Event-Id, with a pause before each.
 func slowEvents(n int, pause time.Duration) answer {
 	return func(w http.ResponseWriter, r *http.Request) {
+		from := 0
+		fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
 		w.Header().Set("X-Response-Signature", "s")
-		for i := 1; i <= n; i++ {
+		for i := from + 1; i <= n; i++ {
 			time.Sleep(pause)
 			fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", i, i)
 			http.NewResponseController(w).Flush()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/bamboostep/bamboostep/fleet"
@@ -63,6 +64,7 @@
 	}
 	switch {
 	case err == nil:
+		x.passed()
 		run.End(fleet.EndedWell, now)
 		x.g.Metrics.longestPause(x.stream.pause)
 		x.done(run.Address, http.StatusOK, nil)
@@ -76,6 +78,7 @@
 		x.timeOut()
 		return resultDone
 	}
+	x.brokeOff(run)
 	return x.spoilt(run, "stream broke off: "+err.Error())
 }
 
@@ -142,6 +145,9 @@
 		x.stream.lastID = id
 	}
 	x.stream.note(time.Now())
+	if x.verdict.Crashes > 0 && x.stream.position() > x.verdict.Beyond {
+		x.passed()
+	}
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
@@ -157,6 +163,18 @@
 	s.passed = now
 }
 
+// position returns how many events of the answer the caller has, by their IDs where
+// these are numbers.
+func (s *relay) position() int {
+	if s == nil {
+		return 0
+	}
+	if n, err := strconv.Atoi(s.lastID); err == nil {
+		return n
+	}
+	return s.events
+}
+
 // breakOff ends a stream so that it does not look whole.
 func (x *exchange) breakOff(reason string) {
 	x.g.Metrics.refused(http.StatusBadGateway, "stream_broken")
--- a/node/entry.go
+++ b/node/entry.go
@@ -19,6 +19,7 @@
 	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/origin"
 	"github.com/bamboostep/bamboostep/platform"
+	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/route"
 )
 
@@ -28,6 +29,7 @@
 	firstTableWait = 500 * time.Millisecond
 	sweepInterval  = time.Second
 	demandInterval = 500 * time.Millisecond
+	suspectsWait   = 2 * time.Second // after the start, for what voters know of suspects
 
 	pollInterval = 20 * time.Millisecond
 
@@ -41,18 +43,20 @@
 	fleet    *fleet.Fleet
 	links    *fleet.Links
 	follower *fleet.Follower
+	suspects *quarantine.Follower
 	client   *ledger.Client
 	gateway  *gateway.Gateway
 	pool     *origin.Pool
 	table    atomic.Pointer[route.Table]
 	stopping atomic.Bool
+	began    time.Time
 
 	mu      sync.Mutex
 	budgets map[string]*dispatch.Budget
 }
 
 func runEntry(p *process) error {
-	e := &entry{process: p, budgets: make(map[string]*dispatch.Budget)}
+	e := &entry{process: p, began: time.Now(), budgets: make(map[string]*dispatch.Budget)}
 	e.fleet = &fleet.Fleet{Domain: p.cfg.FailureDomain, Seed: rand.Uint64()}
 	e.fleet.RegisterMetrics(p.registry)
 	seeds := p.voters()
@@ -67,6 +71,7 @@
 		Recorder:  p.recorder,
 	}
 	e.pool = &origin.Pool{Dialect: platform.HTTP{}, Metrics: origin.NewMetrics(p.registry)}
+	guard := e.newGuard()
 	e.gateway = &gateway.Gateway{
 		Dialect:  platform.CacheMoves{Client: platform.NewEngineClient(engineTimeout)},
 		Table:    e.table.Load,
@@ -74,12 +79,28 @@
 		Pool:     e.pool,
 		Adapters: e.links,
 		Budget:   e.budget,
+		Guard:    guard,
 		Recorder: p.recorder,
 		Metrics:  gateway.NewMetrics(p.registry),
 	}
 	return e.run()
 }
 
+// newGuard returns the guard against requests that crash backend servers, and has the
+// entry follow what voters know of them.
+func (e *entry) newGuard() *quarantine.Guard {
+	table := &quarantine.Table{}
+	e.suspects = &quarantine.Follower{Table: table, Voters: e.follower.Conns, Recorder: e.recorder}
+	e.follower.Reached = e.suspects.Watch
+	return &quarantine.Guard{
+		Table:    table,
+		Tell:     e.suspects.Tell,
+		Try:      e.suspects.Try,
+		Recorder: e.recorder,
+		Metrics:  quarantine.NewMetrics(e.registry, table),
+	}
+}
+
 func (e *entry) run() error {
 	callers, err := net.Listen("tcp", e.cfg.CallerAddress)
 	if err != nil {
@@ -169,10 +190,16 @@
 	}
 }
 
+// knowsSuspects reports whether a voter has told which requests are refused, or none
+// could for a while.
+func (e *entry) knowsSuspects() bool {
+	return e.suspects.Synced() || time.Since(e.began) > suspectsWait
+}
+
 func (e *entry) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PatternReady, func(w http.ResponseWriter, r *http.Request) {
-		if e.stopping.Load() || e.table.Load() == nil {
+		if e.stopping.Load() || e.table.Load() == nil || !e.knowsSuspects() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/node/voter.go
+++ b/node/voter.go
@@ -19,6 +19,7 @@
 	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/operator"
 	"github.com/bamboostep/bamboostep/platform"
+	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/wire"
 )
 
@@ -26,6 +27,8 @@
 // it does not know.
 const ledgerFolder = "ledger"
 
+const quarantineFile = "quarantine"
+
 // leastWork is the work of an engine, in tokens a second, that is not worth a move:
 // about a tenth of what an engine reads.
 const leastWork = 3000
@@ -59,6 +62,8 @@
 	v.Applied = func(s *ledger.State) { noteTable(p, s, &table) }
 	reader := &fleet.Reader{Directory: p.directory(), Fleet: known, Recorder: p.recorder}
 	reader.Register(mux)
+	board, file := newBoard(p)
+	board.Register(mux)
 	links := &fleet.Links{
 		Node:     p.wire,
 		Fleet:    known,
@@ -93,6 +98,9 @@
 	group.Go(func() error { return v.Run(ctx) })
 	group.Go(func() error { return client.Run(ctx) })
 	group.Go(func() error { return reader.Run(ctx) })
+	if file != nil {
+		group.Go(func() error { return file.Run(ctx) })
+	}
 	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return place.Run(ctx) })
 	group.Go(func() error {
@@ -102,6 +110,21 @@
 	return ignoreEnd(group.Wait())
 }
 
+// newBoard returns what puts together which requests crash backend servers, and the file
+// that keeps it; nil on a VM without a disk.
+func newBoard(p *process) (*quarantine.Board, *quarantine.File) {
+	table := &quarantine.Table{}
+	quarantine.NewMetrics(p.registry, table)
+	board := &quarantine.Board{Table: table, Recorder: p.recorder}
+	if p.cfg.DataDir == "" {
+		return board, nil
+	}
+	file := &quarantine.File{Name: filepath.Join(p.cfg.DataDir, quarantineFile), Table: table, Recorder: p.recorder}
+	file.Restore()
+	board.Changed = file.Changed
+	return board, file
+}
+
 // ledgerDir returns the ledger's folder. On a VM without a disk it lasts as long as
 // the process; after that the voter is taken in anew by the others.
 func ledgerDir(p *process) (string, error) {
