An entry of the own interface hears on starting what others refuse

One that started later had the request run again, at the cost of up to two backend servers, as often as entries start.

Change: when a connection to an entry comes up it is told which requests are refused.

--- a/dispatch/suspects.go
+++ b/dispatch/suspects.go
@@ -72,6 +72,7 @@
 
 // crash is one crash of one backend server.
 type crash struct {
+	vm      string
 	at      time.Time
 	members map[uint64]bool // fingerprints
 }
@@ -137,6 +138,24 @@
 	}
 }
 
+// Refused returns the requests that are refused, as an entry that has just started
+// should Note them.
+func (s *Suspects) Refused(now time.Time) []bamboostep.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []bamboostep.Suspect
+	for f, p := range s.byPrint {
+		if p.state != suspectRefused || !now.Before(p.until) {
+			continue
+		}
+		for attempt, c := range p.attempts {
+			list = append(list, bamboostep.Suspect{Fingerprint: f, Attempt: attempt, VM: c.vm, Crashes: max(2, len(p.crashes))})
+			break // one says it
+		}
+	}
+	return list
+}
+
 // crashOf returns the crash that one of the attempts is known from, or nil.
 func (s *Suspects) crashOf(batch []bamboostep.Suspect) *crash {
 	for _, n := range batch {
@@ -202,7 +221,7 @@
 	if s.crashes == nil {
 		s.crashes = make(map[string]*crash)
 	}
-	c := &crash{at: now, members: make(map[uint64]bool)}
+	c := &crash{vm: vm, at: now, members: make(map[uint64]bool)}
 	s.crashes[vm] = c
 	return c
 }
--- a/entry/callers.go
+++ b/entry/callers.go
@@ -156,6 +156,12 @@
 	c.metrics = newCallerMetrics(c.Registry, c.Suspects)
 }
 
+// RefusedSuspects returns the requests that are refused because they crash backend
+// servers.
+func (c *callers) RefusedSuspects() []bamboostep.Suspect {
+	return c.Suspects.Refused(c.Clock.Now())
+}
+
 // NoteSuspects takes in all the requests that were running when a backend server
 // crashed, as its agent tells them, or what another entry's ShareSuspects sent.
 func (c *callers) NoteSuspects(list []bamboostep.Suspect) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -187,6 +187,7 @@
 		OwnFleet:   e.fleetStatus,
 		Gather:     e.servers.Timeline,
 		OnSuspects: func(s []bamboostep.Suspect) { e.callers.NoteSuspects(s) },
+		Refused:    func() []bamboostep.Suspect { return e.callers.RefusedSuspects() },
 		OnDemand:   func(entry string, d []bamboostep.Demand) { e.placement.NoteDemand(entry, d) },
 	}
 	e.peers.Register()
--- a/entry/links.go
+++ b/entry/links.go
@@ -62,6 +62,7 @@
 	link.Busy = func() bool { return false } // only calls are awaited
 	link.Up = func(c *wire.Conn) {
 		p.note(name, link, true)
+		p.tellRefused(c)
 		p.Feed.Subscribe(c)
 	}
 	link.Down = func(*wire.Conn) { p.note(name, link, false) }
--- a/entry/news.go
+++ b/entry/news.go
@@ -6,6 +6,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/roster"
+	"github.com/bamboostep/bamboostep/wire"
 )
 
 // This file spreads crash suspects among the entries. An entry tells those that it is
@@ -19,6 +20,14 @@
 	}
 }
 
+// tellRefused tells an entry which requests are refused, since it may have started only
+// now.
+func (p *peers) tellRefused(c *wire.Conn) {
+	if refused := p.Refused(); len(refused) > 0 {
+		_ = c.Send(kindSuspects, suspectsMessage{refused}) // fails only if the connection has ended
+	}
+}
+
 // isNews reports whether any of the suspects were not heard of lately, and notes them.
 func (p *peers) isNews(suspects []bamboostep.Suspect) bool {
 	p.mu.Lock()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -86,6 +86,7 @@
 	Feed       *catalog.Feed
 	Recorder   *timeline.Recorder
 	OnSuspects func([]bamboostep.Suspect)
+	Refused    func() []bamboostep.Suspect // what an entry is told that has just been reached
 	OnDemand   func(entry string, demand []bamboostep.Demand)
 	All        bool // connect to every entry
 
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -27,12 +27,20 @@
 
 	mu    sync.Mutex
 	heard map[string]int // suspects heard, by entry
+
+	refused []bamboostep.Suspect // by all from the start
 }
 
 // startPeers starts entries in regions in turn, the first of which are voters.
 func startPeers(tb testing.TB, entries, voters int, metrics *wire.Metrics, regions ...string) *peerGroup {
 	tb.Helper()
-	g := &peerGroup{heard: make(map[string]int)}
+	return startRefusing(tb, nil, entries, voters, metrics, regions...)
+}
+
+// startRefusing is startPeers with requests that all entries refuse.
+func startRefusing(tb testing.TB, refused []bamboostep.Suspect, entries, voters int, metrics *wire.Metrics, regions ...string) *peerGroup {
+	tb.Helper()
+	g := &peerGroup{heard: make(map[string]int), refused: refused}
 	var settings []peerSettings
 	var listeners []net.Listener
 	for i := range entries {
@@ -74,6 +82,7 @@
 			defer g.mu.Unlock()
 			g.heard[self.Name]++
 		},
+		Refused: func() []bamboostep.Suspect { return g.refused },
 		Gather: func(context.Context, timeline.Query) [][]timeline.Event { return nil },
 	}
 	feed.Register(p.Mux)
@@ -98,6 +107,18 @@
 	})
 }
 
+// TestEntryThatStartsHearsWhatIsRefused guards against a request that crashes backend servers
+// and reaches them again by an entry that has just started.
+func TestEntryThatStartsHearsWhatIsRefused(t *testing.T) {
+	refused := []bamboostep.Suspect{{Fingerprint: 1, Attempt: "r.1", VM: "taller-1", Crashes: 2}}
+	g := startRefusing(t, refused, 3, 1, nil, "a")
+	waitFor(t, "the refused request at all entries", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.heard) == 3
+	})
+}
+
 // With few links between regions, every entry hears of a crash, of a revision and
 // of the events of all others, each event once.
 func TestFewLinksReachEveryEntry(t *testing.T) {
