--- a/entry/callers.go
+++ b/entry/callers.go
@@ -159,6 +159,7 @@
 // RefusedSuspects returns the requests that are refused because they crash backend
 // servers.
 func (c *callers) RefusedSuspects() []bamboostep.Suspect {
+	c.once.Do(c.init)
 	return c.Suspects.Refused(c.Clock.Now())
 }
 
