Callers' keys are checked, and end at the entry

A request on a route that is not public gets 401 without a known key; the key and what the caller said of its workspace are dropped, the workspace's name is put in, and its rank goes before the route's. Keys that were taken away: an entry goes by the keys that it knows only while its lease on them holds, four fifths of the time that the platform allows (ledger.Lease, on the proof of a quorum that each watch brings); after that it answers 503, not 401, on all but public routes. Running streams go on: the rule is about requests sent later, and what runs has been admitted.

Found while reading: a proof counted before the state that it proves was in force, and a voter's proof could be newer than the state told with it. Both orders are turned round.

--- a/call.go
+++ b/call.go
@@ -17,6 +17,7 @@
 	Path         string      // path alone
 	Header       http.Header // what is passed on unchanged
 	Body         []byte
+	Key          Key           // of the caller; the zero Key if it shows none
 	Within       time.Duration // how long the caller waits; 0 if it does not say
 	Model        string        // empty for a plain service
 	Adapter      string
@@ -50,6 +51,8 @@
 	Instance    string        // backend server that is meant
 	Rank        int           // 0 is the most urgent
 	ResumeAfter string
+	Keyed       bool       // callers show keys, which are not passed on
+	Workspace   string     // of the caller's key; empty for none
 	Cache       MovedCache // of this request; the zero value for none
 }
 
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -83,7 +83,7 @@
 			g.heard[self.Name]++
 		},
 		Refused: func() []bamboostep.Suspect { return g.refused },
-		Gather: func(context.Context, timeline.Query) [][]timeline.Event { return nil },
+		Gather:  func(context.Context, timeline.Query) [][]timeline.Event { return nil },
 	}
 	feed.Register(p.Mux)
 	p.Register()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -162,7 +162,9 @@
 	a, err := x.g.Pool.Do(ctx, run.Address, x.call, bamboostep.Passing{
 		Within:      left,
 		Instance:    run.Instance,
-		Rank:        x.route.Rank,
+		Rank:        x.rank(),
+		Keyed:       x.table.Keyed(),
+		Workspace:   x.workspaceName(),
 		ResumeAfter: x.resumeAfter(),
 		Cache:       cache,
 	})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/dispatch"
 	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/origin"
 	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/route"
@@ -51,6 +52,7 @@
 	Adapters Adapters
 	Budget   func(service string) *dispatch.Budget
 	Guard    *quarantine.Guard // may be nil
+	Lease    *ledger.Lease     // on the table in force, for requests that need a key; may be nil
 	Recorder *timeline.Recorder
 	Metrics  *Metrics
 
@@ -103,6 +105,8 @@
 	service  *route.Service
 	deadline time.Time
 
+	workspace *route.Workspace // of the caller's key; nil for none
+
 	verdict  quarantine.Verdict
 	run      *fleet.Run // of the last attempt
 	sends    int        // that reached a backend server
@@ -136,10 +140,15 @@
 	if x.table = x.awaitTable(); x.table == nil {
 		return x.refuse("no_routes", retrySoon)
 	}
+	leased := x.g.Lease.Valid(time.Now())
+	x.table = x.g.Table()
 	x.route = x.table.Match(call.Host, call.Path)
 	if x.route == nil {
 		return x.fail(http.StatusNotFound, "no_route", call.Host+call.Path)
 	}
+	if !x.identify(leased) {
+		return false
+	}
 	if limit := x.table.Limits.HeaderBytes; limit > 0 && headerBytes(x.r) > limit {
 		return x.fail(http.StatusRequestHeaderFieldsTooLarge, "header_too_large", "")
 	}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -136,13 +136,23 @@
 
 func serveGateway(t *testing.T, budget *dispatch.Budget, recorder *timeline.Recorder, table *route.Table, known *fleet.Fleet) *httptest.Server {
 	t.Helper()
-	guard := &quarantine.Guard{Table: &quarantine.Table{}, Tell: func([]quarantine.Record) {}, Try: func(context.Context, uint64) bool { return true }, Recorder: recorder}
-	return serveGuarded(t, guard, budget, recorder, table, known)
+	return serveGuarded(t, guardAlone(recorder), budget, recorder, table, known)
+}
+
+// guardAlone is the guard of an entry that is the only one.
+func guardAlone(recorder *timeline.Recorder) *quarantine.Guard {
+	return &quarantine.Guard{Table: &quarantine.Table{}, Tell: func([]quarantine.Record) {}, Try: func(context.Context, uint64) bool { return true }, Recorder: recorder}
 }
 
 func serveGuarded(t *testing.T, guard *quarantine.Guard, budget *dispatch.Budget, recorder *timeline.Recorder, table *route.Table, known *fleet.Fleet) *httptest.Server {
 	t.Helper()
-	g := &Gateway{
+	s := httptest.NewServer(newGateway(guard, budget, recorder, table, known))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func newGateway(guard *quarantine.Guard, budget *dispatch.Budget, recorder *timeline.Recorder, table *route.Table, known *fleet.Fleet) *Gateway {
+	return &Gateway{
 		Dialect:  platform.HTTP{},
 		Table:    func() *route.Table { return table },
 		Fleet:    known,
@@ -152,9 +162,6 @@
 		Guard:    guard,
 		Recorder: recorder,
 	}
-	s := httptest.NewServer(g)
-	t.Cleanup(s.Close)
-	return s
 }
 
 type noAdapters struct{}
--- /dev/null
+++ b/gateway/identify.go
@@ -0,0 +1,41 @@
+package gateway
+
+import "net/http"
+
+// Callers show by a key which workspace they belong to. A key that was taken away must
+// be of no use on any VM after a while, also on one that cannot hear of it, so an entry
+// goes by the keys that it knows only while its lease on them holds. After that it says
+// neither yes nor no.
+
+// identify finds the workspace of the caller's key, by a table that was taken after the
+// lease was found to hold or not. It answers and returns false if the request goes no
+// further.
+func (x *exchange) identify(leased bool) bool {
+	if !x.table.Keyed() {
+		return true
+	}
+	if !leased && !x.route.Public {
+		return x.refuse("keys_not_proved", retrySoon)
+	}
+	x.workspace = x.table.Workspace(x.call.Key)
+	if x.workspace == nil && !x.route.Public {
+		return x.fail(http.StatusUnauthorized, "key_unknown", "")
+	}
+	return true
+}
+
+// workspaceName returns the name of the caller's workspace, empty for none.
+func (x *exchange) workspaceName() string {
+	if x.workspace == nil {
+		return ""
+	}
+	return x.workspace.Name
+}
+
+// rank returns how urgent the request is: by its workspace, else by its route.
+func (x *exchange) rank() int {
+	if x.workspace != nil && x.workspace.Ranked {
+		return x.workspace.Rank
+	}
+	return x.route.Rank
+}
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -158,12 +158,17 @@
 	return conn.Call(ctx, kindWatch, call, r)
 }
 
+func (c *Client) noteProved(at time.Time) {
+	if at.After(*c.current.Load()) {
+		c.current.Store(&at)
+	}
+}
+
 // take makes a watched state the client's own.
 func (c *Client) take(s *State, r watchReply, proved time.Time) {
 	c.state.Store(s)
-	if proved.After(*c.current.Load()) {
-		c.current.Store(&proved)
-	}
+	// What Applied puts in force must be there before it counts as proved.
+	defer c.noteProved(proved)
 	if r.Leader != "" {
 		c.leader.Store(&leadership{r.Leader, r.LeaderTerm})
 	}
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -56,7 +56,8 @@
 }
 
 func (v *Voter) watchReply(call watchCall, now time.Time) watchReply {
-	s, st := v.State(), v.status.Load()
+	st := v.status.Load() // before the state, which must not be older than its proof
+	s := v.State()
 	r := watchReply{
 		Index:      s.index,
 		Term:       s.term,
--- a/node/entry.go
+++ b/node/entry.go
@@ -80,12 +80,17 @@
 		Adapters: e.links,
 		Budget:   e.budget,
 		Guard:    guard,
+		Lease:    &ledger.Lease{Client: e.client, For: leaseOn(p.cfg.Revoke)},
 		Recorder: p.recorder,
 		Metrics:  gateway.NewMetrics(p.registry),
 	}
 	return e.run()
 }
 
+// leaseOn returns how long an entry goes by the keys that it knows, well within the time
+// in which a key that was taken away must be of no use.
+func leaseOn(revoke time.Duration) time.Duration { return revoke * 4 / 5 }
+
 // newGuard returns the guard against requests that crash backend servers, and has the
 // entry follow what voters know of them.
 func (e *entry) newGuard() *quarantine.Guard {
--- a/route/route.go
+++ b/route/route.go
@@ -11,6 +11,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/bamboostep/bamboostep"
 )
 
 // Kind says what may be repeated on a route.
@@ -37,6 +39,7 @@
 	Attempts  int           // backend servers that one request may be sent to
 	Affinity  bool          // requests share leading parts of their prompts
 	Resumable bool          // a stream may go on elsewhere after its last event
+	Public    bool          // needs no key
 }
 
 // Share is the part of a route's requests that one service gets.
@@ -114,13 +117,15 @@
 
 // Table is one published set of routes. It is immutable once Freeze has returned it.
 type Table struct {
-	Number   uint64 // higher numbers replace lower ones
-	Routes   []Route
-	Services []Service
-	Limits   Limits
+	Number     uint64 // higher numbers replace lower ones
+	Routes     []Route
+	Services   []Service
+	Limits     Limits
+	Workspaces []Workspace // nil if callers need no key
 
 	byPlace  map[place]*Route
 	services map[string]*Service
+	byKey    map[bamboostep.Key]*Workspace
 }
 
 type place struct{ host, prefix string }
@@ -139,6 +144,9 @@
 		}
 		t.byPlace[place{r.Host, r.Prefix}] = r
 	}
+	if err := t.freezeWorkspaces(); err != nil {
+		return nil, err
+	}
 	return &t, nil
 }
 
--- /dev/null
+++ b/route/workspace_test.go
@@ -0,0 +1,56 @@
+package route
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/bamboostep/bamboostep"
+)
+
+func TestWorkspaceOfAKey(t *testing.T) {
+	a, b, c := bamboostep.NewKey("key-a"), bamboostep.NewKey("key-b"), bamboostep.NewKey("key-c")
+	table := testTable()
+	if frozen, err := table.Freeze(); err != nil || frozen.Keyed() {
+		t.Errorf("table without workspaces: got %v, %v, want one that needs no key", frozen, err)
+	}
+	table.Workspaces = []Workspace{{Name: "one", Keys: []bamboostep.Key{a, b, a}}, {Name: "two", Keys: []bamboostep.Key{c}}}
+	frozen, err := table.Freeze()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for k, want := range map[bamboostep.Key]string{a: "one", b: "one", c: "two", {}: "", bamboostep.NewKey("key-d"): ""} {
+		got := ""
+		if w := frozen.Workspace(k); w != nil {
+			got = w.Name
+		}
+		if got != want {
+			t.Errorf("key %x: got workspace %q, want %q", k[:4], got, want)
+		}
+	}
+	table.Workspaces[1].Keys = append(table.Workspaces[1].Keys, a)
+	var bad *CheckError
+	if _, err := table.Freeze(); !errors.As(err, &bad) || strings.Contains(err.Error(), "key-a") {
+		t.Errorf("a key of two workspaces: got %v, want a *CheckError that does not show it", err)
+	}
+}
+
+func TestQuotaCost(t *testing.T) {
+	for name, c := range map[string]struct {
+		quota  Quota
+		tokens int
+		want   float64
+	}{
+		"requests":                       {Quota{Plain: 200}, 900, 1},
+		"tokens":                         {Quota{Tokens: true, Plain: 200}, 900, 900},
+		"tokens, request says how many":  {Quota{Tokens: true, Plain: 200}, 1, 1},
+		"tokens, request does not say":   {Quota{Tokens: true, Plain: 200}, 0, 200},
+		"requests, request does not say": {Quota{}, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := c.quota.Cost(c.tokens); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
