Quotas after a start: buckets fill from the start of their voter, entries wait a moment for one

A bucket began to fill at its first use, and was empty then; and an entry that had not reached a voter yet went by its own small part.

Change: buckets fill from the start of their voter; an entry that has been without a voter for less than a second waits 200 ms for one.

The rest come back faster than the rate allows after a second without service, and a restart fills nothing: left so. TestWithoutVoters failed while the wait had no end.

--- a/quota/counter.go
+++ b/quota/counter.go
@@ -42,11 +42,13 @@
 	Fresh bool                                       // the whole system starts, so that nothing was used before
 
 	mu      sync.Mutex
+	began   time.Time
 	buckets map[string]*bucket
 }
 
-// Register adds the handlers to mux.
+// Register adds the handlers to mux. Buckets begin to fill now.
 func (c *Counter) Register(mux *wire.Mux) {
+	c.began = time.Now()
 	mux.On(kindReport, c.handleReport)
 	mux.On(kindTake, c.handleTake)
 }
@@ -103,7 +105,7 @@
 func (c *Counter) bucket(now time.Time, workspace string, q route.Quota) *bucket {
 	b := c.buckets[workspace]
 	if b == nil {
-		b = &bucket{at: now} // its past is not known
+		b = &bucket{at: c.began} // what was used before is not known
 		if c.Fresh {
 			b.level = q.Burst
 		}
--- a/quota/meter.go
+++ b/quota/meter.go
@@ -36,6 +36,8 @@
 	alone  map[string]*bucket // of this entry's part, while it reaches no voter
 	lost   bool               // it reaches none
 	began  time.Time          // when Run was called
+
+	reached time.Time // when a voter was last there to ask
 }
 
 // account is what an entry and one voter know of each other.
@@ -67,7 +69,7 @@
 	if m.admitBySelf(now, w, cost) {
 		return Decision{Admitted: true}
 	}
-	for _, c := range m.order(now, w.Name) {
+	for _, c := range m.awaitVoters(ctx, now, w.Name) {
 		call := takeCall{w.Name, cost, m.unreported(c, w.Name)}
 		var reply takeReply
 		if err := callWithin(ctx, c, takeTimeout, kindTake, call, &reply); err != nil {
@@ -143,11 +145,25 @@
 	return b.level - a.used[w.Name]
 }
 
-// order returns the voters to ask about a workspace, the first that of all entries.
-func (m *Meter) order(now time.Time, workspace string) []Voter {
+// awaitVoters returns the voters to ask about a workspace. It waits for a moment if none
+// has been reached since processes started or connections ended just now.
+func (m *Meter) awaitVoters(ctx context.Context, now time.Time, workspace string) []Voter {
+	until := now.Add(voterWait)
+	for {
+		list, since := m.order(now, workspace)
+		if len(list) > 0 || !now.Before(until) || now.Sub(since) > startTime || ctx.Err() != nil {
+			return list
+		}
+		time.Sleep(voterStep)
+		now = time.Now()
+	}
+}
+
+// order returns the voters to ask about a workspace, the first that of all entries, and
+// since when it has been so if there are none.
+func (m *Meter) order(now time.Time, workspace string) (list []Voter, since time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var list []Voter
 	for c, a := range m.accounts() {
 		if now.After(a.avoided) {
 			list = append(list, c)
@@ -156,7 +172,10 @@
 	slices.SortFunc(list, func(a, b Voter) int {
 		return cmp.Compare(turn(workspace, a.Peer().Name), turn(workspace, b.Peer().Name))
 	})
-	return list
+	if len(list) > 0 {
+		m.reached = now
+	}
+	return list, m.reached
 }
 
 // turn orders voters, for each workspace differently, and alike on all entries.
@@ -233,6 +252,7 @@
 func (m *Meter) Run(ctx context.Context) error {
 	m.mu.Lock()
 	m.began = time.Now()
+	m.reached = m.began
 	m.mu.Unlock()
 	t := time.NewTicker(reportInterval)
 	defer t.Stop()
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -21,6 +21,9 @@
 	reportInterval = 200 * time.Millisecond
 	reportTimeout  = 500 * time.Millisecond
 	takeTimeout    = 150 * time.Millisecond
+	voterWait      = 200 * time.Millisecond // for a voter to be reached
+	startTime      = time.Second            // in which processes that start find each other
+	voterStep      = 10 * time.Millisecond
 	avoidFor       = time.Second            // a voter that did not answer
 	viewAge        = time.Second            // after which a level that was told says nothing
 	heardAge       = 500 * time.Millisecond // after which an entry does not admit by itself
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -43,7 +43,7 @@
 func (v *fakeVoter) restart(quota func(string) (route.Quota, bool)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.counter = &Counter{Quota: quota}
+	v.counter = &Counter{Quota: quota, began: time.Now()}
 }
 
 // flip cuts the voter off, or heals that.
