A suspect that runs apart goes where it would begin in time

Cause, seen in reading: the one backend server drawn for a suspect might be busy for longer than the request had, and it was refused though others were free. The first of a random order that would begin in time is taken now; if there is none, the best as ever. Test: TestSuspectsAreSpread.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -81,10 +81,11 @@
 	if len(candidates) == 0 {
 		return nil, &NoServerError{Service: w.Service, Reason: reason}
 	}
+	home := f.homeOf(candidates, hashes)
 	if w.Apart {
-		candidates = candidates[f.chance.IntN(len(candidates)):][:1]
+		f.chance.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+		candidates = f.firstInTime(now, w, candidates, hashes, home)
 	}
-	home := f.homeOf(candidates, hashes)
 	best := f.estimate(now, w, candidates[0], hashes, home)
 	for _, s := range candidates[1:] {
 		if e := f.estimate(now, w, s, hashes, home); e.cost < best.cost {
@@ -97,6 +98,16 @@
 	return f.begin(now, w, best, hashes), nil
 }
 
+// firstInTime returns the first candidate that would begin in time, or all.
+func (f *Fleet) firstInTime(now time.Time, w Want, candidates []*server, hashes []uint64, home *server) []*server {
+	for i, s := range candidates {
+		if w.Longest == 0 || f.estimate(now, w, s, hashes, home).wait <= w.Longest {
+			return candidates[i : i+1]
+		}
+	}
+	return candidates
+}
+
 // candidates returns the backend servers that could run a request. Those that
 // failed or refused of late are left out while there are others; those that leave or
 // asked this entry to wait always are.
