--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -137,13 +137,16 @@
 	r.start()
 }
 
-const testFirstPort = 17380
+const (
+	testFirstPort = 17380
+	testRevoke    = 5 * time.Second
+)
 
 func newRole(t *testing.T, name, ip, directory string) *role {
 	at := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(testFirstPort+port)) }
 	cfg := platform.Settings{Node: name + "-" + ip, IP: ip, FailureDomain: "z", FirstPort: testFirstPort, LastPort: testFirstPort + 9,
 		Seeds: []string{net.JoinHostPort("127.0.0.21", strconv.Itoa(testFirstPort+3))}, FirstStart: true, DirectoryAddr: directory,
-		Contact: 3 * time.Second, Drain: 3 * time.Second, Grace: time.Second, RetryShare: 10, RetryWindow: 10 * time.Second, RetryExtra: 1000, MemoryMB: 200}
+		Contact: 3 * time.Second, Revoke: testRevoke, Drain: 3 * time.Second, Grace: time.Second, RetryShare: 10, RetryWindow: 10 * time.Second, RetryExtra: 1000, MemoryMB: 200}
 	switch name {
 	case "entry":
 		cfg.CallerAddress, cfg.ReadyAddress = at(1), at(2)
@@ -157,6 +160,11 @@
 
 // call sends a request and returns the status of its answer, 0 for none.
 func call(method, address, path, body, id string) int {
+	return callWithKey(method, address, path, body, id, "")
+}
+
+// callWithKey is call with a caller's key, unless that is empty.
+func callWithKey(method, address, path, body, id, key string) int {
 	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return 0
@@ -167,6 +175,9 @@
 		req.Header.Set("X-Attempt-Id", id)
 		req.Header.Set("X-Request-Deadline", "3000")
 	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
