A caller that leaves while a quota is asked for blames no voter

Cause, seen in reading: a voter was avoided for a second when its answer did not come, also when the caller had left meanwhile; with enough of those an entry went by its own small part of all quotas. Change: only an answer that did not come in time counts. Test: TestCallerThatLeavesBlamesNoVoter (without the change: 0 voters to ask, want 3).

Names: the meter's accounts are not a ledger; keys and quotas of the gateway stand in workspace.go.

--- a/gateway/identify.go
+++ b/gateway/workspace.go
@@ -2,10 +2,10 @@
 
 import "net/http"
 
-// Callers show by a key which workspace they belong to. A key that was taken away must
-// be of no use on any VM after a while, also on one that cannot hear of it, so an entry
-// goes by the keys that it knows only while its lease on them holds. After that it says
-// neither yes nor no.
+// Callers show by a key which workspace they belong to, whose quota they use. A key that
+// was taken away must be of no use on any VM after a while, also on one that cannot hear
+// of it, so an entry goes by the keys that it knows only while its lease on them holds.
+// After that it says neither yes nor no.
 
 // identify finds the workspace of the caller's key, by a table that was taken after the
 // lease was found to hold or not. It answers and returns false if the request goes no
--- a/quota/meter.go
+++ b/quota/meter.go
@@ -31,13 +31,12 @@
 	Recorder *timeline.Recorder
 	Metrics  *Metrics // may be nil
 
-	mu     sync.Mutex
-	ledger map[Voter]*account
-	alone  map[string]*bucket // of this entry's part, while it reaches no voter
-	lost   bool               // it reaches none
-	began  time.Time          // when Run was called
-
-	reached time.Time // when a voter was last there to ask
+	mu      sync.Mutex
+	known   map[Voter]*account
+	alone   map[string]*bucket // of this entry's part, while it reaches no voter
+	lost    bool               // it reaches none
+	began   time.Time          // when Run was called
+	reached time.Time          // when a voter was last there to ask
 }
 
 // account is what an entry and one voter know of each other.
@@ -73,7 +72,7 @@
 		call := takeCall{w.Name, cost, m.unreported(c, w.Name)}
 		var reply takeReply
 		if err := callWithin(ctx, c, takeTimeout, kindTake, call, &reply); err != nil {
-			m.failed(c, map[string]float64{w.Name: call.Used}, time.Now())
+			m.failed(ctx, c, map[string]float64{w.Name: call.Used}, time.Now())
 			continue
 		}
 		m.noteTaken(c, w.Name, cost, reply, time.Now())
@@ -101,16 +100,16 @@
 // accounts returns those of the voters that are reached. mu is held.
 func (m *Meter) accounts() map[Voter]*account {
 	conns := m.Voters()
-	if m.ledger == nil {
-		m.ledger = make(map[Voter]*account)
+	if m.known == nil {
+		m.known = make(map[Voter]*account)
 	}
-	maps.DeleteFunc(m.ledger, func(c Voter, _ *account) bool { return !slices.Contains(conns, c) })
+	maps.DeleteFunc(m.known, func(c Voter, _ *account) bool { return !slices.Contains(conns, c) })
 	for _, c := range conns {
-		if m.ledger[c] == nil {
-			m.ledger[c] = &account{used: make(map[string]float64), levels: make(map[string]bucket)}
+		if m.known[c] == nil {
+			m.known[c] = &account{used: make(map[string]float64), levels: make(map[string]bucket)}
 		}
 	}
-	return m.ledger
+	return m.known
 }
 
 // admitBySelf admits a request if every voter that has told of the bucket lately said
@@ -194,16 +193,18 @@
 	return used
 }
 
-// failed notes that a voter did not answer when it was told what was used. It may have
-// counted it; counted twice does less harm than not at all.
-func (m *Meter) failed(c Voter, used map[string]float64, now time.Time) {
+// failed notes that a voter did not answer when it was told what was used, unless ctx had
+// ended. It may have counted it; counted twice does less harm than not at all.
+func (m *Meter) failed(ctx context.Context, c Voter, used map[string]float64, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	a := m.ledger[c]
+	a := m.known[c]
 	if a == nil {
 		return // the connection has ended, and its account with it
 	}
-	a.avoided = now.Add(avoidFor)
+	if ctx.Err() == nil {
+		a.avoided = now.Add(avoidFor)
+	}
 	for workspace, n := range used {
 		a.used[workspace] += n
 	}
@@ -276,7 +277,7 @@
 			a.used = make(map[string]float64)
 		}
 	}
-	m.noteReach(len(m.ledger) == 0)
+	m.noteReach(len(m.known) == 0)
 	m.mu.Unlock()
 	for c, used := range calls {
 		go m.report(ctx, c, used)
@@ -301,12 +302,12 @@
 	err := callWithin(ctx, c, reportTimeout, kindReport, reportCall{used}, &reply)
 	now := time.Now()
 	if err != nil {
-		m.failed(c, used, now)
+		m.failed(ctx, c, used, now)
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	a := m.ledger[c]
+	a := m.known[c]
 	if a == nil {
 		return // the connection has ended, and its account with it
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -73,6 +73,9 @@
 	_, away := l.look()
 	time.Sleep(away)
 	counter, away := l.look()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	if counter == nil {
 		<-ctx.Done()
 		return errCut
@@ -310,3 +313,20 @@
 		}
 	})
 }
+
+// TestCallerThatLeavesBlamesNoVoter has callers leave while a voter is asked for them: the
+// voters are asked for the next ones all the same.
+func TestCallerThatLeavesBlamesNoVoter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newShop(t, rand.New(rand.NewPCG(1, 1)), 3, 1, route.Quota{PerSecond: 1000, Burst: 1000})
+		defer s.stop()
+		gone, leave := context.WithCancel(t.Context())
+		leave()
+		for range 10 {
+			s.entries[0].Admit(gone, s.work, 600)
+		}
+		if list, _ := s.entries[0].order(time.Now(), s.work.Name); len(list) != 3 {
+			t.Errorf("voters to ask: got %d, want 3", len(list))
+		}
+	})
+}
