Servers of tests that start again have loopback addresses of their own

A port that a crashed stand-in gave up could be taken by an outgoing connection of another test as its own end, and the stand-in would not start again. Not seen to happen; seen in reading.

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,9 +46,15 @@
 	stopped bool
 }
 
+var ownAddresses atomic.Int32
+
+// ownAddress returns an address of loopback that no connection of another test has for
+// its own, so that a server that starts again finds its port free.
+func ownAddress() string { return fmt.Sprintf("127.0.41.%d:0", 1+ownAddresses.Add(1)%250) }
+
 func newMortal(t *testing.T, other answer) *mortal {
 	t.Helper()
-	m := &mortal{t: t, address: "127.0.0.1:0", other: other}
+	m := &mortal{t: t, address: ownAddress(), other: other}
 	m.start()
 	t.Cleanup(m.stop)
 	return m
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -41,8 +41,8 @@
 
 func newCrashingService(t *testing.T, n int) *crashingService {
 	s := &crashingService{t: t, servers: make(map[string]*http.Server)}
-	for range n {
-		s.start("127.0.0.1:0")
+	for i := range n {
+		s.start(fmt.Sprintf("127.0.42.%d:0", 1+i)) // where no connection has its own end
 	}
 	t.Cleanup(s.close)
 	return s
