The test of an order that waited waits until that order was taken up

Traced: awaitFence asked with an order under the fence before the waited one's, which is the first load's own, and an agent refuses a second order under a known fence at once. So it never waited, and the later order could overtake the one that was to wait.

Change: the test waits for the agent's report of the fence, as the leader does. What is checked afterwards is unchanged.

--- a/backend/orders_test.go
+++ b/backend/orders_test.go
@@ -197,7 +197,8 @@
 	t.Parallel()
 	e := &fencingEngine{gatedEngine: gatedEngine{gate: make(chan string)}}
 	address, _ := startServer(t, "127.0.0.1:0", e)
-	c := startClient(t, address)
+	var reported fences
+	c := startClientTold(t, address, reported.note)
 	ctx, cancel := context.WithTimeout(context.Background(), testDeadline)
 	defer cancel()
 
@@ -213,7 +214,7 @@
 		result, _ := c.Order(ctx, unload)
 		unloaded <- result
 	}()
-	awaitFence(t, ctx, c, unload)
+	reported.await(t, ctx, unload)
 	load.Fence.Sequence, load.Name = 3, "o"
 	if result, _ := giveOrder(t, ctx, c, load); result.Code != "" {
 		t.Errorf("load that passes: got code %q, want none", result.Code)
@@ -227,17 +228,21 @@
 	}
 }
 
-// awaitFence waits until the agent has taken the order up: it then refuses one
-// under a lower fence.
-func awaitFence(t *testing.T, ctx context.Context, c repeater, taken bamboostep.Order) {
+// fences holds the highest fence that an agent has reported.
+type fences struct {
+	highest atomic.Pointer[bamboostep.Fence]
+}
+
+func (f *fences) note(r bamboostep.Report) { f.highest.Store(&r.Fence) }
+
+// await waits until the agent reports that it has taken the order up.
+func (f *fences) await(t *testing.T, ctx context.Context, taken bamboostep.Order) {
 	t.Helper()
-	probe := bamboostep.Order{Fence: taken.Fence, Kind: bamboostep.UnloadAdapter, Name: "probe"}
-	probe.Fence.Sequence--
 	for ctx.Err() == nil {
-		result, err := c.Order(ctx, probe)
-		if err == nil && result.Code == "fenced" {
+		if highest := f.highest.Load(); highest != nil && !highest.Less(taken.Fence) {
 			return
 		}
+		time.Sleep(time.Millisecond)
 	}
 	t.Fatalf("order %v is never taken up", taken.Fence)
 }
--- a/backend/server_test.go
+++ b/backend/server_test.go
@@ -98,12 +98,19 @@
 }
 
 func startClient(t *testing.T, address string) *backend.Client {
+	t.Helper()
+	return startClientTold(t, address, func(bamboostep.Report) {})
+}
+
+// startClientTold is startClient with a function that is told each report.
+func startClientTold(t *testing.T, address string, told func(bamboostep.Report)) *backend.Client {
 	t.Helper()
 	ready := make(chan struct{}, 1)
 	c := &backend.Client{
 		Node: &wire.Node{Hello: wire.Hello{Name: "entry", Role: "entry"}, Clock: &timeline.Clock{Wall: daemon.SystemClock{}}},
 		VM:   bamboostep.VM{Name: "vm-1", Address: address},
 		OnReport: func(r bamboostep.Report) {
+			told(r)
 			if r.Ready {
 				select {
 				case ready <- struct{}{}:
