The test of a replaced voter lets that voter hear of the commit

Traced: the publication is acknowledged once the leader has it on the disks of a quorum, of which the replaced voter is one; that voter applies it, and the membership before it, when the leader's next message tells it of the commit. The test looked at its state at once.

Change: its state is awaited, and after a barrier the client beside it must have all three, at once.

--- a/ledger/member_test.go
+++ b/ledger/member_test.go
@@ -63,8 +63,14 @@
 	if r.Number != 2 {
 		t.Errorf("got revision %d, want 2", r.Number)
 	}
-	if got := len(lost.voter.State().Members()); got != 3 {
-		t.Errorf("got %d voters, want 3", got)
+	c.eventually("three voters, as the one that was taken in knows them", func() bool {
+		return len(lost.voter.State().Members()) == 3
+	})
+	if err := lost.client.Barrier(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := len(lost.client.State().Members()); got != 3 {
+		t.Errorf("got %d voters after a barrier, want 3", got)
 	}
 }
 
