--- a/call.go
+++ b/call.go
@@ -101,11 +101,21 @@
 	Misdirected bool          // another backend server has the address, or it does not hold the model
 	Leaving     bool          // the backend server is shutting down and will stop taking new requests
 	RetryAfter  time.Duration // with status 503, how long this sender should send it nothing (Retry-After); 0 if not given
+	Limit       RequestLimit  // how many requests the backend server takes from all entries together
 	Load        Load          // valid if LoadKnown
 	LoadKnown   bool          // the answer reports the load
 	IdleTimeout time.Duration // how long the backend server keeps the connection open when idle; 0 if not given
 }
 
+// RequestLimit is the rate of requests that a backend server in need takes from all entries
+// together, for as long as its answers name it.
+type RequestLimit struct {
+	Named     bool    // the answer names a limit
+	Readable  bool    // PerSecond holds the limit; else the answer names something that is no rate
+	PerSecond float64 // requests per second, 0 or more
+	Text      string  // as named, cut to a length fit for a log line
+}
+
 // Load is the load that a backend server reports.
 type Load struct {
 	Running int // requests being processed
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -53,6 +53,7 @@
 type Assignment struct {
 	Address       string
 	Instance      string
+	StartedMS     int64 // start of the backend server, Unix milliseconds
 	Domain        string
 	AdapterReady  bool          // the adapter is already loaded, or the request needs none
 	EstimatedWait time.Duration // estimated time until the first event
@@ -179,6 +180,7 @@
 	r := &Assignment{
 		Address:        l.Address,
 		Instance:       l.Instance,
+		StartedMS:      l.StartedMS,
 		Domain:         l.Domain,
 		AdapterReady:   e.adapterReady,
 		EstimatedWait:  e.wait,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/origin"
+	"github.com/bamboostep/bamboostep/quota"
 	"github.com/bamboostep/bamboostep/route"
 )
 
@@ -176,7 +177,7 @@
 		return x.handleSendError(run, err)
 	}
 	defer resp.Close()
-	x.recordServerState(run, resp.Mark)
+	x.recordServerState(run, resp.Mark, sent)
 	x.g.Metrics.observeAttempt(x.route.Kind, resp.Status, time.Since(sent))
 	if resp.Mark.NotRun {
 		return x.handleNotRun(run, resp)
@@ -187,9 +188,11 @@
 }
 
 // recordServerState applies the state that a backend server reports in the head of a
-// response.
-func (x *exchange) recordServerState(run *fleet.Assignment, m bamboostep.AnswerInfo) {
-	if run.ObserveHeader(m, time.Now()) {
+// response to a request that was sent at sentAt.
+func (x *exchange) recordServerState(run *fleet.Assignment, m bamboostep.AnswerInfo, sentAt time.Time) {
+	now := time.Now()
+	x.g.ServerLimits.Observe(serverID(run), run.Address, m.Limit, sentAt, now)
+	if run.ObserveHeader(m, now) {
 		x.recordEvent("server_leaving", run.Address, "announced in its response")
 	}
 	if m.RetryAfter > 0 {
@@ -197,6 +200,10 @@
 	}
 }
 
+func serverID(run *fleet.Assignment) quota.ServerID {
+	return quota.ServerID{Instance: run.Instance, StartedMS: run.StartedMS}
+}
+
 // takePendingMove returns the KV cache that the attempt continues from, or the zero
 // value, and clears the pending move.
 func (x *exchange) takePendingMove() bamboostep.MovedCache {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,9 +56,10 @@
 	Pool         *origin.Pool
 	Adapters     AdapterLoader
 	RetryBudget  func(service string) *dispatch.RetryBudget
-	Quarantine   *quarantine.Guard // may be nil
-	QuotaLimiter *quota.Limiter    // may be nil
-	KeyLease     *ledger.Lease     // while it is valid, the keys in the current table can be trusted; may be nil
+	Quarantine   *quarantine.Guard    // may be nil
+	QuotaLimiter *quota.Limiter       // may be nil
+	ServerLimits *quota.ServerLimiter // may be nil
+	KeyLease     *ledger.Lease        // while it is valid, the keys in the current table can be trusted; may be nil
 	Recorder     *timeline.Recorder
 	Metrics      *Metrics
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -46,6 +46,7 @@
 	follower  *fleet.ListFollower  // connections to voters
 	suspects  *quarantine.Follower // requests that may crash backend servers, as shared with voters
 	quotas    *quota.Limiter
+	limits    *quota.ServerLimiter
 	client    *ledger.Client
 	gateway   *gateway.Gateway
 	pool      *origin.Pool
@@ -76,6 +77,7 @@
 	e.pool = &origin.Pool{Dialect: platform.HTTPDialect{}, Metrics: origin.NewMetrics(p.registry)}
 	guard := e.newGuard()
 	e.quotas = &quota.Limiter{Voters: e.reachableVoters, EntryCount: e.follower.Entries, Recorder: p.recorder, Metrics: quota.NewMetrics(p.registry)}
+	e.limits = &quota.ServerLimiter{Recorder: p.recorder, Metrics: quota.NewServerLimitMetrics(p.registry)}
 	e.gateway = &gateway.Gateway{
 		Dialect:      platform.CacheMoveDialect{Client: platform.NewEngineClient(engineTimeout)},
 		RouteTable:   e.table.Load,
@@ -85,6 +87,7 @@
 		RetryBudget:  e.retryBudget,
 		Quarantine:   guard,
 		QuotaLimiter: e.quotas,
+		ServerLimits: e.limits,
 		KeyLease:     &ledger.Lease{Client: e.client, For: leaseDuration(p.cfg.RevokeTimeout)},
 		Recorder:     p.recorder,
 		Metrics:      gateway.NewMetrics(p.registry),
--- a/quota/metrics.go
+++ b/quota/metrics.go
@@ -33,3 +33,27 @@
 		m.refused.WithLabelValues(workspace).Inc()
 	}
 }
+
+// ServerLimitMetrics counts what an entry learns and does about the limits of backend servers.
+// A nil *ServerLimitMetrics counts nothing.
+type ServerLimitMetrics struct {
+	changes *prometheus.CounterVec
+}
+
+// NewServerLimitMetrics registers the counters.
+func NewServerLimitMetrics(r prometheus.Registerer) *ServerLimitMetrics {
+	m := &ServerLimitMetrics{
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "bamboostep", Subsystem: "server_limit", Name: "changes_total",
+			Help: "Answers that changed the limit of a backend server, by event.",
+		}, []string{"event"}),
+	}
+	r.MustRegister(m.changes)
+	return m
+}
+
+func (m *ServerLimitMetrics) countChange(event string) {
+	if m != nil {
+		m.changes.WithLabelValues(event).Inc()
+	}
+}
