The limit that a backend server names holds over all entries

Cause: nothing that chooses a backend server knew of the limit (hypothesis 1).

Change: voters keep the limits and a token bucket each (quota.ServerLimitCoordinator). An entry takes a permit for each arrival: first sends, repeats, resumed and moved streams, and the order that loads an adapter. It sends once a majority of voters grants (quota.ballot), at the latest time that these name, so that no two voters admit the whole limit to different entries, and a voter that has just started or was cut off doesn't decide alone. Who cannot get a permit at once goes to another backend server; only if the limited one is still the best does a request wait in line, for a second of the limit at most, so that the line that a restarting majority forgets stays small. An entry without a majority sends its part. A lower limit is believed at once, a higher one or none step by step, since answers overtake each other and the limit may be left out or garbled.

--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// Defer ends an assignment that the limit of its server does not allow for a time, and
+// records that for the next choices. It is recorded for at most maxLimitAvoidance, since the
+// limit may be raised or lifted.
+func (r *Assignment) Defer(wait time.Duration, now time.Time) {
+	r.End(EndedCanceled, now)
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	r.server.limitedUntil = now.Add(min(wait, maxLimitAvoidance))
+}
+
 // EndReason is the way in which a request ended at a backend server.
 type EndReason int
 
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -29,7 +29,7 @@
 type NoServerError struct {
 	Service       string
 	Reason        Reason
-	EstimatedWait time.Duration // shortest estimated wait of any candidate; set for ReasonBusy
+	EstimatedWait time.Duration // shortest estimated wait of any candidate; set for ReasonBusy and ReasonLimited
 }
 
 // Reason says why no backend server was chosen.
@@ -41,6 +41,7 @@
 	ReasonNoModel  Reason = "model_not_held"    // no server of the service holds the model
 	ReasonBusy     Reason = "all_busy"          // every candidate's estimated wait exceeds the request's limit
 	ReasonBackoff  Reason = "all_resting"       // the remaining servers asked this entry to retry later
+	ReasonLimited  Reason = "all_at_limit"      // the remaining servers get as many requests as the limits allow that they name
 )
 
 // Error implements error.
@@ -57,6 +58,7 @@
 	Domain        string
 	AdapterReady  bool          // the adapter is already loaded, or the request needs none
 	EstimatedWait time.Duration // estimated time until the first event
+	LimitWait     time.Duration // time until the server's limit is expected to allow a request; 0 if it is not known to be used up
 
 	// ReportAge is the age of the server's last report when the request was assigned; negative
 	// if there was none.
@@ -98,7 +100,11 @@
 		}
 	}
 	if req.MaxWait > 0 && best.wait > req.MaxWait {
-		return nil, &NoServerError{Service: req.Service, Reason: ReasonBusy, EstimatedWait: best.wait}
+		reason := ReasonBusy
+		if best.limitWait > 0 {
+			reason = ReasonLimited
+		}
+		return nil, &NoServerError{Service: req.Service, Reason: reason, EstimatedWait: best.wait}
 	}
 	return f.assign(now, req, best, hashes), nil
 }
@@ -116,8 +122,8 @@
 
 // candidates returns the backend servers that could run a request. Servers that recently
 // failed, refused for load or do not answer their holder are returned only if there is no
-// other. Servers that are leaving or that asked this entry to retry later are never
-// returned. If the result is empty, the Reason says why.
+// other, and so are those whose limit is used up for now. Servers that are leaving or that
+// asked this entry to retry later are never returned. If the result is empty, the Reason says why.
 func (f *Fleet) candidates(now time.Time, req Requirements) ([]*server, Reason) {
 	reason := ReasonNoServer
 	var preferred, fallback []*server
@@ -135,7 +141,7 @@
 			reason = ReasonBackoff
 			continue
 		}
-		if now.Before(s.avoidUntil) || now.Before(s.overloadedUntil) || s.report.Down {
+		if now.Before(s.avoidUntil) || now.Before(s.overloadedUntil) || now.Before(s.limitedUntil) || s.report.Down {
 			fallback = append(fallback, s)
 			continue
 		}
@@ -184,6 +190,7 @@
 		Domain:         l.Domain,
 		AdapterReady:   e.adapterReady,
 		EstimatedWait:  e.wait,
+		LimitWait:      e.limitWait,
 		ReportAge:      e.server.reportAge(now),
 		Running:        e.server.report.Running,
 		Waiting:        e.server.pendingPrefills(now),
--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -26,6 +26,7 @@
 type estimate struct {
 	server         *server
 	wait           time.Duration // until the first event
+	limitWait      time.Duration // part of wait: until the server's limit allows a request
 	cost           time.Duration // wait plus the penalties for failures, slowed streams and distance; the lowest is chosen
 	uncachedTokens int           // prompt tokens that must be prefilled
 	adapterReady   bool          // the adapter is loaded, or none is needed
@@ -48,6 +49,8 @@
 			}
 		}
 	}
+	e.limitWait = max(0, s.limitedUntil.Sub(now))
+	e.wait += e.limitWait
 	e.cost = e.wait + time.Duration(s.failureRate(now)*float64(failureCost))
 	if req.ModelName.Model != "" {
 		e.cost += s.interferenceCost(now, req, e.uncachedTokens)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,7 @@
 	unreachableBackoff    = 700 * time.Millisecond  // initial avoidance of a server that could not be reached; doubles with each failure
 	maxUnreachableBackoff = 5 * time.Second
 	overloadBackoff       = 60 * time.Millisecond // avoidance of a server that refused for load
+	maxLimitAvoidance     = time.Second             // avoidance of a server whose limit is used up
 	failureDecay          = 4 * time.Second       // time constant with which the failure rate decays (to 1/e)
 	failureWeight         = 0.25                  // weight of the newest outcome in the failure rate
 )
@@ -81,6 +82,7 @@
 	failureAt        time.Time
 	overloadedUntil  time.Time // after a refusal for load; used only if there is no other server
 	backoffUntil     time.Time // not used at all before this time, as the server requested
+	limitedUntil     time.Time // the limit that the server names allows no request before this time
 	removed          bool      // no longer in the Fleet
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -4,13 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/origin"
-	"github.com/bamboostep/bamboostep/quota"
 	"github.com/bamboostep/bamboostep/route"
 )
 
@@ -42,7 +42,9 @@
 		if !ok {
 			return
 		}
-		if x.attempt(ctx, run) == attemptFinal {
+		result := x.attempt(ctx, run)
+		x.refundUnusedPermit()
+		if result == attemptFinal {
 			return
 		}
 		if !x.mayRetry() {
@@ -82,23 +84,35 @@
 	}
 	began := time.Now()
 	absenceNoted := false
+	var limits limitSearch
 	for {
 		changed := x.g.Fleet.Changed()
 		now := time.Now()
-		run, err := x.g.Fleet.Choose(now, x.serverCriteria(now))
+		criteria := x.serverCriteria(now)
+		criteria.Exclude = slices.Concat(criteria.Exclude, limits.full)
+		run, err := x.g.Fleet.Choose(now, criteria)
 		if err == nil {
-			return run, true
+			if x.takePermit(ctx, run, &limits) {
+				return run, true
+			}
+			if ctx.Err() != nil {
+				x.handleTimeout()
+				return nil, false
+			}
+			continue
 		}
 		var noServer *fleet.NoServerError
 		if !errors.As(err, &noServer) {
 			return nil, x.giveUp("no_backend_server")
 		}
-		if !absenceNoted && noServer.Reason == fleet.ReasonNoModel {
+		reason := limits.reason(noServer)
+		if !absenceNoted && x.call.Model != "" && (reason == fleet.ReasonNoModel || reason == fleet.ReasonLimited) {
 			absenceNoted = true
 			x.g.Fleet.CountMissing(x.modelName())
 		}
-		if now.Sub(began) >= x.maxServerWait(noServer.Reason) {
-			return nil, x.giveUp(string(noServer.Reason))
+		if now.Sub(began) >= x.maxServerWait(reason) {
+			x.limitWait = limits.shortestWait
+			return nil, x.giveUp(string(reason))
 		}
 		if !waitForFleetChange(ctx, changed) {
 			x.handleTimeout()
@@ -116,6 +130,10 @@
 		return min(modelLoadWait, left/2)
 	case fleet.ReasonNoServer:
 		return min(serverDiscoveryWait, left/4)
+	case fleet.ReasonLimited:
+		if x.call.Model != "" {
+			return min(modelLoadWait, left/2) // another backend server may load the model
+		}
 	}
 	return 0
 }
@@ -163,6 +181,7 @@
 		return attemptFinal
 	}
 	x.sentAttempts++
+	x.permitUsed = true
 	sent := time.Now()
 	resp, err := x.g.Pool.Do(ctx, run.Address, x.call, bamboostep.ForwardOptions{
 		TimeLeft:         left,
@@ -200,10 +219,6 @@
 	}
 }
 
-func serverID(run *fleet.Assignment) quota.ServerID {
-	return quota.ServerID{Instance: run.Instance, StartedMS: run.StartedMS}
-}
-
 // takePendingMove returns the KV cache that the attempt continues from, or the zero
 // value, and clears the pending move.
 func (x *exchange) takePendingMove() bamboostep.MovedCache {
@@ -242,6 +257,7 @@
 	var sendErr *origin.SendError
 	if errors.As(err, &sendErr) && !sendErr.Sent {
 		x.sentAttempts--
+		x.permitUsed = false
 		x.unsentAttempts++
 		x.failedAddresses = append(x.failedAddresses, run.Address)
 		run.End(fleet.EndedUnreachable, now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -125,7 +125,10 @@
 	chargedAttempts   int               // value of sentAttempts when the retry budget was last charged
 	provablyNotRun    bool              // no backend server has run the request or will
 	stream            *streamState
-	pendingMove       *streamMove // completed move that the next attempt continues; nil for none
+	permit            quota.Permit  // of the latest attempt
+	permitUsed        bool          // its request was sent
+	limitWait         time.Duration // shortest wait for a permit, if backend servers at their limits are why none was chosen
+	pendingMove       *streamMove   // completed move that the next attempt continues; nil for none
 }
 
 func (x *exchange) serve() {
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/quota"
 )
 
 // Streams that an engine cannot finish before it shuts down are moved to another engine.
@@ -33,6 +35,7 @@
 	finished    chan struct{} // closed when run has returned
 
 	target *fleet.Assignment // nil if the stream was not moved; valid once finished is closed
+	permit quota.Permit      // for the request at target
 	cache  bamboostep.MovedCache
 }
 
@@ -80,10 +83,8 @@
 // moveStream selects a target engine and moves the cache there, if there is such an engine and
 // the retry budget allows another attempt.
 func (m *streamMove) moveStream(ctx context.Context, mover bamboostep.CacheMover) {
-	x, now := m.x, time.Now()
-	criteria := x.serverCriteria(now)
-	criteria.Exclude = append([]string{m.source.Address}, criteria.Exclude...)
-	to, err := x.g.Fleet.Choose(now, criteria)
+	x := m.x
+	to, permit, err := m.chooseTarget(ctx)
 	if err != nil {
 		x.recordEvent("stream_not_moved", m.source.Address, err.Error())
 		return
@@ -91,11 +92,33 @@
 	cache, err := m.moveCache(ctx, mover, to)
 	if err != nil {
 		to.End(fleet.EndedCanceled, time.Now())
+		x.g.ServerLimits.Refund(permit)
 		x.recordEvent("stream_not_moved", m.source.Address, err.Error())
 		return
 	}
 	x.recordEvent("stream_moved", to.Address, "from "+m.source.Address+", which shuts down in "+formatMilliseconds(time.Until(m.source.DepartsAt())))
-	m.target, m.cache = to, cache
+	m.target, m.permit, m.cache = to, permit, cache
+}
+
+// chooseTarget selects an engine to move to, and takes a permit for the request there.
+func (m *streamMove) chooseTarget(ctx context.Context) (*fleet.Assignment, quota.Permit, error) {
+	x := m.x
+	exclude := []string{m.source.Address}
+	for {
+		now := time.Now()
+		criteria := x.serverCriteria(now)
+		criteria.Exclude = slices.Concat(criteria.Exclude, exclude)
+		to, err := x.g.Fleet.Choose(now, criteria)
+		if err != nil {
+			return nil, quota.Permit{}, err
+		}
+		p := x.g.ServerLimits.Take(ctx, serverID(to), arrivals(to), 0)
+		if p.Granted {
+			return to, p, nil
+		}
+		to.Defer(p.Wait, time.Now())
+		exclude = append(exclude, to.Address)
+	}
 }
 
 // moveCache charges the retry budget, loads the adapter at the target if needed and moves
@@ -110,12 +133,14 @@
 			return bamboostep.MovedCache{}, err
 		}
 	}
+	x.g.ServerLimits.Charge(serverID(m.source))
 	return mover.StopAndMove(ctx, m.source.Address, to.Address, x.call.ID)
 }
 
 // discard frees a moved cache that will not be used, in the background.
 func (m *streamMove) discard() {
 	m.target.End(fleet.EndedCanceled, time.Now())
+	m.x.g.ServerLimits.Refund(m.permit)
 	mover, ok := m.x.g.Dialect.(bamboostep.CacheMover)
 	if !ok {
 		return
@@ -123,6 +148,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cacheDropTimeout)
 		defer cancel()
+		m.x.g.ServerLimits.Charge(serverID(m.source))
 		if err := mover.DropCache(ctx, m.cache); err != nil {
 			m.x.recordEvent("cache_not_dropped", m.cache.Source, err.Error())
 		}
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -244,7 +244,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	m := &streamMove{x: x, target: to, cache: bamboostep.MovedCache{Source: source.address(), Handle: "h7"}}
+	m := &streamMove{x: x, source: to, target: to, cache: bamboostep.MovedCache{Source: source.address(), Handle: "h7"}}
 	m.discard()
 	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
 		source.mu.Lock()
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -123,6 +123,8 @@
 		after = retryAfterModelLoad
 	case string(fleet.ReasonNoServer):
 		after = retryAfterShort
+	case string(fleet.ReasonLimited):
+		after = max(retryAfterShort, x.limitWait)
 	}
 	return x.refuse(reason, after)
 }
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -42,12 +42,7 @@
 	if longest <= 0 {
 		return
 	}
-	t := time.NewTimer(rand.N(longest))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	sleepContext(ctx, rand.N(longest))
 }
 
 // reportBroken tells the quarantine of a response that ended before it was complete, though
--- a/node/entry.go
+++ b/node/entry.go
@@ -22,6 +22,7 @@
 	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/quota"
 	"github.com/bamboostep/bamboostep/route"
+	"github.com/bamboostep/bamboostep/wire"
 )
 
 const (
@@ -30,7 +31,7 @@
 	routesWait          = 500 * time.Millisecond // after the start, for the first routes
 	sweepInterval       = time.Second
 	periodicInterval    = 500 * time.Millisecond // of runPeriodicTasks
-	suspectsSyncWait    = 2 * time.Second        // after the start, for a voter to send the suspected requests
+	syncWait            = 2 * time.Second        // after the start, for voters to send the suspected requests and limits
 
 	pollInterval = 20 * time.Millisecond // of awaitRoutes and awaitShutdown
 
@@ -77,7 +78,11 @@
 	e.pool = &origin.Pool{Dialect: platform.HTTPDialect{}, Metrics: origin.NewMetrics(p.registry)}
 	guard := e.newGuard()
 	e.quotas = &quota.Limiter{Voters: e.reachableVoters, EntryCount: e.follower.Entries, Recorder: p.recorder, Metrics: quota.NewMetrics(p.registry)}
-	e.limits = &quota.ServerLimiter{Recorder: p.recorder, Metrics: quota.NewServerLimitMetrics(p.registry)}
+	e.limits = &quota.ServerLimiter{Voters: e.limitVoters, EntryCount: e.follower.Entries, Recorder: p.recorder, Metrics: quota.NewServerLimitMetrics(p.registry)}
+	e.follower.OnConnect = func(ctx context.Context, c *wire.Conn) {
+		go e.limits.Watch(ctx, c)
+		e.suspects.Watch(ctx, c)
+	}
 	e.gateway = &gateway.Gateway{
 		Dialect:      platform.CacheMoveDialect{Client: platform.NewEngineClient(engineTimeout)},
 		RouteTable:   e.table.Load,
@@ -105,6 +110,16 @@
 	return voters
 }
 
+// limitVoters returns the voters to which the entry has a connection, and the number of all.
+func (e *entry) limitVoters() ([]quota.LimitVoter, int) {
+	conns, all := e.follower.Conns()
+	voters := make([]quota.LimitVoter, len(conns))
+	for i, c := range conns {
+		voters[i] = c
+	}
+	return voters, all
+}
+
 // leaseDuration returns how long an entry accepts API keys after a quorum last proved them
 // current: four fifths of the time in which a withdrawn key must be rejected, the rest is a
 // margin. 0, for a revoke of 0, means no limit.
@@ -115,7 +130,6 @@
 func (e *entry) newGuard() *quarantine.Guard {
 	table := &quarantine.Table{}
 	e.suspects = &quarantine.Follower{Table: table, Voters: e.follower.Conns, Recorder: e.recorder}
-	e.follower.OnConnect = e.suspects.Watch
 	return &quarantine.Guard{
 		Table:        table,
 		Broadcast:    e.suspects.Broadcast,
@@ -220,18 +234,19 @@
 	}
 }
 
-// suspectsReady reports whether a voter has sent the suspected requests. It also reports true
-// after suspectsSyncWait, so that an entry that reaches no voter becomes ready.
-func (e *entry) suspectsReady() bool {
-	return e.suspects.Synced() || time.Since(e.startedAt) > suspectsSyncWait
+// synced reports whether voters have sent the suspected requests and the limits of backend
+// servers. It also reports true after syncWait, so that an entry that reaches no voter becomes
+// ready.
+func (e *entry) synced() bool {
+	return e.suspects.Synced() && e.limits.Synced() || time.Since(e.startedAt) > syncWait
 }
 
-// readyHandler answers 200 once the entry has routes and the suspected requests, and 503
-// before that and after it was told to stop.
+// readyHandler answers 200 once the entry has routes and is synced, and 503 before that and
+// after it was told to stop.
 func (e *entry) readyHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PatternReady, func(w http.ResponseWriter, r *http.Request) {
-		if e.stopping.Load() || e.table.Load() == nil || !e.suspectsReady() {
+		if e.stopping.Load() || e.table.Load() == nil || !e.synced() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/node/voter.go
+++ b/node/voter.go
@@ -65,6 +65,8 @@
 	reader.Register(mux)
 	counter := &quota.BucketServer{StartFull: p.cfg.Bootstrap, Quota: func(workspace string) (route.Quota, bool) { return table.Load().Quota(workspace) }}
 	counter.Register(mux)
+	limits := &quota.ServerLimitCoordinator{}
+	limits.Register(mux)
 	board, boardFile := newQuarantineBoard(p)
 	board.Register(mux)
 	links := &fleet.HolderLinks{
--- a/quota/metrics.go
+++ b/quota/metrics.go
@@ -1,6 +1,10 @@
 package quota
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // Metrics counts admitted amounts and refused requests. A nil *Metrics counts nothing.
 type Metrics struct {
@@ -38,6 +42,7 @@
 // A nil *ServerLimitMetrics counts nothing.
 type ServerLimitMetrics struct {
 	changes *prometheus.CounterVec
+	permits *prometheus.CounterVec
 }
 
 // NewServerLimitMetrics registers the counters.
@@ -47,11 +52,29 @@
 			Namespace: "bamboostep", Subsystem: "server_limit", Name: "changes_total",
 			Help: "Answers that changed the limit of a backend server, by event.",
 		}, []string{"event"}),
+		permits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "bamboostep", Subsystem: "server_limit", Name: "permits_total",
+			Help: "Requests that needed a permit of a backend server's limit, by whether they got it at once, had to wait or did not get it.",
+		}, []string{"outcome"}),
 	}
-	r.MustRegister(m.changes)
+	r.MustRegister(m.changes, m.permits)
 	return m
 }
 
+func (m *ServerLimitMetrics) countPermit(p Permit) {
+	if m == nil {
+		return
+	}
+	outcome := "denied"
+	switch {
+	case p.Granted && time.Until(p.Due) > 0:
+		outcome = "delayed"
+	case p.Granted:
+		outcome = "granted"
+	}
+	m.permits.WithLabelValues(outcome).Inc()
+}
+
 func (m *ServerLimitMetrics) countChange(event string) {
 	if m != nil {
 		m.changes.WithLabelValues(event).Inc()
