Models of an engine at its limit get copies elsewhere

Cause: callers of a model that only limited engines hold were refused or waited, while other engines had room: the placer counted these copies as full ones. Ruled out: the demand itself, which entries report as before.

Change: an engine whose limit is below the requests that it would get counts as leaving for the placer, as long as these are fewer than half, and so gets no orders either. TestLimitedEngineIsRelieved failed without it (no order for the model) and passes; within the limit, on engines without demand, or with half of the engines limited, nothing changes.

--- a/node/voter.go
+++ b/node/voter.go
@@ -84,7 +84,10 @@
 			_, term, leads := v.Leader()
 			return term, leads
 		},
-		NewPlacer:       func(string) bamboostep.Placer { return &stock.Spread{MinTokenRate: minWorkToMove} },
+		NewPlacer: func(string) bamboostep.Placer { return &stock.Spread{MinTokenRate: minWorkToMove} },
+		Limit: func(r fleet.Report) (float64, bool) {
+			return limits.Rate(quota.ServerID{Instance: r.Instance, StartedMS: r.StartedMS})
+		},
 		Recorder:        p.recorder,
 		Metrics:         placement.NewMetrics(p.registry),
 		StoreWindow:     p.cfg.StoreWindow,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -49,6 +49,10 @@
 	Recorder  *timeline.Recorder
 	Metrics   *Metrics // may be nil
 
+	// Limit returns the limit that the engine of a report names, in requests per second, and
+	// false if it names none. It may be nil.
+	Limit func(r fleet.Report) (perSecond float64, named bool)
+
 	// StoreWindow is the length of the window over which loads from the store are limited.
 	StoreWindow     time.Duration
 	StoreRateFactor float64 // factor on the store's nominal rate (LoadsPerSecond) that may be used
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -176,3 +177,46 @@
 		t.Errorf("orders: got %+v, want one load of n", o.sent)
 	}
 }
+
+// A model whose only engine names a limit below the model's demand must get a copy on another
+// engine, but not while the demand is within the limit, or most engines name one.
+func TestLimitedEngineIsRelieved(t *testing.T) {
+	for name, c := range map[string]struct {
+		limits map[string]float64 // by instance
+		want   bool
+	}{
+		"demand beyond the limit":  {map[string]float64{"i1": 0.2}, true},
+		"demand within the limit":  {map[string]float64{"i1": 2}, false},
+		"no limit":                 {nil, false},
+		"limits bind most engines": {map[string]float64{"i1": 0.2, "i2": 0.2}, false},
+		"limit on an empty engine": {map[string]float64{"i3": 0.2}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leads := true
+			p, f, o := newTest(&leads)
+			p.Limit = func(r fleet.Report) (float64, bool) {
+				limit, named := c.limits[r.Instance]
+				return limit, named
+			}
+			now := time.Now()
+			held := map[string][]bamboostep.LoadedModel{"i1": {{Name: "m"}}, "i2": {{Name: "n"}}, "i3": nil}
+			for i, instance := range []string{"i1", "i2", "i3"} {
+				address := fmt.Sprintf("10.0.0.%d:1", i+1)
+				f.ApplyList([]bamboostep.Listing{{Instance: instance, StartedMS: 1, Service: "llm", Address: address, Domain: "a"}}, now)
+				f.ApplyReport(fleet.Report{Address: address, Instance: instance, StartedMS: 1, Service: "llm", Models: held[instance]}, now)
+			}
+			const perSecond = 0.4 // too little for a second copy
+			for _, model := range []string{"m", "n"} {
+				p.demand.add([]fleet.Demand{{Model: model, Requests: int(perSecond * demandDecay.Seconds()), Tokens: 10}}, now)
+			}
+			p.runRound(t.Context(), now)
+			time.Sleep(20 * time.Millisecond)
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			got := slices.ContainsFunc(o.sent, func(c fleet.OrderCall) bool { return c.Load && c.Model == "m" })
+			if got != c.want {
+				t.Errorf("load of m ordered: got %v, want %v; orders %+v", got, c.want, o.sent)
+			}
+		})
+	}
+}
--- a/placement/view.go
+++ b/placement/view.go
@@ -38,9 +38,42 @@
 	for _, r := range reports {
 		f.VMs = append(f.VMs, p.vmReport(s, r))
 	}
+	p.setLimitedVMs(&f, reports)
 	return f
 }
 
+// setLimitedVMs marks the VMs as leaving whose engine names a limit below the requests that it
+// would get, so that their models get copies elsewhere and they get no orders. If these are
+// half of the VMs or more, none is marked: there would be too few left to place models on.
+func (p *Placement) setLimitedVMs(f *bamboostep.Fleet, reports []fleet.Report) {
+	if p.Limit == nil {
+		return
+	}
+	copies := make(map[string]int)
+	for _, r := range reports {
+		for _, m := range r.Models {
+			copies[m.Name]++
+		}
+	}
+	var limited []int
+	for i, r := range reports {
+		limit, named := p.Limit(r)
+		rate := 0.0
+		for _, m := range r.Models {
+			rate += f.Demand[m.Name].RequestRate / float64(copies[m.Name])
+		}
+		if named && rate > limit {
+			limited = append(limited, i)
+		}
+	}
+	if 2*len(limited) >= len(reports) {
+		return
+	}
+	for _, i := range limited {
+		f.VMs[i].Leaving = true
+	}
+}
+
 // A model whose request rate exceeds both the share of all requests and the absolute rate
 // gets a second or third copy, so that it stays reachable when one or two VMs are lost.
 const (
--- a/quota/server_limit_voter.go
+++ b/quota/server_limit_voter.go
@@ -139,14 +139,16 @@
 	})
 }
 
-// Rates returns the limits in force, in requests per second.
-func (c *ServerLimitCoordinator) Rates() map[ServerID]float64 {
-	reply, _ := c.inForce(time.Now())
-	rates := make(map[ServerID]float64, len(reply.Known))
-	for _, k := range reply.Known {
-		rates[k.Server] = k.PerSecond
+// Rate returns the limit of a backend server in requests per second, and false if none is in
+// force.
+func (c *ServerLimitCoordinator) Rate(id ServerID) (float64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[id]
+	if s == nil || !s.active {
+		return 0, false
 	}
-	return rates
+	return s.effectiveRate(), true
 }
 
 func (c *ServerLimitCoordinator) init() {
