One Sleep for all that waits with a context; a lifted limit is dropped

timer.Sleep replaces three copies in gateway, quarantine and wire. A limit that was lifted stayed known to the entry inactive, and each later answer of that backend server was still told to all voters; it is dropped now. Tests of wire, quarantine, fleet, placement, gateway, quota (race detector) and the limit tests of node pass.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,7 +27,7 @@
 	unreachableBackoff    = 700 * time.Millisecond  // initial avoidance of a server that could not be reached; doubles with each failure
 	maxUnreachableBackoff = 5 * time.Second
 	overloadBackoff       = 60 * time.Millisecond // avoidance of a server that refused for load
-	maxLimitAvoidance     = time.Second             // avoidance of a server whose limit is used up
+	maxLimitAvoidance     = time.Second           // avoidance of a server whose limit is used up
 	failureDecay          = 4 * time.Second       // time constant with which the failure rate decays (to 1/e)
 	failureWeight         = 0.25                  // weight of the newest outcome in the failure rate
 )
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/internal/timer"
 	"github.com/bamboostep/bamboostep/quota"
 )
 
@@ -99,7 +100,7 @@
 func (x *exchange) awaitPermit(ctx context.Context, run *fleet.Assignment, p quota.Permit) bool {
 	if wait := time.Until(p.Due); wait > 0 {
 		x.recordEvent("permit_awaited", run.Address, formatMilliseconds(wait))
-		sleepContext(ctx, wait)
+		timer.Sleep(ctx, wait)
 	}
 	if ctx.Err() != nil {
 		x.g.ServerLimits.Refund(p)
@@ -121,13 +122,3 @@
 	}
 	x.permit, x.permitUsed = quota.Permit{}, false
 }
-
-// sleepContext waits for d or until ctx ends.
-func sleepContext(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/internal/timer"
 	"github.com/bamboostep/bamboostep/quarantine"
 )
 
@@ -42,7 +43,7 @@
 	if longest <= 0 {
 		return
 	}
-	sleepContext(ctx, rand.N(longest))
+	timer.Sleep(ctx, rand.N(longest))
 }
 
 // reportBroken tells the quarantine of a response that ended before it was complete, though
--- a/quarantine/distribution.go
+++ b/quarantine/distribution.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bamboostep/bamboostep/internal/timer"
 	"github.com/bamboostep/bamboostep/timeline"
 	"github.com/bamboostep/bamboostep/wire"
 )
@@ -186,7 +187,7 @@
 		f.Table.MergeCrashes(reply.Crashes)
 		f.Table.Merge(time.Now(), reply.Records)
 		f.synced.Store(true)
-		sleepContext(ctx, watchInterval)
+		timer.Sleep(ctx, watchInterval)
 	}
 }
 
@@ -195,13 +196,3 @@
 	defer cancel()
 	return c.Call(ctx, kindWatch, watchRequest{version}, reply)
 }
-
-// sleepContext waits for d or until ctx ends.
-func sleepContext(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/quarantine/file.go
+++ b/quarantine/file.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/bamboostep/bamboostep/internal/sumfile"
+	"github.com/bamboostep/bamboostep/internal/timer"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -64,7 +65,7 @@
 		case <-f.saveRequested:
 		}
 		f.save()
-		sleepContext(ctx, saveInterval)
+		timer.Sleep(ctx, saveInterval)
 	}
 }
 
--- a/quota/server_limiter.go
+++ b/quota/server_limiter.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/internal/timer"
 	"github.com/bamboostep/bamboostep/timeline"
 	"github.com/bamboostep/bamboostep/wire"
 )
@@ -122,6 +123,9 @@
 	}
 	k.heardAt = now
 	m.record(address, k.own.observe(l, sentAt, now), l)
+	if !k.limited() && !l.Named {
+		delete(m.known, s)
+	}
 	m.mu.Unlock()
 	m.broadcast(kindLimitAnswer, limitAnswer{s, l.Named, l.Readable, l.PerSecond, now.Sub(sentAt).Milliseconds()})
 }
@@ -155,41 +159,25 @@
 	m.Metrics.countChange(e.Kind)
 }
 
-// Rate returns the limit of a backend server in requests per second, and false if it has none.
-func (m *ServerLimiter) Rate(s ServerID) (float64, bool) {
-	if m == nil {
-		return 0, false
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	k := m.known[s]
-	if k == nil || !k.limited() {
-		return 0, false
-	}
-	return k.newest().rate, true
-}
-
 // Take asks for a permit to send a request to a backend server. cost is the number of arrivals
 // that the request causes there. If the permit is not due within maxWait, it is not granted.
 // Without a limit it is granted at once. Take may block, at most takeTimeout.
 func (m *ServerLimiter) Take(ctx context.Context, s ServerID, cost float64, maxWait time.Duration) Permit {
 	now := time.Now()
-	if _, limited := m.Rate(s); !limited {
+	known, limited := m.knownRate(s, now)
+	if !limited {
 		return Permit{Granted: true, Due: now}
 	}
-	p := m.takeLimited(ctx, now, s, cost, maxWait)
+	p := m.takeLimited(ctx, now, known, cost, maxWait)
 	p.server, p.cost = s, cost
 	m.Metrics.countPermit(p)
 	return p
 }
 
-func (m *ServerLimiter) takeLimited(ctx context.Context, now time.Time, s ServerID, cost float64, maxWait time.Duration) Permit {
-	known, limited := m.knownRate(s, now)
-	if !limited {
-		return Permit{Granted: true, Due: now}
-	}
+func (m *ServerLimiter) takeLimited(ctx context.Context, now time.Time, known knownRate, cost float64, maxWait time.Duration) Permit {
 	b := m.startBallot(limitTake{known, cost, maxWait.Milliseconds()}, now)
 	outcome := b.await(ctx)
+	s := known.Server
 	now = time.Now()
 	var p Permit
 	switch outcome.kind {
@@ -210,7 +198,7 @@
 	return p
 }
 
-// noteReserved remembers a permit that a voter granted.
+// noteReserved remembers a permit that the voters granted.
 func (m *ServerLimiter) noteReserved(s ServerID, due, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -268,7 +256,7 @@
 
 // Charge counts an arrival at a backend server that could not wait for a permit.
 func (m *ServerLimiter) Charge(s ServerID) {
-	if _, limited := m.Rate(s); limited {
+	if _, limited := m.knownRate(s, time.Now()); limited {
 		m.broadcast(kindLimitUse, limitUse{s, 1})
 	}
 }
@@ -283,6 +271,9 @@
 
 // knownRate returns what this entry knows of a limit, and false if it is not in force.
 func (m *ServerLimiter) knownRate(s ServerID, now time.Time) (knownRate, bool) {
+	if m == nil {
+		return knownRate{}, false
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.known[s]
@@ -321,7 +312,7 @@
 		var reply limitWatchReply
 		if err := callWithTimeout(ctx, c, limitWatchTimeout, kindLimitWatch, limitWatch{version}, &reply); err != nil {
 			m.Recorder.Record(timeline.Event{Kind: "server_limits_not_followed", VM: c.Peer().Name, Detail: err.Error()})
-			time.Sleep(limitWatchRetry)
+			timer.Sleep(ctx, limitWatchRetry)
 			continue
 		}
 		version = reply.Version
--- a/wire/node.go
+++ b/wire/node.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep/dialer"
+	"github.com/bamboostep/bamboostep/internal/timer"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -176,7 +177,7 @@
 		if time.Since(began) > maxRedialDelay {
 			delay = minRedialDelay
 		}
-		pause(ctx, delay/2+rand.N(delay/2))
+		timer.Sleep(ctx, delay/2+rand.N(delay/2))
 		delay = min(2*delay, l.Node.longestDelay())
 	}
 	return ctx.Err()
@@ -243,12 +244,3 @@
 		l.Down(c)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
