Tests of permits for moves, adapter loads and restarts of processes

TestServerLimitHoldsOverRestarts runs a voter and three entries as the program does and restarts all of them.

--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -91,10 +91,18 @@
 	e.droppedHandles = append(e.droppedHandles, r.PathValue("id"))
 }
 
-// startGatewayWithDepartingEngine starts a gateway with one route to engines that hold a
-// model. Requests start on the first engine, which soon announces that it shuts down
-// after the duration departsIn.
+// startGatewayWithDepartingEngine starts the gateway of newGatewayWithDepartingEngine.
 func startGatewayWithDepartingEngine(t *testing.T, departsIn time.Duration, engines ...*departingEngine) *httptest.Server {
+	t.Helper()
+	s := httptest.NewServer(newGatewayWithDepartingEngine(t, departsIn, engines...))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// newGatewayWithDepartingEngine returns a gateway with one route to engines that hold a
+// model. Requests start on the first engine, which soon announces that it shuts down
+// after the duration departsIn, or not at all if that is 0.
+func newGatewayWithDepartingEngine(t *testing.T, departsIn time.Duration, engines ...*departingEngine) *Gateway {
 	t.Helper()
 	r := route.Route{Name: "r", Host: "h.example", Prefix: "/p/", Kind: route.Streaming, Attempts: 1, Timeout: 5 * time.Second, Split: []route.WeightedService{{Service: "s", Weight: 1}}}
 	spec := &route.Engine{Slots: 8, WeightsMB: 10, Models: []route.Model{{Name: "m", WeightsMB: 5}}}
@@ -109,13 +117,15 @@
 	for i, e := range engines {
 		known.ApplyReport(report(i, e), time.Now())
 	}
-	time.AfterFunc(50*time.Millisecond, func() {
-		departing := report(0, engines[0])
-		departing.Leaving, departing.RemainingMS = true, departsIn.Milliseconds()
-		known.ApplyReport(departing, time.Now())
-	})
+	if departsIn > 0 {
+		time.AfterFunc(50*time.Millisecond, func() {
+			departing := report(0, engines[0])
+			departing.Leaving, departing.RemainingMS = true, departsIn.Milliseconds()
+			known.ApplyReport(departing, time.Now())
+		})
+	}
 	budget := &dispatch.RetryBudget{}
-	g := &Gateway{
+	return &Gateway{
 		Dialect:     platform.CacheMoveDialect{Client: http.DefaultClient},
 		RouteTable:  func() *route.Table { return table },
 		Fleet:       known,
@@ -124,9 +134,6 @@
 		RetryBudget: func(string) *dispatch.RetryBudget { return budget },
 		Recorder:    &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}},
 	}
-	s := httptest.NewServer(g)
-	t.Cleanup(s.Close)
-	return s
 }
 
 // sendToModel sends a request for the model. It returns the IDs of the events, the cache
--- a/gateway/permit_test.go
+++ b/gateway/permit_test.go
@@ -1,16 +1,20 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/quota"
 	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/timeline"
@@ -31,12 +35,23 @@
 	recorder := &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}
 	table, known := newTableAndFleet(t, r, servers...)
 	g := newGateway(newSingleEntryGuard(recorder), &dispatch.RetryBudget{Burst: 1000}, recorder, table, known)
-	g.ServerLimits = &quota.ServerLimiter{Voters: func() ([]quota.LimitVoter, int) { return nil, 0 }, EntryCount: func() int { return 1 }, Recorder: recorder}
+	g.ServerLimits = newOnlyLimiter(recorder)
 	s := httptest.NewServer(g)
 	t.Cleanup(s.Close)
 	return s
 }
 
+// newOnlyLimiter returns the limiter of an entry that is the only one and has no voters.
+func newOnlyLimiter(recorder *timeline.Recorder) *quota.ServerLimiter {
+	return &quota.ServerLimiter{Voters: func() ([]quota.LimitVoter, int) { return nil, 0 }, EntryCount: func() int { return 1 }, Recorder: recorder}
+}
+
+// nameLimit has the limiter of g learn a limit of engine number i.
+func nameLimit(g *Gateway, i int, perSecond float64) {
+	l := bamboostep.RequestLimit{Named: true, Readable: true, PerSecond: perSecond}
+	g.ServerLimits.Observe(quota.ServerID{Instance: fmt.Sprint("i", i), StartedMS: 1}, "address", l, time.Now(), time.Now())
+}
+
 // sendMany sends n requests at an interval and returns the responses, nil for none.
 func sendMany(t *testing.T, s *httptest.Server, n int, interval time.Duration) []*http.Response {
 	t.Helper()
@@ -138,3 +153,66 @@
 		t.Errorf("40 requests, sent within 0.2 s: got answers for %v, want the line to be about a second long", took)
 	}
 }
+
+// TestMoveGoesPastLimitedEngine guards against a moved stream that reaches an engine whose
+// limit is used up. It must move to the next best one, and be whole.
+func TestMoveGoesPastLimitedEngine(t *testing.T) {
+	source := newDepartingEngine(t, 40, 30*time.Millisecond, http.StatusOK)
+	limited := newDepartingEngine(t, 40, time.Millisecond, http.StatusOK)
+	free := newDepartingEngine(t, 40, time.Millisecond, http.StatusOK)
+	g := newGatewayWithDepartingEngine(t, moveLeadTime+300*time.Millisecond, source, limited, free)
+	g.ServerLimits = newOnlyLimiter(g.Recorder)
+	nameLimit(g, 1, 0.1)
+	s := httptest.NewServer(g)
+	defer s.Close()
+	events, from, complete := sendToModel(t, s)
+	if !complete || len(events) != 40 || from != source.address()+"/h7" {
+		t.Errorf("stream: got %d events (complete %v) from %q, want 40 from the moved cache", len(events), complete, from)
+	}
+	if source.moveTarget != free.address() {
+		t.Errorf("target of the move: got %q, want %q, which names no limit", source.moveTarget, free.address())
+	}
+}
+
+// countingAdapters counts the adapter loads, which never make an adapter known as loaded.
+type countingAdapters struct{ loads *atomic.Int32 }
+
+func (a countingAdapters) LoadAdapter(context.Context, string, fleet.ModelName) error {
+	a.loads.Add(1)
+	return nil
+}
+
+// TestAdapterLoadsTakePermits guards against orders that load adapters on a limited engine
+// beside as many requests as its limit allows.
+func TestAdapterLoadsTakePermits(t *testing.T) {
+	const limit, requests = 4.0, 50
+	engine := newDepartingEngine(t, 2, time.Millisecond, http.StatusOK)
+	engine.Config.Handler = http.HandlerFunc(naming("4", engine.Config.Handler.ServeHTTP))
+	g := newGatewayWithDepartingEngine(t, 0, engine)
+	var loads atomic.Int32
+	g.Adapters = countingAdapters{&loads}
+	g.ServerLimits = newOnlyLimiter(g.Recorder)
+	nameLimit(g, 0, limit)
+	s := httptest.NewServer(g)
+	defer s.Close()
+	began := time.Now()
+	served := 0
+	for range requests {
+		req := httptest.NewRequest(http.MethodPost, "/p/x", nil)
+		req.Host = "h.example"
+		req.Header.Set("X-Attempt-Id", "a1")
+		req.Header.Set("X-Model", "m/a")
+		req.Header.Set("X-Request-Deadline", "100")
+		req.Header.Set("X-Token-Usage", "10,10")
+		w := httptest.NewRecorder()
+		g.ServeHTTP(w, req)
+		if w.Code == http.StatusOK {
+			served++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	took := time.Since(began)
+	if got, want := served+int(loads.Load()), int(limit*took.Seconds())+2; got > want || served == 0 {
+		t.Errorf("arrivals in %v at a limit of 4 a second: got %d requests and %d loads, want both, at most %d together", took.Round(time.Millisecond), served, loads.Load(), want)
+	}
+}
--- a/node/server_limit_test.go
+++ b/node/server_limit_test.go
@@ -117,8 +117,15 @@
 	return statuses
 }
 
-// startLimitTest starts a voter and n entries before a service.
+// startLimitTest starts a voter and n entries before a service, and returns the entries.
 func startLimitTest(t *testing.T, s *limitedService, n int) []*testRole {
+	t.Helper()
+	_, entries := startLimitTestWithVoter(t, s, n)
+	return entries
+}
+
+// startLimitTestWithVoter is startLimitTest, and returns the voter as well.
+func startLimitTestWithVoter(t *testing.T, s *limitedService, n int) (*testRole, []*testRole) {
 	t.Helper()
 	directory := s.directory(t)
 	voter := newRole(t, "voter", "127.0.0.21", directory)
@@ -130,7 +137,7 @@
 	for _, e := range entries {
 		awaitOK(t, "readiness", http.MethodGet, e.cfg.ReadyAddr, strings.TrimPrefix(platform.PatternReady, "GET "), "")
 	}
-	return entries
+	return voter, entries
 }
 
 // TestServerLimitHoldsOverAllEntries guards against a backend server that gets more requests
@@ -165,3 +172,25 @@
 		t.Errorf("requests in the last %v: got %d, want at least %d", length-limitGrace, got, want)
 	}
 }
+
+// TestServerLimitHoldsOverRestarts guards against a limit that is forgotten, or granted twice,
+// when entries and the voter restart (issue 28).
+func TestServerLimitHoldsOverRestarts(t *testing.T) {
+	const limit = 3.0
+	s := newLimitedService(t, 2, 1, "3")
+	voter, entries := startLimitTestWithVoter(t, s, 3)
+	var restarts sync.WaitGroup
+	restarts.Go(func() {
+		time.Sleep(limitGrace + 500*time.Millisecond)
+		for _, r := range []*testRole{entries[0], voter, entries[1], entries[2], voter} {
+			r.restart()
+			time.Sleep(500 * time.Millisecond)
+		}
+	})
+	sendConcurrently(entries, 13*time.Second, 25*time.Millisecond, func(n int) int { return n % len(entries) })
+	restarts.Wait()
+	want := int(limitTolerance*limit*limitWindow.Seconds() + limitSlack)
+	if got := mostWithin(s.arrived(0), limitWindow); got > want {
+		t.Errorf("requests at the limited backend server within %v: got %d, want at most %d", limitWindow, got, want)
+	}
+}
