Entries ask less often for permits that are denied; a busy fleet falls back to limited servers

Change: while other backend servers can be used, the time until a permit is asked for again doubles with each denial up to 8 s, at random; a granted one resets it. Choose looks at limited servers once the others exceed the request's time.

--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -72,12 +72,28 @@
 
 // Defer ends an assignment that the limit of its server does not allow for a time, and
 // records that for the next choices. It is recorded for at most maxLimitAvoidance, since the
-// limit may be raised or lifted.
+// limit may be raised or lifted. While other servers can be used, this one is left alone for a
+// time that doubles with each denial and is random, so that many entries that share a low
+// limit do not ask all the time.
 func (r *Assignment) Defer(wait time.Duration, now time.Time) {
 	r.End(EndedCanceled, now)
+	f, s := r.fleet, r.server
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.limitedUntil = now.Add(min(wait, maxLimitAvoidance))
+	backoff := min(wait<<min(s.deniedPermits, maxPermitDoublings), maxPermitBackoff)
+	if s.deniedPermits > 0 {
+		backoff = backoff/2 + time.Duration(f.rng.Int64N(int64(backoff/2)+1))
+	}
+	s.askAfter = now.Add(backoff)
+	s.deniedPermits++
+}
+
+// Permitted records that the limit of the server allows the request.
+func (r *Assignment) Permitted() {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
-	r.server.limitedUntil = now.Add(min(wait, maxLimitAvoidance))
+	r.server.deniedPermits = 0
 }
 
 // EndReason is the way in which a request ended at a backend server.
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -84,10 +84,26 @@
 	defer f.mu.Unlock()
 	f.init()
 	hashes := prefixHashes(req.ModelName, req.Prompt)
-	candidates, reason := f.candidates(now, req)
+	candidates, limited, reason := f.candidates(now, req)
 	if len(candidates) == 0 {
 		return nil, &NoServerError{Service: req.Service, Reason: reason}
 	}
+	best := f.cheapest(now, req, candidates, hashes)
+	if req.MaxWait > 0 && best.wait > req.MaxWait && len(limited) > 0 {
+		best = f.cheapest(now, req, append(limited, best.server), hashes)
+	}
+	if req.MaxWait > 0 && best.wait > req.MaxWait {
+		reason := ReasonBusy
+		if best.limitWait > 0 {
+			reason = ReasonLimited
+		}
+		return nil, &NoServerError{Service: req.Service, Reason: reason, EstimatedWait: best.wait}
+	}
+	return f.assign(now, req, best, hashes), nil
+}
+
+// cheapest returns the estimate of the candidate with the lowest cost.
+func (f *Fleet) cheapest(now time.Time, req Requirements, candidates []*server, hashes []uint64) estimate {
 	affinity := f.affinityServer(candidates, hashes)
 	if req.Randomize {
 		f.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
@@ -99,14 +115,7 @@
 			best = e
 		}
 	}
-	if req.MaxWait > 0 && best.wait > req.MaxWait {
-		reason := ReasonBusy
-		if best.limitWait > 0 {
-			reason = ReasonLimited
-		}
-		return nil, &NoServerError{Service: req.Service, Reason: reason, EstimatedWait: best.wait}
-	}
-	return f.assign(now, req, best, hashes), nil
+	return best
 }
 
 // firstWithinMaxWait returns the first candidate whose estimated wait is within the
@@ -122,10 +131,11 @@
 
 // candidates returns the backend servers that could run a request. Servers that recently
 // failed, refused for load or do not answer their holder are returned only if there is no
-// other, and so are those whose limit is used up for now. Servers that are leaving or that
-// asked this entry to retry later are never returned. If the result is empty, the Reason says why.
-func (f *Fleet) candidates(now time.Time, req Requirements) ([]*server, Reason) {
-	reason := ReasonNoServer
+// other, and so are those whose limit is used up for now. The latter are returned separately
+// if there are others. Servers that are leaving or that asked this entry to retry later are
+// never returned. If there are no candidates, the Reason says why.
+func (f *Fleet) candidates(now time.Time, req Requirements) (candidates, limited []*server, reason Reason) {
+	reason = ReasonNoServer
 	var preferred, fallback []*server
 	for _, s := range f.byService[req.Service] {
 		if s.listing.Leaving || s.listing.Instance == "" || slices.Contains(req.Exclude, s.listing.Address) {
@@ -137,20 +147,21 @@
 			}
 			continue
 		}
-		if now.Before(s.backoffUntil) {
+		switch {
+		case now.Before(s.backoffUntil):
 			reason = ReasonBackoff
-			continue
-		}
-		if now.Before(s.avoidUntil) || now.Before(s.overloadedUntil) || now.Before(s.limitedUntil) || s.report.Down {
+		case now.Before(s.avoidUntil) || now.Before(s.overloadedUntil) || s.report.Down:
 			fallback = append(fallback, s)
-			continue
+		case now.Before(s.limitedUntil) || now.Before(s.askAfter):
+			limited = append(limited, s)
+		default:
+			preferred = append(preferred, s)
 		}
-		preferred = append(preferred, s)
 	}
 	if len(preferred) > 0 {
-		return preferred, ""
+		return preferred, limited, ""
 	}
-	return fallback, reason
+	return append(fallback, limited...), nil, reason
 }
 
 // holdsModel reports whether requests for a model can be sent to the server.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -28,6 +28,8 @@
 	maxUnreachableBackoff = 5 * time.Second
 	overloadBackoff       = 60 * time.Millisecond // avoidance of a server that refused for load
 	maxLimitAvoidance     = time.Second           // avoidance of a server whose limit is used up
+	maxPermitBackoff      = 8 * time.Second       // between two permits asked for and denied
+	maxPermitDoublings    = 4                     // of the time until a permit is asked for again
 	failureDecay          = 4 * time.Second       // time constant with which the failure rate decays (to 1/e)
 	failureWeight         = 0.25                  // weight of the newest outcome in the failure rate
 )
@@ -83,6 +85,8 @@
 	overloadedUntil  time.Time // after a refusal for load; used only if there is no other server
 	backoffUntil     time.Time // not used at all before this time, as the server requested
 	limitedUntil     time.Time // the limit that the server names allows no request before this time
+	askAfter         time.Time // no permit is asked for before this time while there is another server
+	deniedPermits    int       // permits denied since the last one that was granted
 	removed          bool      // no longer in the Fleet
 }
 
--- a/gateway/permit.go
+++ b/gateway/permit.go
@@ -111,6 +111,7 @@
 		run.End(fleet.EndedCanceled, time.Now())
 		return false
 	}
+	run.Permitted()
 	x.permit, x.permitUsed = p, false
 	return true
 }
--- a/quota/server_limiter.go
+++ b/quota/server_limiter.go
@@ -62,7 +62,7 @@
 	own        announcement             // by this entry's own answers
 	reported   map[string]reportedLimit // by the voters, by their names
 	standalone *bucket                  // this entry's part; nil while voters answer
-	reserved   []time.Time              // due times of permits that voters granted; the past ones may be gone
+	reserved   []time.Time              // due times of arrivals that voters granted; the past ones may be gone
 	heardAt    time.Time                // last news of any kind
 }
 
@@ -192,14 +192,14 @@
 		p = Permit{Wait: outcome.wait, Rate: known.PerSecond}
 	case ballotGranted:
 		p = Permit{Granted: true, Due: now.Add(outcome.wait), Rate: known.PerSecond}
-		m.noteReserved(s, p.Due, now)
+		m.noteReserved(s, cost, p.Due, now)
 	}
 	b.settle(p.Granted)
 	return p
 }
 
 // noteReserved remembers a permit that the voters granted.
-func (m *ServerLimiter) noteReserved(s ServerID, due, now time.Time) {
+func (m *ServerLimiter) noteReserved(s ServerID, cost float64, due, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	k := m.known[s]
@@ -207,7 +207,10 @@
 		return
 	}
 	k.standalone = nil
-	k.reserved = append(slices.DeleteFunc(k.reserved, func(t time.Time) bool { return t.Before(now) }), due)
+	k.reserved = slices.DeleteFunc(k.reserved, func(t time.Time) bool { return t.Before(now) })
+	for range int(cost) {
+		k.reserved = append(k.reserved, due)
+	}
 }
 
 // newStandalone returns the bucket of this entry's part. It is empty, since the voters may have
@@ -216,7 +219,7 @@
 	return &bucket{level: -l.ahead(now), updatedAt: now}
 }
 
-// ahead returns the number of permits that are not yet due.
+// ahead returns the number of granted arrivals that are not yet due.
 func (l *serverLimit) ahead(now time.Time) float64 {
 	n := 0.0
 	for _, due := range l.reserved {
