--- a/quota/frames_test.go
+++ b/quota/frames_test.go
@@ -14,8 +14,20 @@
 	"take_reply":   takeReply{},
 }
 
+// Types of the limits of backend servers, which came later.
+var serverLimitTypes = map[string]any{
+	"limit_answer":      limitAnswer{},
+	"limit_hand_in":     limitHandIn{},
+	"limit_take":        limitTake{},
+	"limit_take_reply":  limitTakeReply{},
+	"limit_use":         limitUse{},
+	"limit_watch":       limitWatch{},
+	"limit_watch_reply": limitWatchReply{},
+}
+
 // TestFramesOfEarlierBuild guards against a message or stored record that an earlier build
 // can't read, or whose bytes this build can't read.
 func TestFramesOfEarlierBuild(t *testing.T) {
 	frames.Check(t, "testdata/frames-34f6cf6.txt", framedTypes)
+	frames.Check(t, "testdata/frames-server-limits.txt", serverLimitTypes)
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,4 +1,4 @@
-// Package quota enforces the quota of each workspace over all entries.
+// Package quota enforces rates over all entries, foremost the quota of each workspace.
 //
 // A quota is a token bucket that refills at the declared rate up to the declared burst.
 // Each request takes its cost from it. Voters keep the buckets (BucketServer). Entries count
@@ -12,6 +12,11 @@
 // reports. Below that it asks a voter about each request. All entries ask the same voter
 // for a workspace, so that its bucket contains all requests. An entry that is connected to
 // no voter admits its share of the rate.
+//
+// The package also enforces the limits that backend servers name on the requests that they
+// take from all entries together (ServerLimitCoordinator on voters, ServerLimiter on entries).
+// These are a few requests a second, so entries ask for each one, and a majority of the
+// voters decides (ballot).
 package quota
 
 import "time"
--- a/quota/server_limiter.go
+++ b/quota/server_limiter.go
@@ -55,6 +55,7 @@
 	mu     sync.Mutex
 	known  map[ServerID]*serverLimit
 	synced map[string]bool // voters that have answered a watch, by name
+	alone  bool            // the last ballot had no majority
 }
 
 // serverLimit is what an entry knows of the limit of one backend server.
@@ -179,6 +180,9 @@
 	outcome := b.await(ctx)
 	s := known.Server
 	now = time.Now()
+	if ctx.Err() == nil {
+		m.recordMode(outcome.kind == ballotUndecided)
+	}
 	var p Permit
 	switch outcome.kind {
 	case ballotUndecided:
@@ -198,6 +202,22 @@
 	return p
 }
 
+// recordMode records an event when ballots no longer have a majority, and when they have one
+// again.
+func (m *ServerLimiter) recordMode(alone bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if alone == m.alone {
+		return
+	}
+	m.alone = alone
+	kind := "server_limits_shared"
+	if alone {
+		kind = "server_limits_alone"
+	}
+	m.Recorder.Record(timeline.Event{Kind: kind})
+}
+
 // noteReserved remembers a permit that the voters granted.
 func (m *ServerLimiter) noteReserved(s ServerID, cost float64, due, now time.Time) {
 	m.mu.Lock()
