An entry that is behind no longer lowers a raised limit at the voters

Traced: voters' rates fell from 10 to 2 and 8 in the middle of it. A take carries what the entry knows, so that a voter that has just started learns it. An entry that has passed on few answers is still raising its own rate step by step, though it was told 10 a moment ago; the voter took that rate for a newer and lower limit.

Takes carry the limit as last named beside the rate, and only that is compared, with half a second of slack for the age of what another process says. TestEntryBehindDoesNotLowerRate.

--- a/quota/server_limit_test.go
+++ b/quota/server_limit_test.go
@@ -518,6 +518,28 @@
 	})
 }
 
+// TestEntryBehindDoesNotLowerRate guards against a raised limit that falls back when it is
+// asked for by an entry that has passed on few answers: its own rate is still low, though the
+// limit that it was told last is the raised one.
+func TestEntryBehindDoesNotLowerRate(t *testing.T) {
+	now := time.Now()
+	c := &ServerLimitCoordinator{}
+	c.init()
+	id := ServerID{"i-1", 1}
+	for n, perSecond := range []float64{1, 10, 10, 10, 10} {
+		c.answer(now.Add(time.Duration(n)*time.Second), limitAnswer{id, true, true, perSecond, 50})
+	}
+	now = now.Add(5 * time.Second)
+	c.take(now, limitTake{knownRate{id, 10, 2, 100}, 1, 0})
+	if got, _ := c.Rate(id); got != 10 {
+		t.Errorf("rate after a take by an entry that is behind: got %g, want 10", got)
+	}
+	c.take(now, limitTake{knownRate{id, 3, 3, 50}, 1, 0})
+	if got, _ := c.Rate(id); got != 3 {
+		t.Errorf("rate after a take by an entry that knows a lower limit: got %g, want 3", got)
+	}
+}
+
 // TestLoweredLimitTakesEffect has a backend server lower its limit from 20 to 1 a second.
 func TestLoweredLimitTakesEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -545,7 +567,7 @@
 	c := &ServerLimitCoordinator{}
 	c.init()
 	now := time.Now()
-	known := knownRate{ServerID{"i-1", 1}, 2, 100}
+	known := knownRate{ServerID{"i-1", 1}, 2, 2, 100}
 	for b.Loop() {
 		c.take(now, limitTake{known, 1, 500})
 	}
--- a/quota/server_limit_voter.go
+++ b/quota/server_limit_voter.go
@@ -24,6 +24,7 @@
 	limitLongPoll    = 10 * time.Second       // a watch without changes is answered after this time
 	limitRetention   = 10 * time.Minute       // a limit that nobody mentions is forgotten after this time
 	limitBurstPeriod = 0.25                   // seconds; a bucket saves up what the limit yields in it, but at least one request
+	namingSlack      = 500 * time.Millisecond // error of the time at which another process says that a limit was named
 	limitQueue       = time.Second            // time ahead for which requests are admitted, see maxLimitQueue
 	longLimitQueue   = 3 * time.Second        // the same, if the limit allows less than one request in limitQueue
 )
@@ -31,7 +32,8 @@
 // knownRate is a limit in force.
 type knownRate struct {
 	Server     ServerID `msgpack:"server"`
-	PerSecond  float64  `msgpack:"per_second"`
+	Limit      float64  `msgpack:"limit"`        // requests per second, as last named
+	PerSecond  float64  `msgpack:"per_second"`   // requests per second that may be sent; differs from Limit while that is raised or lifted
 	NamedAgoMS int64    `msgpack:"named_ago_ms"` // time since an answer last named it
 }
 
@@ -166,7 +168,7 @@
 	reply := limitWatchReply{Version: c.version}
 	for id, s := range c.servers {
 		if s.active {
-			reply.Known = append(reply.Known, knownRate{id, s.effectiveRate(), now.Sub(s.namedAt).Milliseconds()})
+			reply.Known = append(reply.Known, knownRate{id, s.limit, s.effectiveRate(), now.Sub(s.namedAt).Milliseconds()})
 		}
 	}
 	return reply, c.changed
@@ -191,7 +193,8 @@
 }
 
 // adopt returns the state of a backend server. It first applies what an entry knows, if that
-// is newer. mu is held.
+// is newer and puts the limit in force or lowers it. An entry may be behind in raising its rate,
+// so a limit in force is compared with the limit that the entry knows. mu is held.
 func (c *ServerLimitCoordinator) adopt(now time.Time, known knownRate) *limitedServer {
 	namedAt := now.Add(-time.Duration(known.NamedAgoMS) * time.Millisecond)
 	s := c.servers[known.Server]
@@ -199,13 +202,17 @@
 		s = c.add(now, known.Server)
 	}
 	s.mentionedAt = now
-	newer := !s.active && namedAt.After(s.liftedAt) || s.active && namedAt.After(s.namedAt) && known.PerSecond < s.rate
-	if newer {
-		s.change(now, func() {
-			s.announcement = announcement{active: true, limit: known.PerSecond, rate: known.PerSecond, namedAt: namedAt}
-		})
-		c.notify()
+	var rate float64
+	switch {
+	case !s.active && namedAt.After(s.liftedAt.Add(namingSlack)):
+		rate = known.PerSecond
+	case s.active && namedAt.After(s.namedAt.Add(namingSlack)) && known.Limit < s.rate:
+		rate = known.Limit
+	default:
+		return s
 	}
+	s.change(now, func() { s.announcement = announcement{active: true, limit: known.Limit, rate: rate, namedAt: namedAt} })
+	c.notify()
 	return s
 }
 
--- a/quota/server_limiter.go
+++ b/quota/server_limiter.go
@@ -69,10 +69,16 @@
 
 // reportedLimit is a limit in force at a voter.
 type reportedLimit struct {
-	rate    float64
+	limit   float64 // as last named
+	rate    float64 // that may be sent
 	namedAt time.Time
 }
 
+// known returns the limit in the form for messages.
+func (r reportedLimit) known(s ServerID, now time.Time) knownRate {
+	return knownRate{s, r.limit, r.rate, now.Sub(r.namedAt).Milliseconds()}
+}
+
 // Permit is the right to send a request to a backend server.
 type Permit struct {
 	Granted bool
@@ -97,7 +103,7 @@
 func (l *serverLimit) newest() reportedLimit {
 	var newest reportedLimit
 	if l.own.active {
-		newest = reportedLimit{l.own.effectiveRate(), l.own.namedAt}
+		newest = reportedLimit{l.own.limit, l.own.effectiveRate(), l.own.namedAt}
 	}
 	for _, r := range l.reported {
 		if newest.namedAt.IsZero() || r.namedAt.After(newest.namedAt) {
@@ -304,7 +310,7 @@
 		return knownRate{}, false
 	}
 	n := k.newest()
-	return knownRate{s, n.rate, now.Sub(n.namedAt).Milliseconds()}, true
+	return n.known(s, now), true
 }
 
 // forget drops a limit that was no longer in force at a time, unless an answer has named it
@@ -350,8 +356,7 @@
 	var limits []handedInLimit
 	for s, k := range m.known {
 		if k.limited() {
-			n := k.newest()
-			limits = append(limits, handedInLimit{knownRate{s, n.rate, now.Sub(n.namedAt).Milliseconds()}, k.ahead(now)})
+			limits = append(limits, handedInLimit{k.newest().known(s, now), k.ahead(now)})
 		}
 	}
 	return limits
@@ -374,6 +379,6 @@
 			k = m.add(r.Server, now)
 		}
 		k.heardAt = now
-		k.reported[voter] = reportedLimit{r.PerSecond, now.Add(-time.Duration(r.NamedAgoMS) * time.Millisecond)}
+		k.reported[voter] = reportedLimit{r.Limit, r.PerSecond, now.Add(-time.Duration(r.NamedAgoMS) * time.Millisecond)}
 	}
 }
