--- a/quota/server_limit_voter.go
+++ b/quota/server_limit_voter.go
@@ -303,10 +303,10 @@
 	return max(limitQueue, min(longLimitQueue, time.Duration(float64(time.Second)/perSecond)))
 }
 
-// reserve takes cost from the bucket of a limit if its level allows one request within
-// maxWait and maxLimitQueue, and returns how long that takes. Otherwise it takes nothing, and returns how long
-// it would take. Reservations are first come, first served: each later one waits for the level
-// to recover from the earlier ones.
+// reserve takes cost from the bucket of a limit if its level allows one request within maxWait
+// and maxLimitQueue, and returns how long that takes. Otherwise it takes nothing, and returns
+// how long it would take. Reservations are first come, first served: each later one waits for
+// the level to recover from the earlier ones.
 func (b *bucket) reserve(now time.Time, perSecond, cost float64, maxWait time.Duration) (time.Duration, bool) {
 	burst := limitBurst(perSecond)
 	b.refill(now, perSecond, burst)
