Log of a served answer says how it was framed and what came after its last event

Change: origin.Response says its framing; request_served has the bytes after the last complete event, and marks answers that end with their connection. No decision changed. Tests of gateway and origin pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -203,6 +203,7 @@
 	}
 	x.provablyNotRun = false
 	x.possibleRuns++
+	x.framing = resp.Framing
 	return x.deliverResponse(ctx, run, resp)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -118,6 +118,7 @@
 
 	quarantineVerdict quarantine.Verdict
 	serverRun         *fleet.Assignment // of the latest attempt
+	framing           origin.Framing    // of the latest response that ran
 	sentAttempts      int               // attempts of which a backend server may have received anything
 	possibleRuns      int               // of sentAttempts, those that may have run
 	failedAddresses   []string          // backend servers that new attempts avoid
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -150,6 +150,9 @@
 	took := time.Since(x.arrived)
 	x.g.Metrics.observeRequest(x.route.Kind, status, took)
 	detail := strconv.Itoa(status) + " in " + formatMilliseconds(took) + x.streamSummary()
+	if x.framing == origin.Unframed {
+		detail += ", framed by " + x.framing.String()
+	}
 	if err != nil {
 		detail += ", not delivered: " + err.Error()
 	}
@@ -165,7 +168,7 @@
 		return ""
 	}
 	s := x.stream
-	return fmt.Sprintf(", first event after %s (%s), longest pause %s, sends %d", formatMilliseconds(s.firstEventAfter), x.serverExpectation(), formatMilliseconds(s.longestPause), x.sentAttempts)
+	return fmt.Sprintf(", first event after %s (%s), longest pause %s, sends %d, %d bytes after the last event", formatMilliseconds(s.firstEventAfter), x.serverExpectation(), formatMilliseconds(s.longestPause), x.sentAttempts, s.partial)
 }
 
 // serverExpectation formats the predicted wait of the latest attempt and the data that it
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -24,6 +24,7 @@
 	started bool   // the response head was sent
 	lastID  string // of the last forwarded event that has an ID
 	events  int    // forwarded writes, each of one or more events
+	partial int    // bytes after the last complete event, where the backend server's answer ended
 
 	firstEventAfter time.Duration // from the arrival of the request to the first event
 	lastEventAt     time.Time     // when the last events were forwarded
@@ -100,6 +101,7 @@
 		buffered = append(buffered, chunk[:n]...)
 		end := lastEventEnd(buffered)
 		if err == io.EOF {
+			x.stream.partial = len(buffered) - end
 			end = len(buffered)
 		}
 		if end > 0 {
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -31,13 +31,34 @@
 	errNotHTTP              = errors.New("not an HTTP/1.x response")
 )
 
+// Framing is how a response shows where its body ends.
+type Framing int
+
+const (
+	FramedByLength Framing = iota // Content-Length, or a status that has no body
+	FramedByChunks                // the last chunk
+	Unframed                      // not at all: the connection ends
+)
+
+// String implements fmt.Stringer.
+func (f Framing) String() string {
+	switch f {
+	case FramedByLength:
+		return "length"
+	case FramedByChunks:
+		return "chunks"
+	}
+	return "neither length nor chunks"
+}
+
 // Response is the response to a call. Its head has been read; Read streams the body. Close
 // must be called.
 type Response struct {
-	Status int
-	Header http.Header
-	Mark   bamboostep.AnswerInfo
-	Length int64 // of the body in bytes; -1 if unknown
+	Status  int
+	Header  http.Header
+	Mark    bamboostep.AnswerInfo
+	Length  int64 // of the body in bytes; -1 if unknown
+	Framing Framing
 
 	body           io.ReadCloser
 	conn           *conn
@@ -45,7 +66,6 @@
 	stopAbort      func() bool  // cancels the abort on the end of ctx; false if it has begun
 	bodyWritten    <-chan error // result of writing the body; nil if it was sent together with the head
 	complete       bool         // the body was read to its end
-	framed         bool         // the end of the body is known from its length or chunks
 	closeRequested bool         // the backend server closes the connection after this response
 }
 
@@ -175,14 +195,24 @@
 	r.Mark = mark
 	r.Length = resp.ContentLength
 	r.body = resp.Body
-	r.framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	r.Framing = framingOf(resp)
 	r.closeRequested = resp.Close
 }
 
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return Unframed
+}
+
 // discardStrayBody reads the body of a response to another request, so that the next
 // response on the connection can be read.
 func (r *Response) discardStrayBody(resp *http.Response) error {
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if framingOf(resp) == Unframed {
 		return errStrayUnframed
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardedBody))
@@ -209,7 +239,7 @@
 	case ended || !r.complete:
 		r.conn.abort()
 		return
-	case !r.framed || r.closeRequested || !r.waitBodyWritten():
+	case r.Framing == Unframed || r.closeRequested || !r.waitBodyWritten():
 		r.conn.netConn.Close()
 		return
 	}
