A response without length and chunks is complete only if its content and its backend server say so

Cause: origin reported the end of a connection as the end of the body (io.EOF) where a response has neither length nor chunks, and the gateway passed on what was left, half an event, and ended the caller's response with a last chunk. A backend server that gives up closes its connection in the same way. Class: the end of a connection stands for the end of a message.

Change: origin.Response.Read ends such a body with an *UnframedEndError, never io.EOF, so that each reader has to decide. The gateway decides in completeness.go: a stream has to end with a complete event (however it is framed) and to have one, JSON must be whole, and the backend server must still listen (two refused dials say that it does not), unless it is draining and ends after its last response. The test of origin that expected io.EOF now expects the error and the same body. The check for a refused dial moves from quarantine to dialer, which both use; the finding of events moves to internal/sse with its test.

--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"sync/atomic"
 
+	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/origin"
 )
 
@@ -49,8 +51,8 @@
 	u.counted = 0
 }
 
-// readBuffered reads a response to its end, within the buffer limits.
-func (x *exchange) readBuffered(resp *origin.Response) ([]byte, error) {
+// readBuffered reads a complete response, within the buffer limits.
+func (x *exchange) readBuffered(ctx context.Context, run *fleet.Assignment, resp *origin.Response) ([]byte, error) {
 	usage := bufferUsage{total: &x.g.bufferedBytes}
 	defer usage.release()
 	var b bytes.Buffer
@@ -59,11 +61,8 @@
 		if limitErr := usage.resize(b.Len()); limitErr != nil && err == nil {
 			err = limitErr
 		}
-		switch {
-		case err == io.EOF:
-			return b.Bytes(), nil
-		case err != nil:
-			return nil, err
+		if err != nil {
+			return b.Bytes(), x.checkBodyEnd(ctx, run, resp, b.Bytes(), err)
 		}
 	}
 	return nil, errResponseTooLarge
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -360,24 +360,6 @@
 	}
 }
 
-func TestLastEventEnd(t *testing.T) {
-	for name, c := range map[string]struct {
-		text string
-		end  int
-	}{
-		"none": {"id: 1\nda", 0},
-		"one":  {"id: 1\n\nid", 7},
-		"two":  {"id: 1\n\nid: 2\n\n", 14},
-		"CRLF": {"id: 1\r\n\r\nid", 9},
-	} {
-		t.Run(name, func(t *testing.T) {
-			if got := lastEventEnd([]byte(c.text)); got != c.end {
-				t.Errorf("end: got %d, want %d", got, c.end)
-			}
-		})
-	}
-}
-
 // TestLeavingOrRestingServerGetsNoMoreRequests has a backend server announce, in any
 // kind of response, that it is shutting down or wants no requests for a while. Later
 // requests must not be sent to it.
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -34,9 +36,11 @@
 	streamEnded chan struct{} // closed by finish, when the stream has ended
 	finished    chan struct{} // closed when run has returned
 
-	target *fleet.Assignment // nil if the stream was not moved; valid once finished is closed
-	permit quota.Permit      // for the request at target
-	cache  bamboostep.MovedCache
+	// valid once finished is closed
+	target         *fleet.Assignment // nil if the stream was not moved
+	permit         quota.Permit      // for the request at target
+	cache          bamboostep.MovedCache
+	mayHaveStopped bool // source was told to stop the run, and did not say that it has no such run
 }
 
 // watchDeparture starts watching for a shutdown of the engine that runs a stream. Call
@@ -134,7 +138,10 @@
 		}
 	}
 	x.g.ServerLimits.Charge(serverID(m.source))
-	return mover.StopAndMove(ctx, m.source.Address, to.Address, x.call.ID)
+	cache, err := mover.StopAndMove(ctx, m.source.Address, to.Address, x.call.ID)
+	var refused *bamboostep.MoveError
+	m.mayHaveStopped = !errors.As(err, &refused) || refused.Status != http.StatusNotFound
+	return cache, err
 }
 
 // discard frees a moved cache that will not be used, in the background.
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -28,6 +28,7 @@
 	lastEvent     int           // number of the last event
 	eventInterval time.Duration // between events
 	moveStatus    int           // of the response to a move
+	unframed      bool          // its streams end with their connection
 
 	mu             sync.Mutex
 	stopped        bool
@@ -55,11 +56,21 @@
 	fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
 	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 	w.Header().Set("X-Response-Signature", r.Header.Get("Kv-From")+"signed")
+	if e.unframed {
+		nc, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer nc.Close()
+		fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\n\r\n")
+		for n := 1; n <= e.lastEvent && !e.isStopped(); n++ {
+			fmt.Fprintf(nc, "id: %d\ndata: \n\n", n)
+			time.Sleep(e.eventInterval)
+		}
+		return
+	}
 	for n := from + 1; n <= e.lastEvent; n++ {
-		e.mu.Lock()
-		stopped := e.stopped
-		e.mu.Unlock()
-		if stopped {
+		if e.isStopped() {
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, r.Header.Get("Kv-From"))
@@ -68,6 +79,12 @@
 	}
 }
 
+func (e *departingEngine) isStopped() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stopped
+}
+
 func (e *departingEngine) move(w http.ResponseWriter, r *http.Request) {
 	var call struct {
 		ID, Target string
@@ -78,7 +95,7 @@
 		return
 	}
 	e.mu.Lock()
-	e.stopped = e.moveStatus == http.StatusOK
+	e.stopped = e.moveStatus == http.StatusOK || e.unframed
 	e.moveTarget = call.Target
 	e.mu.Unlock()
 	w.WriteHeader(e.moveStatus)
@@ -219,6 +236,31 @@
 	}
 }
 
+// TestStoppedUnframedStreamIsNotComplete has an engine close a stream in order, between events,
+// since it was told to stop it. The stream must go on where it was moved to, and must not look
+// complete if it could not be moved.
+func TestStoppedUnframedStreamIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		moveStatus int
+		complete   bool
+	}{
+		"moved":     {http.StatusOK, true},
+		"not moved": {http.StatusServiceUnavailable, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			source := newDepartingEngine(t, 40, 30*time.Millisecond, c.moveStatus)
+			source.unframed = true
+			target := newDepartingEngine(t, 40, time.Millisecond, http.StatusOK)
+			s := startGatewayWithDepartingEngine(t, moveLeadTime+300*time.Millisecond, source, target)
+			events, _, complete := sendToModel(t, s)
+			if complete != c.complete || complete && len(events) != 40 || len(events) == 0 {
+				t.Errorf("got %d events (complete %v), want complete %v with 40", len(events), complete, c.complete)
+			}
+		})
+	}
+}
+
 // TestMovedStreamIsAbortedIfTargetRejectsIt has the engine that received the cache
 // reject the request. The stream must be aborted, and not run again from the start.
 func TestMovedStreamIsAbortedIfTargetRejectsIt(t *testing.T) {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -35,7 +35,7 @@
 // deliverBuffered forwards a response after reading all of it. A truncated response can
 // then still be retried, and never looks complete to the caller.
 func (x *exchange) deliverBuffered(ctx context.Context, run *fleet.Assignment, resp *origin.Response, success bool) attemptResult {
-	body, err := x.readBuffered(resp)
+	body, err := x.readBuffered(ctx, run, resp)
 	now := time.Now()
 	if err != nil {
 		if x.r.Context().Err() != nil {
@@ -168,7 +168,7 @@
 		return ""
 	}
 	s := x.stream
-	return fmt.Sprintf(", first event after %s (%s), longest pause %s, sends %d, %d bytes after the last event", formatMilliseconds(s.firstEventAfter), x.serverExpectation(), formatMilliseconds(s.longestPause), x.sentAttempts, s.partial)
+	return fmt.Sprintf(", first event after %s (%s), longest pause %s, sends %d", formatMilliseconds(s.firstEventAfter), x.serverExpectation(), formatMilliseconds(s.longestPause), x.sentAttempts)
 }
 
 // serverExpectation formats the predicted wait of the latest attempt and the data that it
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,21 +1,21 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/internal/sse"
 	"github.com/bamboostep/bamboostep/origin"
 )
 
 // Streams are forwarded in whole events. An incomplete event at the end of a broken
 // stream is dropped, so the caller always has a whole number of events and the stream can
-// be resumed on another backend server after the last one.
+// be resumed on another backend server after the last one. Whether a stream that has ended is
+// complete is decided in completeness.go.
 
 const streamReadSize = 16 << 10 // bytes
 
@@ -24,7 +24,6 @@
 	started bool   // the response head was sent
 	lastID  string // of the last forwarded event that has an ID
 	events  int    // forwarded writes, each of one or more events
-	partial int    // bytes after the last complete event, where the backend server's answer ended
 
 	firstEventAfter time.Duration // from the arrival of the request to the first event
 	lastEventAt     time.Time     // when the last events were forwarded
@@ -51,8 +50,11 @@
 		x.stream = &streamState{}
 	}
 	m := x.watchDeparture(ctx, run)
-	err := x.forwardStream(run, resp)
+	err := x.forwardStream(ctx, run, resp)
 	moved := m.finish()
+	if err == nil && m.mayHaveStopped && resp.Framing == origin.Unframed {
+		err = errStoppedForMove
+	}
 	now := time.Now()
 	var writeErr *callerWriteError
 	callerLeft := errors.As(err, &writeErr) || x.r.Context().Err() != nil
@@ -91,20 +93,17 @@
 
 // forwardStream forwards complete events. It returns nil once the stream is complete, and
 // a *callerWriteError if the caller cannot be written to.
-func (x *exchange) forwardStream(run *fleet.Assignment, resp *origin.Response) error {
+func (x *exchange) forwardStream(ctx context.Context, run *fleet.Assignment, resp *origin.Response) error {
 	usage := bufferUsage{total: &x.g.bufferedBytes}
 	defer usage.release()
 	var buffered []byte
+	anyEvent := false
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := resp.Read(chunk)
 		buffered = append(buffered, chunk[:n]...)
-		end := lastEventEnd(buffered)
-		if err == io.EOF {
-			x.stream.partial = len(buffered) - end
-			end = len(buffered)
-		}
-		if end > 0 {
+		if end := sse.LastEnd(buffered); end > 0 {
+			anyEvent = true
 			run.Started()
 			if werr := x.forwardEvents(resp, buffered[:end]); werr != nil {
 				return &callerWriteError{werr}
@@ -112,11 +111,8 @@
 			buffered = append(buffered[:0], buffered[end:]...)
 		}
 		switch {
-		case err == io.EOF:
-			x.sendStreamHead(resp)
-			return nil
 		case err != nil:
-			return err
+			return x.finishStream(ctx, run, resp, streamEnd{err, buffered, anyEvent})
 		case len(buffered) > maxEventBytes:
 			return errResponseTooLarge
 		}
@@ -126,6 +122,23 @@
 	}
 }
 
+// finishStream ends the caller's stream if that of the backend server is complete, and else
+// returns why it is not.
+func (x *exchange) finishStream(ctx context.Context, run *fleet.Assignment, resp *origin.Response, end streamEnd) error {
+	if err := x.checkStreamEnd(ctx, run, resp, end); err != nil {
+		return err
+	}
+	x.sendStreamHead(resp)
+	if len(end.rest) == 0 {
+		return nil
+	}
+	run.Started()
+	if err := x.forwardEvents(resp, end.rest); err != nil {
+		return &callerWriteError{err}
+	}
+	return nil
+}
+
 // sendStreamHead sends the response head, unless an earlier attempt has sent its own.
 func (x *exchange) sendStreamHead(resp *origin.Response) {
 	if x.stream.started {
@@ -145,7 +158,7 @@
 // forwardEvents sends complete events to the caller and flushes them.
 func (x *exchange) forwardEvents(resp *origin.Response, events []byte) error {
 	x.sendStreamHead(resp)
-	if id := lastEventID(events); id != "" {
+	if id := sse.LastID(events); id != "" {
 		x.stream.lastID = id
 	}
 	x.stream.countEvents(time.Now())
@@ -186,28 +199,3 @@
 	x.recordEvent("stream_broken", "", reason+" after event "+x.stream.lastID)
 	panic(http.ErrAbortHandler)
 }
-
-// lastEventEnd returns the offset after the last complete event, or 0 if there is none.
-func lastEventEnd(b []byte) int {
-	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
-	}
-	return end
-}
-
-var idField = []byte("id:")
-
-// lastEventID returns the ID of the last event that has one, or "".
-func lastEventID(events []byte) string {
-	id := ""
-	for line := range bytes.Lines(events) {
-		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			id = string(bytes.TrimSpace(rest))
-		}
-	}
-	return id
-}
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -65,7 +65,7 @@
 	pool           *Pool
 	stopAbort      func() bool  // cancels the abort on the end of ctx; false if it has begun
 	bodyWritten    <-chan error // result of writing the body; nil if it was sent together with the head
-	complete       bool         // the body was read to its end
+	ended          bool         // the body was read to its end
 	closeRequested bool         // the backend server closes the connection after this response
 }
 
@@ -222,11 +222,25 @@
 	return err
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// UnframedEndError is the end of a body that has neither a length nor chunks: its connection was
+// closed in order. The body may be complete, or the backend server may have crashed or given up.
+type UnframedEndError struct{ Address string }
+
+// Error implements error.
+func (e *UnframedEndError) Error() string {
+	return fmt.Sprintf("backend server %s closed the connection of a response with neither length nor chunks", e.Address)
+}
+
+// Read reads the body. It returns io.EOF only at the end of a body that is known to be complete,
+// and an *UnframedEndError at the end of one that may be.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
-	if err == io.EOF {
-		r.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	r.ended = true
+	if r.Framing == Unframed {
+		return n, &UnframedEndError{r.conn.address}
 	}
 	return n, err
 }
@@ -234,9 +248,9 @@
 // Close ends the exchange. The connection is kept for reuse if the request was written and
 // the response was read completely, and reset if the response was not.
 func (r *Response) Close() {
-	ended := !r.stopAbort()
+	aborted := !r.stopAbort()
 	switch {
-	case ended || !r.complete:
+	case aborted || !r.ended:
 		r.conn.abort()
 		return
 	case r.Framing == Unframed || r.closeRequested || !r.waitBodyWritten():
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -159,14 +159,18 @@
 	}
 }
 
+// TestUnframedResponseEndsWithConnection has a response without a length and chunks. Its end must
+// not be reported as that of a complete body (issue 31).
 func TestUnframedResponseEndsWithConnection(t *testing.T) {
 	address, conns := startBackend(t, func(int, int) (string, bool) {
 		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\n\r\nall of it", true
 	})
 	p := &Pool{Dialect: platform.HTTPDialect{}}
 	for range 2 {
-		if body, err := sendAndRead(t, p, address, "a"); err != nil || body != "all of it" {
-			t.Errorf("response: got %q, %v", body, err)
+		body, err := sendAndRead(t, p, address, "a")
+		var unframed *UnframedEndError
+		if !errors.As(err, &unframed) || unframed.Address != address || body != "all of it" {
+			t.Errorf("response: got %q, %v, want all of it and an *UnframedEndError", body, err)
 		}
 	}
 	if got := conns.Load(); got != 2 {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
+	"github.com/bamboostep/bamboostep/dialer"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -19,7 +17,6 @@
 // interrupted at one address share one check.
 
 const (
-	dialTimeout  = 300 * time.Millisecond
 	redialDelay  = 40 * time.Millisecond  // before the second dial, if the first was accepted: a crashing process may still be exiting
 	maxCheckWait = 100 * time.Millisecond // bounds how long ReportInterrupted waits for the first dial
 )
@@ -122,7 +119,7 @@
 // runCheck dials the address once, and a second time if the first dial was accepted. After
 // a refused first dial, the crash is recorded before the waiting requests continue.
 func (g *Guard) runCheck(address string, c *crashCheck) {
-	down, err := isDown(address)
+	down, err := dialer.Refused(context.Background(), address)
 	if down {
 		g.finishCheck(address, c, true)
 		close(c.firstDialDone)
@@ -131,7 +128,7 @@
 	close(c.firstDialDone)
 	if err == nil {
 		time.Sleep(redialDelay)
-		down, err = isDown(address)
+		down, err = dialer.Refused(context.Background(), address)
 	}
 	if err != nil {
 		g.Recorder.Record(timeline.Event{Kind: "crash_not_checked", VM: address, Detail: err.Error()})
@@ -139,20 +136,6 @@
 	g.finishCheck(address, c, down)
 }
 
-// isDown reports whether connections to an address are refused. Any other dial error is
-// returned, since it does not tell whether the process has ended.
-func isDown(address string) (bool, error) {
-	nc, err := net.DialTimeout("tcp", address, dialTimeout)
-	switch {
-	case err == nil:
-		nc.Close()
-		return false, nil
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return true, nil
-	}
-	return false, err
-}
-
 // finishCheck ends a check. If the backend server crashed, it makes all requests that were
 // interrupted there suspects, and sends their records to the voters.
 func (g *Guard) finishCheck(address string, c *crashCheck, crashed bool) {
