An application's response without length and chunks is complete only if its content and the application say so

What callers saw: on the project's own interface, a response of a plain service that was broken off, with status 200, as complete. Cause: the same as at the platform's door, in the agent: application.yieldChunks marked the last piece at io.EOF, which net/http reports for the end of a connection where a response has neither a length nor chunks. Class: the end of a connection stands for the end of a message. The two refused dials are one function of dialer. A response to HEAD counts as framed in both (cases added; a HEAD answer of JSON would have been refused). Events of known length are no longer yielded in one piece, so that their end is checked too.

--- a/agent/application.go
+++ b/agent/application.go
@@ -11,6 +11,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/backend"
+	"github.com/bamboostep/bamboostep/internal/sse"
 )
 
 // application is an HTTP/1.1 client of an application on the same VM.
@@ -57,7 +58,7 @@
 }
 
 // Serve implements bamboostep.Application. A response body of known length of at most
-// maxChunkBytes is yielded together with the status and headers, any other body in
+// maxChunkBytes is yielded together with the status and headers, any other body and events in
 // chunks after them.
 func (a *application) Serve(ctx context.Context, offer bamboostep.Offer, yield func(bamboostep.Answer) error) error {
 	req, err := a.newRequest(ctx, offer.Request)
@@ -70,13 +71,13 @@
 	}
 	defer resp.Body.Close()
 	first := bamboostep.Answer{Status: resp.StatusCode, Header: endToEndHeaders(resp.Header)}
-	if resp.ContentLength >= 0 && resp.ContentLength <= maxChunkBytes {
+	if resp.ContentLength >= 0 && resp.ContentLength <= maxChunkBytes && !sse.Is(resp.Header) {
 		return yieldBuffered(first, resp.Body, yield)
 	}
 	if err := yield(first); err != nil {
 		return err
 	}
-	return yieldChunks(resp.Body, yield)
+	return a.yieldChunks(ctx, resp, yield)
 }
 
 // newRequest builds the HTTP request to the application: r's path, body and end-to-end
@@ -113,15 +114,21 @@
 	return yield(first)
 }
 
-// yieldChunks yields body as it arrives, in chunks of at most maxChunkBytes.
-func yieldChunks(body io.Reader, yield func(bamboostep.Answer) error) error {
+// yieldChunks yields the body of resp as it arrives, in chunks of at most maxChunkBytes. It fails
+// at the end of a body that is not complete.
+func (a *application) yieldChunks(ctx context.Context, resp *http.Response, yield func(bamboostep.Answer) error) error {
+	end := newBodyEnd(resp)
 	for {
 		buf := make([]byte, maxChunkBytes)
-		n, err := body.Read(buf)
-		if err != nil && err != io.EOF {
+		n, err := resp.Body.Read(buf)
+		end.add(buf[:n])
+		last := err == io.EOF
+		if last {
+			err = end.check(ctx, a.host)
+		}
+		if err != nil {
 			return err
 		}
-		last := err == io.EOF
 		if yieldErr := yield(bamboostep.Answer{Data: buf[:n], Last: last}); yieldErr != nil || last {
 			return yieldErr
 		}
--- a/dialer/refusal.go
+++ b/dialer/refusal.go
@@ -6,10 +6,14 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/bamboostep/bamboostep/internal/timer"
 )
 
-// refusalTimeout bounds the dial of Refused.
-const refusalTimeout = 300 * time.Millisecond
+const (
+	refusalTimeout      = 300 * time.Millisecond // of the dial of Refused
+	refusalConfirmDelay = 40 * time.Millisecond  // between the dials of RefusedTwice
+)
 
 // Refused reports whether connections to an address are refused, which says that no process
 // listens there. It dials once, within refusalTimeout. Any other failure of the dial is
@@ -26,3 +30,15 @@
 	}
 	return false, err
 }
+
+// RefusedTwice reports whether two dials to an address are refused, shortly after one another. A
+// process that has no room for a connection may refuse a single one. A failed dial that is not
+// refused is returned as in Refused.
+func RefusedTwice(ctx context.Context, address string) (bool, error) {
+	refused, err := Refused(ctx, address)
+	if !refused {
+		return false, err
+	}
+	timer.Sleep(ctx, refusalConfirmDelay)
+	return Refused(ctx, address)
+}
--- a/gateway/completeness.go
+++ b/gateway/completeness.go
@@ -7,12 +7,10 @@
 	"fmt"
 	"io"
 	"strings"
-	"time"
 
 	"github.com/bamboostep/bamboostep/dialer"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/internal/sse"
-	"github.com/bamboostep/bamboostep/internal/timer"
 	"github.com/bamboostep/bamboostep/origin"
 )
 
@@ -21,10 +19,6 @@
 // Then the content must be complete as far as its type shows that, and the backend server must
 // still listen.
 
-// refusalConfirmDelay is the time between two dials that must both be refused: a backend server
-// that has no room for a connection may refuse a single one.
-const refusalConfirmDelay = 40 * time.Millisecond
-
 var (
 	errInsideEvent    = errors.New("it ends inside an event")
 	errNoEvent        = errors.New("it ends with its connection, without an event")
@@ -82,7 +76,11 @@
 	case run.Leaving() && run.DepartsAt().IsZero():
 		return nil // it ends after its last response, and then refuses connections too
 	}
-	if x.refusesTwice(ctx, run.Address) {
+	refused, err := dialer.RefusedTwice(ctx, run.Address)
+	if err != nil {
+		x.recordEvent("crash_not_checked", run.Address, err.Error())
+	}
+	if refused {
 		return &serverDownError{run.Address}
 	}
 	return nil
@@ -92,20 +90,3 @@
 	var unframed *origin.UnframedEndError
 	return errors.As(err, &unframed)
 }
-
-// refusesTwice reports whether two dials to a backend server are refused.
-func (x *exchange) refusesTwice(ctx context.Context, address string) bool {
-	for attempt := range 2 {
-		if attempt > 0 {
-			timer.Sleep(ctx, refusalConfirmDelay)
-		}
-		refused, err := dialer.Refused(ctx, address)
-		if err != nil {
-			x.recordEvent("crash_not_checked", address, err.Error())
-		}
-		if !refused {
-			return false
-		}
-	}
-	return true
-}
--- a/gateway/unframed_response_test.go
+++ b/gateway/unframed_response_test.go
@@ -23,6 +23,27 @@
 	event2       = "id: 2\ndata: e2\n\n"
 )
 
+// TestResponseWithoutBodyIsDelivered has responses to HEAD requests, which have no body whatever
+// their head says of its length.
+func TestResponseWithoutBodyIsDelivered(t *testing.T) {
+	for name, kind := range map[string]route.Kind{"plain": route.Idempotent, "stream": route.Streaming} {
+		t.Run(name, func(t *testing.T) {
+			g := startGateway(t, route.Route{Kind: kind, Attempts: 1}, startRawBackend(t, unframedHead+"Content-Type: application/json\r\n\r\n", false))
+			req, err := http.NewRequest(http.MethodHead, g.URL+"/p/x", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "h.example"
+			req.Header.Set("X-Attempt-Id", "a1")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Fatalf("response: got %v, %v, want status 200", resp, err)
+			}
+			resp.Body.Close()
+		})
+	}
+}
+
 // startRawBackend starts a backend server that sends response as it is to each request, and
 // closes the connection in order. If crashes is set, it also stops listening before that.
 func startRawBackend(t *testing.T, response string, crashes bool) *fakeBackend {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -56,7 +56,10 @@
 	return len(p), nil
 }
 
-// Complete reports whether the stream so far ends with a complete event.
+// Complete reports whether the stream so far is empty or ends with a complete event.
 func (t *Tail) Complete() bool {
-	return len(t.last) > 0 && LastEnd(t.last) == len(t.last)
+	return LastEnd(t.last) == len(t.last)
 }
+
+// Empty reports whether the stream has no bytes so far.
+func (t *Tail) Empty() bool { return len(t.last) == 0 }
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -35,7 +35,7 @@
 type Framing int
 
 const (
-	FramedByLength Framing = iota // Content-Length, or a status that has no body
+	FramedByLength Framing = iota // Content-Length, or a method or status without a body
 	FramedByChunks                // the last chunk
 	Unframed                      // not at all: the connection ends
 )
@@ -201,7 +201,7 @@
 
 func framingOf(resp *http.Response) Framing {
 	switch {
-	case resp.ContentLength >= 0:
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
 		return FramedByLength
 	case len(resp.TransferEncoding) > 0:
 		return FramedByChunks
