A KV cache without length and chunks is not exported

What could happen: a KV cache that its engine broke off was taken up by another engine as a whole one; nobody reported it. Cause: agent's ExportKV read to the end of the connection. The bytes of a cache don't show their end, so there is nothing else to check. Evidence: TestBrokenOffKVCacheIsNotExported, its case without a length failed before (a cache of 10 bytes and no error), passes now.

--- a/agent/body_end.go
+++ b/agent/body_end.go
@@ -47,12 +47,17 @@
 
 func newBodyEnd(resp *http.Response) *bodyEnd {
 	return &bodyEnd{
-		unframed: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody,
+		unframed: isUnframed(resp),
 		isEvents: sse.Is(resp.Header),
 		isJSON:   strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json"),
 	}
 }
 
+// isUnframed reports whether the body of a response ends with its connection.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // add adds the next bytes of the body.
 func (b *bodyEnd) add(p []byte) {
 	_, _ = b.events.Write(p) // never fails
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -221,7 +221,7 @@
 }
 
 // ExportKV implements bamboostep.KVExporter. It fails with a *kvTooLargeError if the KV
-// cache exceeds maxKVBytes.
+// cache exceeds maxKVBytes, and with errUnframedKV if its end cannot be told from an early one.
 func (e *engine) ExportKV(ctx context.Context, attempt bamboostep.AttemptID) ([]byte, error) {
 	type exportRequest struct {
 		Attempt bamboostep.AttemptID `json:"attempt"`
@@ -238,6 +238,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, responseError(resp)
 	}
+	if isUnframed(resp) {
+		return nil, errUnframedKV
+	}
 	kv, err := io.ReadAll(io.LimitReader(resp.Body, maxKVBytes+1))
 	if err == nil && len(kv) > maxKVBytes {
 		err = &kvTooLargeError{attempt}
@@ -245,6 +248,10 @@
 	return kv, err
 }
 
+// errUnframedKV reports a KV cache that comes with neither a length nor chunks. Its bytes do not
+// show whether it is complete.
+var errUnframedKV = errors.New("the KV cache has neither a length nor chunks")
+
 // kvTooLargeError reports that the KV cache of an attempt exceeds maxKVBytes, so that
 // it cannot be transferred to another engine.
 type kvTooLargeError struct{ Attempt bamboostep.AttemptID }
--- a/agent/unframed_response_test.go
+++ b/agent/unframed_response_test.go
@@ -88,3 +88,22 @@
 		})
 	}
 }
+
+// Guards against a KV cache that was broken off and is taken up by another engine (issue 31).
+func TestBrokenOffKVCacheIsNotExported(t *testing.T) {
+	for name, c := range map[string]struct {
+		response string
+		whole    bool
+	}{
+		"without a length": {"HTTP/1.1 200 OK\r\n\r\nhalf a cac", false},
+		"with a length":    {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ncache", true},
+		"in chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ncache\r\n0\r\n\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			kv, err := newEngine(startRawServer(t, c.response, false), "vm", 1).ExportKV(context.Background(), "1")
+			if whole := err == nil; whole != c.whole || whole && string(kv) != "cache" {
+				t.Errorf("cache: got %q (%v), want complete %v", kv, err, c.whole)
+			}
+		})
+	}
+}
