A response that was broken off is reset towards callers without chunks

What callers could see: one that speaks HTTP/1.0 got a stream or a long answer that had been broken off, or that its entry's end cut, as complete. Cause: such a caller gets no chunks, so the response ends with its connection. Aborting the handler, closing the server and the end of the process all close the connection in order. Change: daemon.ResetIncomplete, for both doors: while a response to such a caller is incomplete, its connection is set to be reset when it is closed, so that it doesn't matter who closes it, the kernel included. Callers with HTTP/1.1 get what they got.

--- a/entry/run.go
+++ b/entry/run.go
@@ -114,6 +114,7 @@
 		IdleTimeout:       callerIdleTimeout,
 		ErrorLog:          e.log.StandardLog(),
 	}
+	daemon.ResetIncomplete(s)
 	return daemon.ServeHTTP(servingCtx, nl, s, e.cfg.DrainTimeout.Duration)
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -13,6 +13,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/dispatch"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/gateway"
@@ -189,6 +190,7 @@
 // before it has them or routesWait is over; without routes it uses the default timeouts.
 func (e *entry) serveCallers(ctx context.Context, l net.Listener) error {
 	s := &http.Server{Handler: e.gateway, ReadHeaderTimeout: headerTimeout}
+	daemon.ResetIncomplete(s)
 	if t := e.awaitRoutes(ctx); t != nil {
 		s.ReadHeaderTimeout = headerTimeoutFactor * t.Limits.HeaderTimeout
 		s.IdleTimeout = t.Limits.IdleTimeout
