--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -268,7 +268,7 @@
 	x.provablyNotRun = false
 	x.possibleRuns++
 	x.failedAddresses = append(x.failedAddresses, run.Address)
-	x.recordEvent("attempt_unanswered", run.Address, err.Error())
+	x.recordEvent("attempt_unanswered", run.Address, err.Error()+x.promptSummary())
 	if !now.Before(x.deadline) {
 		run.End(fleet.EndedCanceled, now)
 		x.handleTimeout()
@@ -314,6 +314,6 @@
 func (x *exchange) rejectResponse(run *fleet.Assignment, detail string) attemptResult {
 	x.failedAddresses = append(x.failedAddresses, run.Address)
 	run.End(fleet.EndedFailed, time.Now())
-	x.recordEvent("answer_spoilt", run.Address, detail)
+	x.recordEvent("answer_spoilt", run.Address, detail+x.promptSummary())
 	return attemptRetryable
 }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
@@ -205,6 +206,29 @@
 	return r.LatencyTarget > 0 && x.stream.firstEventAfter > r.LatencyTarget || r.EventGapTarget > 0 && x.stream.longestPause > r.EventGapTarget
 }
 
+// Bounds of a prompt in one log line.
+const (
+	maxLoggedParts  = 8  // parts
+	maxLoggedPartID = 32 // bytes of each ID
+)
+
+// promptSummary formats the IDs of the prompt's parts, in order, for the event log.
+func (x *exchange) promptSummary() string {
+	parts := x.call.Prompt
+	if len(parts) == 0 {
+		return ""
+	}
+	var b strings.Builder
+	b.WriteString(", prompt parts")
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		b.WriteString(" " + p.ID[:min(len(p.ID), maxLoggedPartID)])
+	}
+	if more := len(parts) - maxLoggedParts; more > 0 {
+		fmt.Fprintf(&b, " and %d more", more)
+	}
+	return b.String()
+}
+
 // recordEvent records an event of the request in the event log.
 func (x *exchange) recordEvent(kind, address, detail string) {
 	e := x.newEvent(kind, address, detail)
