--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -23,13 +23,14 @@
 
 const (
 	crashBody   = "crashes what runs it"
+	crashPart   = "deadbeef" // ID of a part of prompts
 	waitTimeout = 15 * time.Second
 	maxReached  = 3 + 3                  // three crashes until the request is refused, and three retries
 	restartTime = 200 * time.Millisecond // of a crashed backend server
 )
 
 // crashingService is a service without model engines. Its backend servers crash when they run
-// a request with crashBody, and start again after restartTime.
+// a request with crashBody or with crashPart in its prompt, and start again after restartTime.
 type crashingService struct {
 	t       *testing.T
 	reached atomic.Int32 // crashing requests that came to a backend server
@@ -81,11 +82,11 @@
 }
 
 // serve echoes the attempt's ID and signs the response, or closes the backend server without
-// a response if the body is crashBody.
+// a response if the request crashes it.
 func (s *crashingService) serve(address string, w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
 	w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
-	if string(body) != crashBody {
+	if string(body) != crashBody && !strings.Contains(r.Header.Get("X-Prompt-Prefix"), crashPart) {
 		w.Header().Set("X-Response-Signature", "s")
 		return
 	}
@@ -175,15 +176,21 @@
 	if err != nil {
 		return 0
 	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	return statusOf(req, id)
+}
+
+// statusOf sends a request, with an ID unless that is empty, and returns the status of the
+// response, or 0 if there is none.
+func statusOf(req *http.Request, id string) int {
 	req.Close = true
 	if id != "" {
 		req.Host = "h.example"
 		req.Header.Set("X-Attempt-Id", id)
 		req.Header.Set("X-Request-Deadline", "3000")
 	}
-	if key != "" {
-		req.Header.Set("Authorization", "Bearer "+key)
-	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
