--- a/call.go
+++ b/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -39,6 +40,35 @@
 	return Fingerprint(c.Body, c.Method, c.Host, c.Target, c.Model, c.Adapter)
 }
 
+// maxSharedParts is the number of parts that SharedParts returns at most.
+const maxSharedParts = 256
+
+// SharedParts returns fingerprints of the parts of the prompt that other prompts may share: all
+// but the last, each once, at most maxSharedParts.
+func (c Call) SharedParts() []uint64 {
+	if len(c.Prompt) < 2 {
+		return nil
+	}
+	shared := c.Prompt[:min(len(c.Prompt)-1, maxSharedParts)]
+	list := make([]uint64, 0, len(shared))
+	for _, p := range shared {
+		if f := p.Fingerprint(); !slices.Contains(list, f) {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+// PartID returns the ID of the part of the prompt that has a fingerprint, or "" if none has.
+func (c Call) PartID(fingerprint uint64) string {
+	for _, p := range c.Prompt {
+		if p.Fingerprint() == fingerprint {
+			return p.ID
+		}
+	}
+	return ""
+}
+
 // PromptPart is a section of a prompt. Prompts that contain a part with the same ID can
 // share its KV cache.
 type PromptPart struct {
@@ -46,6 +76,9 @@
 	Tokens int
 }
 
+// Fingerprint returns a hash of the part's ID.
+func (p PromptPart) Fingerprint() uint64 { return Fingerprint(nil, p.ID) }
+
 // ForwardOptions holds what an entry adds to a Call when it forwards it to a backend server.
 type ForwardOptions struct {
 	TimeLeft         time.Duration // time left until the deadline
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -170,9 +170,10 @@
 func (e *entryGroup) startEntry(i int) {
 	table := &quarantine.Table{}
 	recorder := &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}
-	guard := &quarantine.Guard{Table: table, Broadcast: e.shareRecords, RequestTrial: func(context.Context, uint64) bool { return false }, Recorder: recorder}
+	guard := &quarantine.Guard{Table: table, Broadcast: e.shareRecords, RequestTrial: func(context.Context, quarantine.SuspectID) bool { return false }, Recorder: recorder}
 	e.mu.Lock()
 	table.Merge(time.Now(), e.voter.Records())
+	table.MergeParts(time.Now(), e.voter.PartRecords())
 	e.tables[i] = table
 	e.mu.Unlock()
 	if e.servers[i] != nil {
@@ -181,12 +182,14 @@
 	e.servers[i] = serveGatewayWithGuard(e.t, guard, &dispatch.RetryBudget{Burst: 10_000}, recorder, e.table, e.fleet)
 }
 
-func (e *entryGroup) shareRecords(records []quarantine.Record) {
+func (e *entryGroup) shareRecords(o quarantine.Observations) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.voter.Merge(time.Now(), records)
+	e.voter.Merge(time.Now(), o.Records)
+	e.voter.MergeParts(time.Now(), o.Parts)
 	for _, table := range e.tables {
 		table.Merge(time.Now(), e.voter.Records())
+		table.MergeParts(time.Now(), e.voter.PartRecords())
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,12 +107,12 @@
 	r       *http.Request
 	arrived time.Time
 
-	call        bamboostep.Call
-	fingerprint uint64 // of the call; 0 until its body is read
-	table       *route.Table
-	route       *route.Route
-	service     *route.Service
-	deadline    time.Time
+	call     bamboostep.Call
+	content  quarantine.Content // of the call; zero until its body is read
+	table    *route.Table
+	route    *route.Route
+	service  *route.Service
+	deadline time.Time
 
 	workspace *route.Workspace // of the caller's key; nil if it has none
 
@@ -173,7 +173,8 @@
 		return false
 	}
 	if !x.admitByQuarantine() {
-		return x.refuse(reasonCrashes, x.quarantineVerdict.RetryAfter)
+		x.refuseCrashing()
+		return false
 	}
 	if !x.admitByQuota() {
 		return false
@@ -244,6 +245,6 @@
 		return x.fail(http.StatusBadRequest, "body_unreadable", err.Error())
 	}
 	x.call = x.call.WithBody(data)
-	x.fingerprint = x.call.Fingerprint()
+	x.content = quarantine.Content{Fingerprint: x.call.Fingerprint(), Parts: x.call.SharedParts()}
 	return true
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -146,7 +146,7 @@
 
 // newSingleEntryGuard returns the quarantine guard of a deployment with one entry.
 func newSingleEntryGuard(recorder *timeline.Recorder) *quarantine.Guard {
-	return &quarantine.Guard{Table: &quarantine.Table{}, Broadcast: func([]quarantine.Record) {}, RequestTrial: func(context.Context, uint64) bool { return true }, Recorder: recorder}
+	return &quarantine.Guard{Table: &quarantine.Table{}, Broadcast: func(quarantine.Observations) {}, RequestTrial: func(context.Context, quarantine.SuspectID) bool { return true }, Recorder: recorder}
 }
 
 func serveGatewayWithGuard(t *testing.T, guard *quarantine.Guard, budget *dispatch.RetryBudget, recorder *timeline.Recorder, table *route.Table, known *fleet.Fleet) *httptest.Server {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -47,7 +47,11 @@
 		x.reportBroken(run)
 		return x.rejectResponse(run, err.Error())
 	}
-	x.reportPassed()
+	if success {
+		x.reportAnswered()
+	} else {
+		x.reportPassed()
+	}
 	if !success && resp.Status >= http.StatusInternalServerError && x.mayRetryFailure() {
 		return x.rejectResponse(run, "status "+strconv.Itoa(resp.Status))
 	}
@@ -91,8 +95,13 @@
 // refuse responds with 503, which guarantees that the request has not run and never will.
 // after is sent as Retry-After. It returns false.
 func (x *exchange) refuse(reason string, after time.Duration) bool {
+	return x.refuseWithDetail(reason, "", after)
+}
+
+// refuseWithDetail is refuse with a detail for the event log.
+func (x *exchange) refuseWithDetail(reason, detail string, after time.Duration) bool {
 	setRetryAfter(x.w, after)
-	return x.fail(http.StatusServiceUnavailable, reason, "")
+	return x.fail(http.StatusServiceUnavailable, reason, detail)
 }
 
 func setRetryAfter(w http.ResponseWriter, after time.Duration) {
@@ -232,8 +241,8 @@
 // recordEvent records an event of the request in the event log.
 func (x *exchange) recordEvent(kind, address, detail string) {
 	e := x.newEvent(kind, address, detail)
-	if x.fingerprint != 0 {
-		e.Content = quarantine.FormatFingerprint(x.fingerprint)
+	if x.content.Fingerprint != 0 {
+		e.Content = quarantine.FormatFingerprint(x.content.Fingerprint)
 	}
 	x.g.Recorder.Record(e)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -68,7 +68,7 @@
 	}
 	switch {
 	case err == nil:
-		x.reportPassed()
+		x.reportAnswered()
 		run.End(fleet.EndedOK, now)
 		x.g.Metrics.observeLongestPause(x.stream.longestPause)
 		x.recordServed(run.Address, http.StatusOK, nil)
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/bamboostep/bamboostep/fleet"
@@ -24,13 +25,13 @@
 // admitByQuarantine looks the request up in the quarantine, and returns false if it is
 // rejected.
 func (x *exchange) admitByQuarantine() bool {
-	x.quarantineVerdict = x.g.Quarantine.Admit(x.r.Context(), time.Now(), x.fingerprint)
+	x.quarantineVerdict = x.g.Quarantine.Admit(x.r.Context(), time.Now(), x.content)
 	return !x.quarantineVerdict.Refused
 }
 
 // recheckQuarantine repeats the lookup for a request that was admitted before.
 func (x *exchange) recheckQuarantine() bool {
-	x.quarantineVerdict = x.g.Quarantine.Evaluate(time.Now(), x.fingerprint)
+	x.quarantineVerdict = x.g.Quarantine.Evaluate(time.Now(), x.content)
 	return !x.quarantineVerdict.Refused
 }
 
@@ -53,12 +54,29 @@
 	if run.Leaving() {
 		return // a shutdown, not a crash
 	}
-	x.g.Quarantine.ReportInterrupted(x.r.Context(), run.Address, x.fingerprint, x.stream.position())
+	x.g.Quarantine.ReportInterrupted(x.r.Context(), run.Address, x.content, x.stream.position())
 }
 
 // reportPassed tells the quarantine of a response that is complete, or that got further
 // than it was when backend servers crashed.
 func (x *exchange) reportPassed() {
-	x.g.Quarantine.Clear(time.Now(), x.fingerprint)
+	x.g.Quarantine.Clear(time.Now(), x.content.Fingerprint)
 	x.quarantineVerdict = quarantine.Verdict{}
 }
+
+// reportAnswered tells the quarantine of a complete response with a status of success.
+func (x *exchange) reportAnswered() {
+	x.reportPassed()
+	x.g.Quarantine.ClearParts(time.Now(), x.content.Parts)
+}
+
+// refuseCrashing rejects a request that crashes backend servers, and names the part of its prompt
+// that does, if it is one.
+func (x *exchange) refuseCrashing() {
+	v := x.quarantineVerdict
+	detail := ""
+	if v.Part != 0 {
+		detail = "for prompt part " + x.call.PartID(v.Part) + ", content " + quarantine.FormatFingerprint(v.Part) + ", at " + strconv.Itoa(v.Crashes) + " crashes"
+	}
+	x.refuseWithDetail(reasonCrashes, detail, v.RetryAfter)
+}
--- a/quarantine/distribution.go
+++ b/quarantine/distribution.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -18,7 +19,7 @@
 // voter, recovers the records as soon as it is connected to another.
 
 const (
-	kindNote  = "quarantine.note"  // entry to voter: a recordsMessage; no reply
+	kindNote  = "quarantine.note"  // entry to voter: Observations; no reply
 	kindWatch = "quarantine.watch" // entry to voter: a watchRequest, answered by a watchReply; a long poll
 	kindTry   = "quarantine.try"   // entry to voter: a trialRequest, answered by a trialReply
 
@@ -28,11 +29,6 @@
 	watchInterval    = 100 * time.Millisecond // pause between two watches, so that changes are batched
 )
 
-// recordsMessage carries crash records. It is also the content of File.
-type recordsMessage struct {
-	Records []Record `msgpack:"records"`
-}
-
 // watchRequest asks for the changes after a version of the voter's table.
 type watchRequest struct {
 	AfterVersion uint64 `msgpack:"newer"`
@@ -42,12 +38,17 @@
 type watchReply struct {
 	Version uint64   `msgpack:"number"`
 	Records []Record `msgpack:"records"`
-	Crashes []Crash  `msgpack:"crashes"` // new crashes, including those of requests that Records does not contain
+	Crashes []Crash  `msgpack:"crashes"`         // new crashes, including those of suspects that the reply does not contain
+	Parts   []Record `msgpack:"parts,omitempty"` // of parts of prompts
 }
 
-// trialRequest asks whether a request whose refusal has expired may run once.
+// trialRequest asks whether a request may run once, since its refusal or that of a part of its
+// prompt has expired.
 type trialRequest struct {
 	Fingerprint uint64 `msgpack:"content"`
+	Part        bool   `msgpack:"part,omitempty"`    // it is that of a part of prompts
+	Token       uint64 `msgpack:"token,omitempty"`   // names the request for a trial
+	Release     bool   `msgpack:"release,omitempty"` // give the trial with this token back, if it was granted; no reply
 }
 
 // trialReply answers a trialRequest.
@@ -71,30 +72,32 @@
 }
 
 func (b *Aggregator) handleNote(m *wire.Message) {
-	var n recordsMessage
-	if m.Decode(&n) != nil {
+	var o Observations
+	if m.Decode(&o) != nil {
 		return // wire has closed the connection and counts the bad frame
 	}
 	now := time.Now()
-	changed := b.Table.Merge(now, n.Records)
-	for _, r := range changed {
-		b.logSuspect(now, r)
+	changed := Observations{b.Table.Merge(now, o.Records), b.Table.MergeParts(now, o.Parts)}
+	for _, r := range changed.Records {
+		b.logSuspect("request", r, b.Table.Evaluate(now, r.Fingerprint))
 	}
-	if len(changed) > 0 && b.OnChange != nil {
+	for _, r := range changed.Parts {
+		b.logSuspect("prompt_part", r, b.Table.EvaluateParts(now, []uint64{r.Fingerprint}))
+	}
+	if !changed.empty() && b.OnChange != nil {
 		b.OnChange()
 	}
 }
 
-// logSuspect records an event for a request with suspectThreshold crashes or more, and
-// whether it is refused.
-func (b *Aggregator) logSuspect(now time.Time, r Record) {
+// logSuspect records an event for a request or a part of prompts with suspectThreshold crashes or
+// more, and whether it is refused.
+func (b *Aggregator) logSuspect(kind string, r Record, v Verdict) {
 	if len(r.Crashes) < suspectThreshold {
 		return
 	}
-	e := timeline.Event{Kind: "request_suspected", Content: FormatFingerprint(r.Fingerprint), VM: r.Crashes[len(r.Crashes)-1].Address}
-	v := b.Table.Evaluate(now, r.Fingerprint)
+	e := timeline.Event{Kind: kind + "_suspected", Content: FormatFingerprint(r.Fingerprint), VM: r.Crashes[len(r.Crashes)-1].Address}
 	if v.Refused {
-		e.Kind = "request_quarantined"
+		e.Kind = kind + "_quarantined"
 	}
 	e.Detail = fmt.Sprintf("at %d crashes, refused for %s", len(r.Crashes), v.RetryAfter.Round(time.Second))
 	b.Recorder.Record(e)
@@ -120,7 +123,12 @@
 	if m.Decode(&call) != nil {
 		return // wire has closed the connection and counts the bad frame
 	}
-	_ = m.Reply(trialReply{b.Table.grantTrial(time.Now(), call.Fingerprint)}) // on an error the entry counts it as not granted
+	id := SuspectID{call.Fingerprint, call.Part}
+	if call.Release {
+		b.Table.releaseTrial(id, call.Token)
+		return
+	}
+	_ = m.Reply(trialReply{b.Table.grantTrial(time.Now(), id, call.Token)}) // on an error the entry counts it as not granted
 }
 
 // Follower exchanges crash records with the voters on an entry. Set the exported fields
@@ -136,26 +144,28 @@
 // Synced reports whether any voter has answered a watch.
 func (f *Follower) Synced() bool { return f.synced.Load() }
 
-// Broadcast sends records to all connected voters.
-func (f *Follower) Broadcast(records []Record) {
+// Broadcast sends observations to all connected voters.
+func (f *Follower) Broadcast(o Observations) {
 	conns, _ := f.Voters()
 	for _, c := range conns {
-		_ = c.Send(kindNote, recordsMessage{records}) // after a failure, Watch sends all records on the next connection
+		_ = c.Send(kindNote, o) // after a failure, Watch sends all records on the next connection
 	}
 }
 
-// RequestTrial asks all voters for a trial of a request whose refusal has expired, and reports
-// whether a majority of all voters, connected or not, has granted it. It takes at most
-// trialCallTimeout.
-func (f *Follower) RequestTrial(ctx context.Context, fingerprint uint64) bool {
+// RequestTrial asks all voters for a trial of a suspect whose refusal has expired, and reports
+// whether a majority of all voters, connected or not, has granted it. If not, it gives back what
+// was granted, so that entries that ask at the same time do not keep each other from a majority.
+// It takes at most trialCallTimeout.
+func (f *Follower) RequestTrial(ctx context.Context, id SuspectID) bool {
 	ctx, cancel := context.WithTimeout(ctx, trialCallTimeout)
 	defer cancel()
+	call := trialRequest{Fingerprint: id.Fingerprint, Part: id.Part, Token: rand.Uint64()}
 	conns, all := f.Voters()
 	replies := make(chan bool, len(conns))
 	for _, c := range conns {
 		go func() {
 			var r trialReply
-			err := c.Call(ctx, kindTry, trialRequest{fingerprint}, &r)
+			err := c.Call(ctx, kindTry, call, &r)
 			replies <- err == nil && r.Granted
 		}()
 	}
@@ -165,14 +175,21 @@
 			granted++
 		}
 	}
-	f.Recorder.Record(timeline.Event{Kind: "suspect_tried", Content: FormatFingerprint(fingerprint), Detail: fmt.Sprintf("%d of %d voters granted the trial", granted, all)})
-	return granted > all/2
+	f.Recorder.Record(timeline.Event{Kind: "suspect_tried", Content: FormatFingerprint(id.Fingerprint), Detail: fmt.Sprintf("%d of %d voters granted the trial", granted, all)})
+	if granted > all/2 {
+		return true
+	}
+	call.Release = true
+	for _, c := range conns {
+		_ = c.Send(kindTry, call) // otherwise the trial expires
+	}
+	return false
 }
 
 // Watch sends all records to one voter and merges its changes until the connection or ctx
 // ends. It closes a connection on which a watch fails.
 func (f *Follower) Watch(ctx context.Context, c *wire.Conn) {
-	_ = c.Send(kindNote, recordsMessage{f.Table.Records()}) // fails only if the connection has ended
+	_ = c.Send(kindNote, Observations{f.Table.Records(), f.Table.PartRecords()}) // fails only if the connection has ended
 	var version uint64
 	for ctx.Err() == nil && c.Err() == nil {
 		var reply watchReply
@@ -185,7 +202,9 @@
 		}
 		version = reply.Version
 		f.Table.MergeCrashes(reply.Crashes)
-		f.Table.Merge(time.Now(), reply.Records)
+		now := time.Now()
+		f.Table.Merge(now, reply.Records)
+		f.Table.MergeParts(now, reply.Parts)
 		f.synced.Store(true)
 		timer.Sleep(ctx, watchInterval)
 	}
--- a/quarantine/distribution_test.go
+++ b/quarantine/distribution_test.go
@@ -114,11 +114,11 @@
 func (e *testEntry) observeCrash(fingerprint uint64, server string, ago int) {
 	r := Record{Fingerprint: fingerprint, Crashes: []Crash{{Address: server, At: time.Now().Add(-time.Duration(ago) * time.Second).UnixMilli()}}}
 	e.guard.Table.Merge(time.Now(), []Record{r})
-	e.guard.Broadcast([]Record{r})
+	e.guard.Broadcast(Observations{Records: []Record{r}})
 }
 
 func (e *testEntry) refuses(fingerprint uint64) func() bool {
-	return func() bool { return e.guard.Evaluate(time.Now(), fingerprint).Refused }
+	return func() bool { return e.guard.Evaluate(time.Now(), Content{Fingerprint: fingerprint}).Refused }
 }
 
 // TestCrashesSeenByDifferentEntriesAddUp guards against a request that crashes a backend
@@ -168,6 +168,61 @@
 	awaitCondition(t, "refusal after a restart of all processes", startEntry(t, v).refuses(7))
 }
 
+// observePartCrashes makes an entry observe crashes of three backend servers under prompts with
+// the given parts, while others are answered well.
+func (e *testEntry) observePartCrashes(parts ...uint64) {
+	for i := range refuseThreshold {
+		at := time.Now().Add(time.Duration(2*i-6) * time.Second)
+		o := crashObservations(fmt.Sprint("10.0.0.", i), at, []interruption{{content: Content{Fingerprint: uint64(100 + i), Parts: parts}}}, 1)
+		e.guard.Table.Merge(time.Now(), o.Records)
+		e.guard.Table.MergeParts(time.Now(), o.Parts)
+		e.guard.Broadcast(o)
+	}
+}
+
+func (e *testEntry) refusesPart(parts ...uint64) func() bool {
+	return func() bool { return e.guard.Evaluate(time.Now(), Content{Fingerprint: 1, Parts: parts}).Refused }
+}
+
+// TestPartRefusalSurvivesRestarts guards against a part of prompts that crashes backend servers
+// again once processes have restarted (issue 31): an entry, a voter without its disk, then all at
+// once. A sound prompt clears the part that it shares, at all entries.
+func TestPartRefusalSurvivesRestarts(t *testing.T) {
+	const shared, deadly = 7, 8
+	file := filepath.Join(t.TempDir(), "quarantine")
+	v := startVoter(t, "127.0.0.1:0", file)
+	e := startEntry(t, v)
+	e.observePartCrashes(shared, deadly)
+	other := startEntry(t, v)
+	awaitCondition(t, "records of both parts", func() bool { return len(withCrashes(other.guard.Table.PartRecords(), refuseThreshold)) == 2 })
+	if other.refusesPart(shared)() {
+		t.Error("sound prompt: got it refused, want it admitted")
+	}
+	other.guard.ClearParts(time.Now(), []uint64{shared})
+	awaitCondition(t, "clearing at another entry", func() bool { return len(withCrashes(e.guard.Table.PartRecords(), 1)) == 1 })
+	awaitCondition(t, "refusal by an entry started later", other.refusesPart(shared, deadly))
+
+	e.stop()
+	e = startEntry(t, v)
+	awaitCondition(t, "refusal by a restarted entry", e.refusesPart(shared, deadly))
+
+	v.stop()
+	v = startVoter(t, v.address, "")
+	awaitCondition(t, "records at a voter that lost its disk", func() bool { return len(withCrashes(v.table.PartRecords(), refuseThreshold)) == 1 })
+
+	e.stop()
+	other.stop()
+	v.stop()
+	v = startVoter(t, v.address, file)
+	e = startEntry(t, v)
+	awaitCondition(t, "refusal after a restart of all processes", e.refusesPart(shared, deadly))
+	if e.refusesPart(shared)() {
+		t.Error("sound prompt after a restart of all processes: got it refused, want it admitted")
+	}
+	e.guard.ClearParts(time.Now(), []uint64{deadly})
+	awaitCondition(t, "end of the refusal", func() bool { return !e.refusesPart(shared, deadly)() })
+}
+
 // TestClearingReachesAllEntries clears a request at one entry that others refuse.
 func TestClearingReachesAllEntries(t *testing.T) {
 	v := startVoter(t, "127.0.0.1:0", "")
@@ -177,7 +232,7 @@
 	}
 	awaitCondition(t, "refusal by the other entry", b.refuses(7))
 	b.guard.Clear(time.Now(), 7)
-	awaitCondition(t, "end of the refusal", func() bool { return a.guard.Evaluate(time.Now(), 7) == Verdict{} })
+	awaitCondition(t, "end of the refusal", func() bool { return a.guard.Evaluate(time.Now(), Content{Fingerprint: 7}) == Verdict{} })
 }
 
 // TestTrialRequiresMajority requests a trial at two entries, first with all three voters,
@@ -194,7 +249,7 @@
 		awaitCondition(t, "expiry of all refusals", func() bool {
 			n := 0
 			for fingerprint := range uint64(3) {
-				if v := e.guard.Evaluate(time.Now(), fingerprint); v.Trial && !v.Refused {
+				if v := e.guard.Evaluate(time.Now(), Content{Fingerprint: fingerprint}); v.Trial && !v.Refused {
 					n++
 				}
 			}
@@ -207,7 +262,7 @@
 		}
 		got := 0
 		for _, e := range []*testEntry{a, b} {
-			if !e.guard.Admit(t.Context(), time.Now(), uint64(gone)).Refused {
+			if !e.guard.Admit(t.Context(), time.Now(), Content{Fingerprint: uint64(gone)}).Refused {
 				got++
 			}
 		}
--- a/quarantine/file.go
+++ b/quarantine/file.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io/fs"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -36,15 +37,17 @@
 	if errors.Is(err, fs.ErrNotExist) {
 		return
 	}
-	var n recordsMessage
+	var o Observations
 	if err == nil {
-		err = msgpack.Unmarshal(body, &n)
+		err = msgpack.Unmarshal(body, &o)
 	}
 	if err != nil {
 		f.Recorder.Record(timeline.Event{Kind: "quarantine_not_restored", Detail: err.Error()})
 		return
 	}
-	f.Table.Merge(time.Now(), n.Records)
+	now := time.Now()
+	f.Table.Merge(now, o.Records)
+	f.Table.MergeParts(now, o.Parts)
 }
 
 // ScheduleSave schedules a save. It does not block.
@@ -81,13 +84,8 @@
 // save writes the records with at least suspectThreshold crashes. Records with one crash are
 // numerous when many backend servers crash, and do not restrict their requests.
 func (f *File) save() {
-	var n recordsMessage
-	for _, r := range f.Table.Records() {
-		if len(r.Crashes) >= suspectThreshold {
-			n.Records = append(n.Records, r)
-		}
-	}
-	body, err := msgpack.Marshal(n)
+	o := Observations{withCrashes(f.Table.Records(), suspectThreshold), withCrashes(f.Table.PartRecords(), suspectThreshold)}
+	body, err := msgpack.Marshal(o)
 	if err == nil {
 		err = sumfile.Write(f.Path, body)
 	}
@@ -95,3 +93,8 @@
 		f.Recorder.Record(timeline.Event{Kind: "quarantine_not_saved", Detail: err.Error()})
 	}
 }
+
+// withCrashes returns the records with at least n crashes.
+func withCrashes(records []Record, n int) []Record {
+	return slices.DeleteFunc(records, func(r Record) bool { return len(r.Crashes) < n })
+}
--- a/quarantine/frames_test.go
+++ b/quarantine/frames_test.go
@@ -10,7 +10,7 @@
 var framedTypes = map[string]any{
 	"crash":       Crash{},
 	"record":      Record{},
-	"note":        recordsMessage{},
+	"note":        Observations{},
 	"try_call":    trialRequest{},
 	"try_reply":   trialReply{},
 	"watch_call":  watchRequest{},
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -26,8 +26,8 @@
 // requests run.
 type Guard struct {
 	Table        *Table
-	Broadcast    func([]Record)                                     // sends records to the voters
-	RequestTrial func(ctx context.Context, fingerprint uint64) bool // asks the voters for a trial
+	Broadcast    func(Observations)                           // sends observations to the voters
+	RequestTrial func(ctx context.Context, id SuspectID) bool // asks the voters for a trial
 	Recorder     *timeline.Recorder
 	Metrics      *Metrics // may be nil
 
@@ -44,8 +44,8 @@
 
 // interruption is a request whose response stream broke off.
 type interruption struct {
-	fingerprint uint64
-	events      int // response events received before
+	content Content
+	events  int // response events received before
 }
 
 // FormatFingerprint formats a request's fingerprint for logs, in hexadecimal.
@@ -54,9 +54,12 @@
 // Admit decides whether and how a new request may run. If its refusal has expired, Admit
 // asks the voters for a trial, and refuses the request for trialDuration if they do not
 // grant it.
-func (g *Guard) Admit(ctx context.Context, now time.Time, fingerprint uint64) Verdict {
-	v := g.Evaluate(now, fingerprint)
-	if v.Trial && !v.Refused && !g.RequestTrial(ctx, fingerprint) {
+func (g *Guard) Admit(ctx context.Context, now time.Time, c Content) Verdict {
+	v := g.Evaluate(now, c)
+	if !v.Trial || v.Refused {
+		return v
+	}
+	if !g.RequestTrial(ctx, v.suspect(c.Fingerprint)) {
 		v.Refused, v.RetryAfter = true, trialDuration
 	}
 	return v
@@ -64,11 +67,17 @@
 
 // Evaluate decides whether and how a request may run that was admitted before, for example to
 // retry it. It does not ask the voters.
-func (g *Guard) Evaluate(now time.Time, fingerprint uint64) Verdict {
+func (g *Guard) Evaluate(now time.Time, c Content) Verdict {
 	if g == nil {
 		return Verdict{}
 	}
-	return g.Table.Evaluate(now, fingerprint)
+	v := g.Table.Evaluate(now, c.Fingerprint)
+	byPart := g.Table.EvaluateParts(now, c.Parts)
+	if byPart.Refused && byPart.RetryAfter >= v.RetryAfter || byPart.Trial && !v.Trial {
+		byPart.Isolated, byPart.ClearAfterEvents = v.Isolated, v.ClearAfterEvents
+		return byPart
+	}
+	return v
 }
 
 // Clear records that a request has completed or got further than it did before its
@@ -78,18 +87,29 @@
 		return
 	}
 	if r, ok := g.Table.Clear(now, fingerprint); ok {
-		g.Broadcast([]Record{r})
+		g.Broadcast(Observations{Records: []Record{r}})
+	}
+}
+
+// ClearParts records that a prompt with the given parts was answered well, and sends the clearing
+// of those that were suspects to the voters.
+func (g *Guard) ClearParts(now time.Time, parts []uint64) {
+	if g == nil {
+		return
+	}
+	if cleared := g.Table.ClearParts(now, parts); len(cleared) > 0 {
+		g.Broadcast(Observations{Parts: cleared})
 	}
 }
 
 // ReportInterrupted records that a response stream broke off after some events, and checks whether the
 // backend server crashed. It returns after the first dial of the check, after
 // maxCheckWait or when ctx ends; a second dial runs in the background.
-func (g *Guard) ReportInterrupted(ctx context.Context, address string, fingerprint uint64, events int) {
+func (g *Guard) ReportInterrupted(ctx context.Context, address string, content Content, events int) {
 	if g == nil {
 		return
 	}
-	c := g.joinCheck(address, interruption{fingerprint, events})
+	c := g.joinCheck(address, interruption{content, events})
 	t := time.NewTimer(maxCheckWait)
 	defer t.Stop()
 	select {
@@ -148,10 +168,28 @@
 	}
 	g.Metrics.countCrash()
 	g.Recorder.Record(timeline.Event{Kind: "backend_server_crashed", VM: address, Detail: fmt.Sprintf("%d requests interrupted; connection refused on dial", len(interrupted))})
-	records := make([]Record, 0, len(interrupted))
-	for _, b := range interrupted {
-		records = append(records, Record{Fingerprint: b.fingerprint, Crashes: []Crash{{Address: address, At: c.startedAt.UnixMilli(), Events: b.events}}})
+	now := time.Now()
+	o := crashObservations(address, c.startedAt, interrupted, g.Table.recentAnswers(now))
+	g.Table.Merge(now, o.Records)
+	g.Table.MergeParts(now, o.Parts)
+	g.Broadcast(o)
+}
+
+// crashObservations returns the records of the requests that a crash interrupted, and of the parts
+// of their prompts. answers is over 0 if a prompt was answered well shortly before.
+func crashObservations(address string, at time.Time, interrupted []interruption, answers int) Observations {
+	var o Observations
+	seen := make(map[uint64]bool) // parts
+	for _, i := range interrupted {
+		crash := Crash{Address: address, At: at.UnixMilli(), Events: i.events}
+		o.Records = append(o.Records, Record{Fingerprint: i.content.Fingerprint, Crashes: []Crash{crash}})
+		for _, part := range i.content.Parts {
+			if seen[part] {
+				continue
+			}
+			seen[part] = true
+			o.Parts = append(o.Parts, Record{Fingerprint: part, Crashes: []Crash{{Address: address, At: at.UnixMilli(), Events: answers}}})
+		}
 	}
-	g.Table.Merge(time.Now(), records)
-	g.Broadcast(records)
+	return o
 }
--- a/quarantine/metrics.go
+++ b/quarantine/metrics.go
@@ -16,7 +16,11 @@
 	r.MustRegister(m.crashes, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "bamboostep", Subsystem: "quarantine", Name: "suspects",
 		Help: "Requests that were at two crashes of backend servers or more.",
-	}, func() float64 { return float64(t.countSuspects()) }))
+	}, func() float64 { return float64(len(withCrashes(t.Records(), suspectThreshold))) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "bamboostep", Subsystem: "quarantine", Name: "prompt_part_suspects",
+			Help: "Parts of prompts that were at two crashes of backend servers or more, and in no answer that went well since.",
+		}, func() float64 { return float64(len(withCrashes(t.PartRecords(), suspectThreshold))) }))
 	return m
 }
 
@@ -25,16 +29,3 @@
 		m.crashes.Inc()
 	}
 }
-
-// countSuspects counts the requests with at least suspectThreshold crashes.
-func (t *Table) countSuspects() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, s := range t.suspects {
-		if len(s.crashes) >= suspectThreshold {
-			n++
-		}
-	}
-	return n
-}
--- a/quarantine/property_test.go
+++ b/quarantine/property_test.go
@@ -55,11 +55,11 @@
 // String names the crash in messages of a failed test.
 func (c simCrash) String() string { return c.server.address + "@" + c.at.String() }
 
-// simMessage is a message with records on its way to a voter or an entry.
+// simMessage is a message with observations on its way to a voter or an entry.
 type simMessage struct {
-	deliverAt time.Duration
-	receiver  *Table
-	records   []Record
+	deliverAt    time.Duration
+	receiver     *Table
+	observations Observations
 }
 
 // simCrash is one crash of one backend server.
@@ -71,8 +71,11 @@
 type simRequest struct {
 	number          int
 	fingerprint     uint64
+	parts           []uint64 // of its prompt, that others may share
 	culprit         bool
+	deadlyPart      uint64 // of parts, for a culprit that crashes backend servers for it
 	timeToComplete  time.Duration
+	sentAt          time.Duration // for the first time
 	entry           *simEntry
 	server          *simServer
 	startedAt       time.Duration
@@ -82,22 +85,23 @@
 	attemptsPerSend int
 	sendInterval    time.Duration
 
-	crashes       []simCrash
-	alone         int // crashes without a culprit
-	dispatchedAt  []time.Duration
-	done          bool
-	refused       int           // sends that were refused
-	maxRetryAfter time.Duration // longest RetryAfter of a refusal
+	crashes        []simCrash
+	alone          int // crashes without a culprit
+	dispatchedAt   []time.Duration
+	done           bool
+	refused        int           // sends that were refused
+	refusedForPart int           // of those, for a part of the prompt
+	maxRetryAfter  time.Duration // longest RetryAfter of a refusal
 }
 
 func (s *crashSim) wallTime() time.Time { return time.UnixMilli(1_700_000_000_000).Add(s.now) }
 
 func (s *crashSim) randomEntry() *simEntry { return s.entries[s.rng.IntN(len(s.entries))] }
 
-// sendToVoters sends records to all voters, which forward them to all entries.
-func (s *crashSim) sendToVoters(records []Record) {
+// sendToVoters sends observations to all voters, which forward them to all entries.
+func (s *crashSim) sendToVoters(o Observations) {
 	for _, v := range s.voters {
-		s.messages = append(s.messages, simMessage{s.now + s.netDelay(), v, records})
+		s.messages = append(s.messages, simMessage{s.now + s.netDelay(), v, o})
 	}
 }
 
@@ -116,12 +120,13 @@
 			undelivered = append(undelivered, m)
 			continue
 		}
-		m.receiver.Merge(s.wallTime(), m.records)
+		m.receiver.Merge(s.wallTime(), m.observations.Records)
+		m.receiver.MergeParts(s.wallTime(), m.observations.Parts)
 		if slices.Contains(s.voters, m.receiver) {
 			reply, _ := m.receiver.changesSince(0)
 			for _, e := range s.entries {
 				e.table.MergeCrashes(reply.Crashes)
-				s.messages = append(s.messages, simMessage{s.now + s.netDelay(), e.table, reply.Records})
+				s.messages = append(s.messages, simMessage{s.now + s.netDelay(), e.table, Observations{reply.Records, reply.Parts}})
 			}
 		}
 	}
@@ -132,9 +137,9 @@
 // observe the crash.
 func (s *crashSim) crash(v *simServer, byCulprit bool) {
 	v.downUntil = s.now + time.Duration(1500+s.rng.IntN(2500))*time.Millisecond
-	observed := make(map[*simEntry][]Record)
+	observed := make(map[*simEntry][]interruption)
 	for _, r := range slices.SortedFunc(maps.Keys(v.running), func(a, b *simRequest) int { return cmp.Compare(a.number, b.number) }) {
-		observed[r.entry] = append(observed[r.entry], Record{Fingerprint: r.fingerprint, Crashes: []Crash{{Address: v.address, At: s.wallTime().UnixMilli()}}})
+		observed[r.entry] = append(observed[r.entry], interruption{content: Content{r.fingerprint, r.parts}})
 		r.server = nil
 		r.crashes = append(r.crashes, simCrash{v, s.now})
 		if !byCulprit {
@@ -145,9 +150,11 @@
 	}
 	clear(v.running)
 	for _, e := range s.entries {
-		if records := observed[e]; records != nil {
-			e.table.Merge(s.wallTime(), records)
-			s.sendToVoters(records)
+		if interrupted := observed[e]; interrupted != nil {
+			o := crashObservations(v.address, s.wallTime(), interrupted, e.table.recentAnswers(s.wallTime()))
+			e.table.Merge(s.wallTime(), o.Records)
+			e.table.MergeParts(s.wallTime(), o.Parts)
+			s.sendToVoters(o)
 		}
 	}
 }
@@ -209,12 +216,16 @@
 	}
 }
 
-// complete ends a request successfully and clears it.
+// complete ends a request successfully and clears it and the parts of its prompt.
 func (s *crashSim) complete(r *simRequest) {
 	delete(r.server.running, r)
 	r.server, r.done = nil, true
+	var o Observations
 	if cleared, ok := r.entry.table.Clear(s.wallTime(), r.fingerprint); ok {
-		s.sendToVoters([]Record{cleared})
+		o.Records = []Record{cleared}
+	}
+	if o.Parts = r.entry.table.ClearParts(s.wallTime(), r.parts); !o.empty() {
+		s.sendToVoters(o)
 	}
 }
 
@@ -225,12 +236,15 @@
 		s.resend(r)
 		return
 	}
-	verdict := r.entry.table.Evaluate(s.wallTime(), r.fingerprint)
-	if verdict.Trial && !verdict.Refused && r.attemptsLeft == r.attemptsPerSend && !s.trialGranted(r.fingerprint) {
+	verdict := (&Guard{Table: r.entry.table}).Evaluate(s.wallTime(), Content{r.fingerprint, r.parts})
+	if verdict.Trial && !verdict.Refused && r.attemptsLeft == r.attemptsPerSend && !s.trialGranted(verdict.suspect(r.fingerprint)) {
 		verdict.Refused, verdict.RetryAfter = true, trialDuration
 	}
 	if verdict.Refused {
 		r.refused++
+		if verdict.Part != 0 {
+			r.refusedForPart++
+		}
 		r.maxRetryAfter = max(r.maxRetryAfter, verdict.RetryAfter)
 		s.resend(r)
 		return
@@ -249,14 +263,21 @@
 }
 
 // trialGranted reports whether a majority of the voters grants a trial.
-func (s *crashSim) trialGranted(fingerprint uint64) bool {
+func (s *crashSim) trialGranted(id SuspectID) bool {
+	token := s.rng.Uint64()
 	granted := 0
 	for _, v := range s.voters {
-		if v.grantTrial(s.wallTime(), fingerprint) {
+		if v.grantTrial(s.wallTime(), id, token) {
 			granted++
 		}
 	}
-	return granted > len(s.voters)/2
+	if granted > len(s.voters)/2 {
+		return true
+	}
+	for _, v := range s.voters {
+		v.releaseTrial(id, token)
+	}
+	return false
 }
 
 // resend makes the caller send the request again to a random entry, if it has sends left.
@@ -272,7 +293,7 @@
 func (s *crashSim) addRequest(fingerprint uint64, culprit bool, sends, attempts int, interval time.Duration) *simRequest {
 	s.requestCount++
 	r := &simRequest{number: s.requestCount, fingerprint: fingerprint, culprit: culprit, sendsLeft: sends, attemptsLeft: attempts, attemptsPerSend: attempts, sendInterval: interval,
-		entry: s.randomEntry(), nextTryAt: s.now, timeToComplete: time.Duration(60+s.rng.IntN(600)) * time.Millisecond}
+		entry: s.randomEntry(), sentAt: s.now, nextTryAt: s.now, timeToComplete: time.Duration(60+s.rng.IntN(600)) * time.Millisecond}
 	if culprit {
 		s.culprits = append(s.culprits, r)
 	} else {
@@ -301,6 +322,7 @@
 	reply, _ := s.voters[s.rng.IntN(len(s.voters))].changesSince(0)
 	e.table = &Table{}
 	e.table.Merge(s.wallTime(), reply.Records)
+	e.table.MergeParts(s.wallTime(), reply.Parts)
 }
 
 // TestCulpritsAreRefusedInnocentsAreNot guards against requests that crash one backend
@@ -351,6 +373,14 @@
 	return 36 * time.Hour
 }
 
+// distinctCrashes returns the crashes in order, each once.
+func distinctCrashes(list []simCrash) []simCrash {
+	slices.SortFunc(list, func(a, b simCrash) int {
+		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server.address, b.server.address))
+	})
+	return slices.Compact(list)
+}
+
 func (s *crashSim) checkBounds(t *rapid.T) {
 	crashes, reached := make(map[uint64][]simCrash), make(map[uint64][]time.Duration)
 	for _, r := range s.culprits {
@@ -358,10 +388,7 @@
 		reached[r.fingerprint] = append(reached[r.fingerprint], r.dispatchedAt...)
 	}
 	for fingerprint, at := range crashes {
-		slices.SortFunc(at, func(a, b simCrash) int {
-			return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.server.address, b.server.address))
-		})
-		at = slices.Compact(at)
+		at = distinctCrashes(at)
 		if len(at) < refuseThreshold {
 			continue
 		}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,5 +1,5 @@
-// Package quarantine detects requests that crash the backend servers that run them, and
-// refuses them.
+// Package quarantine detects requests, and parts of prompts, that crash the backend servers that
+// run them, and refuses them.
 //
 // A request may crash every backend server that starts to run it, and its caller may
 // resend it to any entry. A crash also interrupts all requests that run beside the
@@ -17,6 +17,9 @@
 //     majority of the voters grants it.
 //   - A request that completes, or gets further than it did before its crashes, is cleared.
 //
+// Requests that have nothing but a part of their prompts in common may crash backend servers too.
+// The parts are suspects like whole requests, in part_verdict.go.
+//
 // The main difficulty is to tell the culprit from the requests that ran beside it.
 // Suspects are therefore retried isolated from each other: after a random delay and on
 // a randomly chosen backend server. A suspect that shared its crashes with other suspects is
@@ -36,7 +39,7 @@
 
 	Address string
 	At      int64 // Unix milliseconds, by the clock of the entry that observed it
-	Events  int   // number of response events that the request had received by then
+	Events  int   // number of response events that the request had received by then; for a part, over 0 if a prompt was answered well shortly before
 }
 
 // crashWindowMillis is the largest difference between the times at which two entries
@@ -48,12 +51,12 @@
 	return c.Address == o.Address && max(c.At-o.At, o.At-c.At) < crashWindowMillis
 }
 
-// Record holds the crash history of one request. It is immutable.
+// Record holds the crash history of one request, or of one part of prompts. It is immutable.
 type Record struct {
 	//lint:ignore U1000 the codec reads its tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Fingerprint uint64  // identifies the request by its content
+	Fingerprint uint64  // identifies the request by its content, or the part by its ID
 	Crashes     []Crash // those after ClearedAt, oldest first
 	ClearedAt   int64   // Unix milliseconds; crashes up to this time are disregarded
 }
@@ -65,9 +68,14 @@
 func (r Record) merge(o Record) Record {
 	merged := Record{Fingerprint: r.Fingerprint, ClearedAt: max(r.ClearedAt, o.ClearedAt)}
 	for _, c := range slices.Concat(r.Crashes, o.Crashes) {
-		if c.At > merged.ClearedAt && !slices.ContainsFunc(merged.Crashes, c.matches) {
-			merged.Crashes = append(merged.Crashes, c)
+		if c.At <= merged.ClearedAt {
+			continue
+		}
+		if i := slices.IndexFunc(merged.Crashes, c.matches); i >= 0 {
+			merged.Crashes[i].Events = max(merged.Crashes[i].Events, c.Events)
+			continue
 		}
+		merged.Crashes = append(merged.Crashes, c)
 	}
 	slices.SortFunc(merged.Crashes, func(a, b Crash) int { return int(a.At - b.At) })
 	if over := len(merged.Crashes) - maxCrashesPerRecord; over > 0 {
@@ -92,6 +100,26 @@
 // lastUpdate returns the time of the newest crash or clearing in Unix milliseconds.
 func (r Record) lastUpdate() int64 { return max(r.lastCrash(), r.ClearedAt) }
 
+// Content identifies what a request holds.
+type Content struct {
+	Fingerprint uint64   // of the whole request
+	Parts       []uint64 // fingerprints of the parts of its prompt that other prompts may share
+}
+
+// SuspectID identifies a suspect.
+type SuspectID struct {
+	Fingerprint uint64
+	Part        bool // a part of prompts, not a whole request
+}
+
+// Observations is what processes tell each other of suspects. It is also the content of File.
+type Observations struct {
+	Records []Record `msgpack:"records"`         // of requests
+	Parts   []Record `msgpack:"parts,omitempty"` // of parts of prompts
+}
+
+func (o Observations) empty() bool { return len(o.Records) == 0 && len(o.Parts) == 0 }
+
 // Verdict says whether and how a request may run.
 type Verdict struct {
 	Crashes          int           // number of crashes since the request was last cleared
@@ -99,9 +127,18 @@
 	Refused          bool          // do not run it
 	RetryAfter       time.Duration // remaining refusal, if Refused
 	Trial            bool          // it was refused before; running it again needs a granted trial
+	Part             uint64        // fingerprint of the part of its prompt that is to blame; 0 if the request itself is
 	ClearAfterEvents int           // number of response events above which the request is cleared
 }
 
+// suspect returns the suspect that v is about: a part, or the request with the given fingerprint.
+func (v Verdict) suspect(request uint64) SuspectID {
+	if v.Part != 0 {
+		return SuspectID{Fingerprint: v.Part, Part: true}
+	}
+	return SuspectID{Fingerprint: request}
+}
+
 const (
 	suspectThreshold     = 2 // crashes from which a request runs isolated
 	refuseThreshold      = 3 // crashes from which it is refused
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -2,34 +2,39 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
 )
 
-// Table holds the crash records of all suspects that one process knows of. Records may arrive
+// Table holds the crash records of all suspects, requests and parts of prompts, that one process knows of. Records may arrive
 // in any order and more than once: tables that have received the same records give the same
 // verdicts. All methods are safe for concurrent use. The zero value is an empty table.
 type Table struct {
 	mu               sync.Mutex
-	suspects         map[uint64]*suspect // by fingerprint
+	requests         map[uint64]*suspect // by fingerprint
+	parts            map[uint64]*suspect // parts of prompts, by fingerprint
 	crashesByAddress map[string][]*knownCrash
 	crashesByTime    []*knownCrash // at most maxKnownCrashes, oldest first
 	version          uint64        // of the newest change
 	changed          chan struct{} // closed and replaced at each change
 	lastTrim         time.Time
+	partTrial        trial     // of any part
+	answeredAt       time.Time // when a prompt was last answered well here
 }
 
-// suspect is a request that was present at a crash.
+// suspect is a request, or a part of prompts, that was present at a crash.
 type suspect struct {
+	part      bool // a part of prompts
 	record    Record
 	crashes   []*knownCrash // the crashes of record, parallel to record.Crashes
 	version   uint64        // of its newest change
 	published bool          // has been at enough crashes to be sent to entries; stays set, so that they learn of its clearing
 
-	trialUntil     time.Time // end of the trial that was granted last
-	culpritVersion uint64    // version of the table for which culprit was computed
-	culprit        bool      // cached result of computeCulprit
+	trial          trial  // the last one, for a request
+	culpritVersion uint64 // version of the table for which culprit was computed
+	culprit        bool   // cached result of computeCulprit, for a request
 }
 
 // knownCrash is one crash with all suspects that were present at it.
@@ -40,33 +45,50 @@
 }
 
 const (
-	maxRecords      = 4096
+	maxRecords      = 4096 // of requests, and as many of parts of prompts
 	maxKnownCrashes = 256
 	retention       = 24 * time.Hour // after the last crash or clearing of a record
 
-	trimInterval  = time.Minute
-	trialDuration = 3 * time.Second // enough for a crash to happen and to be reported to the voters
+	trimInterval = time.Minute
 )
 
 func (t *Table) init() {
-	if t.suspects != nil {
+	if t.requests != nil {
 		return
 	}
-	t.suspects = make(map[uint64]*suspect)
+	t.requests = make(map[uint64]*suspect)
+	t.parts = make(map[uint64]*suspect)
 	t.crashesByAddress = make(map[string][]*knownCrash)
 	t.changed = make(chan struct{})
 	t.version = uint64(time.Now().UnixMilli()) // above the versions of an earlier run of this process
 }
 
-// Merge merges records received from another process or observed by this one. It returns
-// the merged records of the requests whose record changed.
+// suspects returns the requests, or the parts of prompts. mu is held.
+func (t *Table) suspects(part bool) map[uint64]*suspect {
+	if part {
+		return t.parts
+	}
+	return t.requests
+}
+
+// Merge merges records of requests received from another process or observed by this one. It
+// returns the merged records of those whose record changed.
 func (t *Table) Merge(now time.Time, records []Record) []Record {
+	return t.mergeAll(now, false, records)
+}
+
+// MergeParts is Merge for records of parts of prompts.
+func (t *Table) MergeParts(now time.Time, records []Record) []Record {
+	return t.mergeAll(now, true, records)
+}
+
+func (t *Table) mergeAll(now time.Time, part bool, records []Record) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.init()
 	var changed []Record
 	for _, r := range records {
-		if merged, ok := t.mergeRecord(r); ok {
+		if merged, ok := t.mergeRecord(part, r); ok {
 			changed = append(changed, merged)
 		}
 	}
@@ -92,34 +114,66 @@
 // than it did before them. It returns the record to send to the other processes, and false
 // if the request has no crashes.
 func (t *Table) Clear(now time.Time, fingerprint uint64) (Record, bool) {
+	return t.clear(now, false, fingerprint)
+}
+
+// ClearParts disregards the crashes so far of parts of a prompt that was answered well. It
+// returns the records to send to the other processes.
+func (t *Table) ClearParts(now time.Time, parts []uint64) []Record {
+	t.mu.Lock()
+	t.answeredAt = now
+	t.mu.Unlock()
+	var cleared []Record
+	for _, fingerprint := range parts {
+		if r, ok := t.clear(now, true, fingerprint); ok {
+			cleared = append(cleared, r)
+		}
+	}
+	return cleared
+}
+
+// recentAnswers returns 1 if a prompt was answered well within contrastWindow, else 0.
+func (t *Table) recentAnswers(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.answeredAt) < contrastWindow {
+		return 1
+	}
+	return 0
+}
+
+func (t *Table) clear(now time.Time, part bool, fingerprint uint64) (Record, bool) {
 	t.mu.Lock()
-	s := t.suspects[fingerprint]
+	s := t.suspects(part)[fingerprint]
 	if s == nil || len(s.crashes) == 0 {
 		t.mu.Unlock()
 		return Record{}, false
 	}
 	cleared := Record{Fingerprint: fingerprint, ClearedAt: max(now.UnixMilli(), s.record.lastCrash())}
 	t.mu.Unlock()
-	t.Merge(now, []Record{cleared})
+	t.mergeAll(now, part, []Record{cleared})
 	return cleared, true
 }
 
 // mergeRecord merges one record. It returns the merged record, and false if nothing changed.
 // mu is held.
-func (t *Table) mergeRecord(r Record) (Record, bool) {
-	s := t.suspects[r.Fingerprint]
+func (t *Table) mergeRecord(part bool, r Record) (Record, bool) {
+	s := t.suspects(part)[r.Fingerprint]
 	if s == nil {
 		if len(r.Crashes) == 0 {
 			return Record{}, false
 		}
-		s = &suspect{record: Record{Fingerprint: r.Fingerprint}}
-		t.suspects[r.Fingerprint] = s
+		s = &suspect{part: part, record: Record{Fingerprint: r.Fingerprint}}
+		t.suspects(part)[r.Fingerprint] = s
 	}
 	merged := s.record.merge(r)
 	if merged.equal(s.record) {
 		return Record{}, false
 	}
 	t.setRecord(s, merged)
+	if part && t.partTrial.fingerprint == r.Fingerprint {
+		t.partTrial = trial{}
+	}
 	t.version++
 	s.version = t.version
 	return merged, true
@@ -170,27 +224,28 @@
 }
 
 // trim removes expired records, and the least suspicious ones if there are more than
-// maxRecords. mu is held.
+// maxRecords of a kind. mu is held.
 func (t *Table) trim(now time.Time) {
-	if len(t.suspects) <= maxRecords && now.Sub(t.lastTrim) < trimInterval {
+	if max(len(t.requests), len(t.parts)) <= maxRecords && now.Sub(t.lastTrim) < trimInterval {
 		return
 	}
 	t.lastTrim = now
+	t.trimSuspects(t.requests, now)
+	t.trimSuspects(t.parts, now)
+}
+
+func (t *Table) trimSuspects(suspects map[uint64]*suspect, now time.Time) {
 	oldest := now.Add(-retention).UnixMilli()
-	for _, s := range t.suspects {
+	for _, s := range suspects {
 		if s.record.lastUpdate() < oldest {
 			t.removeSuspect(s)
 		}
 	}
-	if len(t.suspects) <= maxRecords {
+	if len(suspects) <= maxRecords {
 		return
 	}
-	over := len(t.suspects) - maxRecords*7/8 // headroom, so that the next additions do not sort again
-	list := make([]*suspect, 0, len(t.suspects))
-	for _, s := range t.suspects {
-		list = append(list, s)
-	}
-	slices.SortFunc(list, leastSuspicious)
+	over := len(suspects) - maxRecords*7/8 // headroom, so that the next additions do not sort again
+	list := slices.SortedFunc(maps.Values(suspects), leastSuspicious)
 	for _, s := range list[:over] {
 		t.removeSuspect(s)
 	}
@@ -199,7 +254,7 @@
 // removeSuspect removes a suspect and its references from crashes. mu is held.
 func (t *Table) removeSuspect(s *suspect) {
 	t.setRecord(s, Record{Fingerprint: s.record.Fingerprint})
-	delete(t.suspects, s.record.Fingerprint)
+	delete(t.suspects(s.part), s.record.Fingerprint)
 }
 
 // leastSuspicious orders suspects by ascending number of crashes, then oldest update first.
@@ -213,117 +268,17 @@
 	t.changed = make(chan struct{})
 }
 
-// grantTrial reports whether the caller may run a request whose refusal has expired. It
-// grants one trial per request in trialDuration, and always for a request that is not
-// known.
-func (t *Table) grantTrial(now time.Time, fingerprint uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.suspects[fingerprint]
-	if s == nil {
-		return true
-	}
-	if now.Before(s.trialUntil) {
-		return false
-	}
-	s.trialUntil = now.Add(trialDuration)
-	return true
-}
+// Records returns all records of requests, in no particular order.
+func (t *Table) Records() []Record { return t.records(false) }
 
-// Evaluate returns whether and how a request may run.
-func (t *Table) Evaluate(now time.Time, fingerprint uint64) Verdict {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.suspects[fingerprint]
-	if s == nil || len(s.crashes) == 0 {
-		return Verdict{}
-	}
-	v := Verdict{Crashes: len(s.crashes)}
-	for _, c := range s.record.Crashes {
-		v.ClearAfterEvents = max(v.ClearAfterEvents, c.Events+eventMargin)
-	}
-	n, culprit := len(s.crashes), t.isCulprit(s)
-	if !culprit {
-		n = s.unexplainedCrashes(t)
-	}
-	v.Isolated = n >= suspectThreshold
-	if n < refuseThreshold {
-		return v
-	}
-	v.Trial = true
-	until := time.UnixMilli(s.record.lastCrash()).Add(refusalDuration(n, culprit))
-	if left := until.Sub(now); left > 0 {
-		v.Refused, v.RetryAfter = true, left
-	}
-	return v
-}
-
-// isCulprit reports whether a request caused its crashes: it has at least refuseThreshold
-// of them, no other suspect shares all or all but one of them, and fewer crashes happened
-// without it in the same period than with it. The result is cached until the table
-// changes. mu is held.
-func (t *Table) isCulprit(s *suspect) bool {
-	if len(s.crashes) < refuseThreshold {
-		return false
-	}
-	if s.culpritVersion != t.version {
-		s.culpritVersion, s.culprit = t.version, t.computeCulprit(s)
-	}
-	return s.culprit
-}
+// PartRecords returns all records of parts of prompts, in no particular order.
+func (t *Table) PartRecords() []Record { return t.records(true) }
 
-// computeCulprit does the work of isCulprit, without its cache and threshold. mu is held.
-func (t *Table) computeCulprit(s *suspect) bool {
-	n := len(s.crashes)
-	shared := make(map[*suspect]int)
-	for _, c := range s.crashes {
-		for o := range c.suspects {
-			shared[o]++
-		}
-	}
-	for o, count := range shared {
-		if o != s && count > n-suspectThreshold {
-			return false
-		}
-	}
-	return t.unrelatedCrashes(s) < n
-}
-
-// unrelatedCrashes counts the crashes between the first and the last crash of a suspect at
-// which it was not present. mu is held.
-func (t *Table) unrelatedCrashes(s *suspect) int {
-	first, last := s.record.Crashes[0].At-crashWindowMillis, s.record.lastCrash()+crashWindowMillis
-	n := 0
-	for _, c := range t.crashesByTime {
-		if c.At >= first && c.At <= last && !c.suspects[s] {
-			n++
-		}
-	}
-	return n
-}
-
-// unexplainedCrashes counts the crashes of a suspect at which no other suspect is a culprit.
-// mu of t is held.
-func (s *suspect) unexplainedCrashes(t *Table) int {
-	n := 0
-	for _, c := range s.crashes {
-		explained := false
-		for o := range c.suspects {
-			explained = explained || o != s && t.isCulprit(o)
-		}
-		if !explained {
-			n++
-		}
-	}
-	return n
-}
-
-// Records returns all records, in no particular order.
-func (t *Table) Records() []Record {
+func (t *Table) records(part bool) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]Record, 0, len(t.suspects))
-	for _, s := range t.suspects {
+	list := make([]Record, 0, len(t.suspects(part)))
+	for _, s := range t.suspects(part) {
 		list = append(list, s.record)
 	}
 	return list
@@ -337,18 +292,28 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.init()
-	all := version > t.version
+	if version > t.version {
+		version = 0
+	}
 	reply := watchReply{Version: t.version}
 	for _, c := range t.crashesByTime {
-		if all || c.version > version {
+		if c.version > version {
 			reply.Crashes = append(reply.Crashes, c.Crash)
 		}
 	}
-	for _, s := range t.suspects {
+	reply.Records = publishedSince(t.requests, version)
+	reply.Parts = publishedSince(t.parts, version)
+	return reply, t.changed
+}
+
+// publishedSince returns the records to send to entries that changed after a version.
+func publishedSince(suspects map[uint64]*suspect, version uint64) []Record {
+	var list []Record
+	for _, s := range suspects {
 		s.published = s.published || len(s.crashes) >= suspectThreshold
-		if s.published && (all || s.version > version) {
-			reply.Records = append(reply.Records, s.record)
+		if s.published && s.version > version {
+			list = append(list, s.record)
 		}
 	}
-	return reply, t.changed
+	return list
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -129,10 +129,10 @@
 func TestOneTrialAtATime(t *testing.T) {
 	var table Table
 	table.Merge(baseTime, []Record{crashRecord(1, "a", "b", "c")})
-	if !table.grantTrial(baseTime, 1) || table.grantTrial(baseTime.Add(trialDuration/2), 1) {
+	if !table.grantTrial(baseTime, SuspectID{Fingerprint: 1}, 0) || table.grantTrial(baseTime.Add(trialDuration/2), SuspectID{Fingerprint: 1}, 0) {
 		t.Error("got a second trial before the first expired, want one")
 	}
-	if !table.grantTrial(baseTime.Add(trialDuration), 1) {
+	if !table.grantTrial(baseTime.Add(trialDuration), SuspectID{Fingerprint: 1}, 0) {
 		t.Error("got no trial after the first expired, want one")
 	}
 }
