Test of unframed responses: no wait group that is added to while it is waited for

Seen in one of seven runs of gateway's tests with the race detector: 'race detected' in TestUnframedResponseIsDelivered. Traced to the test's own backend server, whose accept loop added a connection while the cleanup waited.

--- a/gateway/unframed_response_test.go
+++ b/gateway/unframed_response_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/bamboostep/bamboostep/route"
@@ -52,8 +51,6 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var conns sync.WaitGroup
-	t.Cleanup(conns.Wait)
 	t.Cleanup(func() { l.Close() })
 	s := &fakeBackend{Server: &httptest.Server{URL: "http://" + l.Addr().String()}}
 	go func() {
@@ -62,7 +59,7 @@
 			if err != nil {
 				return
 			}
-			conns.Go(func() {
+			go func() {
 				defer nc.Close()
 				r, err := http.ReadRequest(bufio.NewReader(nc))
 				if err != nil {
@@ -76,7 +73,7 @@
 				if crashes {
 					l.Close()
 				}
-			})
+			}()
 		}
 	}()
 	return s
