Requests keep away from engines that have gone silent

Cause: a request whose caller leaves counts as cancelled, and a report older than 3 s is left out, so that by both a frozen engine looks like the least busy one; that its holder is lost changed nothing. Class: no news is taken for good news. Ruled out: requests that entries fail to reset. All caller_left lines are there within 10 ms of the deadline. A server that has reported, has left a request unanswered for a second, and has not reported for a second is a fallback, as is one of which nothing was heard for 3 s; one request in 5 s tries it. A holder that is silent alone changes nothing as long as its engine answers.

--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -28,6 +28,7 @@
 	f, s := r.fleet, r.server
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	s.silence.answered(now)
 	if m.LoadKnown {
 		s.load, s.loadAt = m.Load, now
 	}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -130,8 +130,8 @@
 }
 
 // candidates returns the backend servers that could run a request. Servers that recently
-// failed, refused for load or do not answer their holder are returned only if there is no
-// other, and so are those whose limit is used up for now. The latter are returned separately
+// failed, refused for load, do not answer their holder or have gone silent are returned only if
+// there is no other, and so are those whose limit is used up for now. The latter are returned separately
 // if there are others. Servers that are leaving or that asked this entry to retry later are
 // never returned. If there are no candidates, the Reason says why.
 func (f *Fleet) candidates(now time.Time, req Requirements) (candidates, limited []*server, reason Reason) {
@@ -150,7 +150,7 @@
 		switch {
 		case now.Before(s.backoffUntil):
 			reason = ReasonBackoff
-		case now.Before(s.avoidUntil) || now.Before(s.overloadedUntil) || s.report.Down:
+		case now.Before(s.avoidUntil) || now.Before(s.overloadedUntil) || s.report.Down || s.silent(now):
 			fallback = append(fallback, s)
 		case now.Before(s.limitedUntil) || now.Before(s.askAfter):
 			limited = append(limited, s)
@@ -218,6 +218,7 @@
 		close(r.departureKnown)
 	}
 	e.server.inFlight[r] = true
+	e.server.silence.assigned(now)
 	if req.ModelName.Adapter != "" && e.adapterReady {
 		e.server.recordAdapterUse(AdapterRef(req.ModelName))
 	}
