One check of the end of a body for gateway and agent

The reasons and the check of JSON and of a server that still listens stood in both; they are package internal/bodyend now.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -73,15 +73,15 @@
 	loadAt   time.Time
 
 	inFlight         map[*Assignment]bool // this entry's requests
-	silence          silence
-	usedAdapters     map[AdapterRef]bool // adapters used by requests since these were last taken
-	prefixes         prefixCache         // estimate of its prefix cache
-	newPrefixes      []PromptPrefix      // prefixes read here that have not been sent to its holder
-	prefillShare     prefillShare        // share of time that it recently spent on prefill
-	departsAt        time.Time           // when it shuts down, as its holder reports; zero if unknown
-	avoidUntil       time.Time           // after a failed connection or a missing model; used only if there is no other server
-	unreachableCount int                 // consecutive failures to reach it
-	failureShare     float64             // moving average of failed requests as of failureAt; see failureRate
+	silence          silence              // whether it answers this entry's requests
+	usedAdapters     map[AdapterRef]bool  // adapters used by requests since these were last taken
+	prefixes         prefixCache          // estimate of its prefix cache
+	newPrefixes      []PromptPrefix       // prefixes read here that have not been sent to its holder
+	prefillShare     prefillShare         // share of time that it recently spent on prefill
+	departsAt        time.Time            // when it shuts down, as its holder reports; zero if unknown
+	avoidUntil       time.Time            // after a failed connection or a missing model; used only if there is no other server
+	unreachableCount int                  // consecutive failures to reach it
+	failureShare     float64              // moving average of failed requests as of failureAt; see failureRate
 	failureAt        time.Time
 	overloadedUntil  time.Time // after a refusal for load; used only if there is no other server
 	backoffUntil     time.Time // not used at all before this time, as the server requested
--- a/gateway/completeness.go
+++ b/gateway/completeness.go
@@ -2,37 +2,19 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
-	"strings"
 
-	"github.com/bamboostep/bamboostep/dialer"
 	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/internal/bodyend"
 	"github.com/bamboostep/bamboostep/internal/sse"
 	"github.com/bamboostep/bamboostep/origin"
 )
 
-// Whether a response that has ended is complete. A length or chunks say so. Without them the
-// response ends with its connection, which a backend server that crashes closes in the same way.
-// Then the content must be complete as far as its type shows that, and the backend server must
-// still listen.
+// Whether a response that has ended is complete. A length or chunks say so, except for a stream,
+// which must also end with a complete event. Without them see package bodyend.
 
-var (
-	errInsideEvent    = errors.New("it ends inside an event")
-	errNoEvent        = errors.New("it ends with its connection, without an event")
-	errInsideJSON     = errors.New("it ends with its connection, inside its JSON value")
-	errStoppedForMove = errors.New("it ends with its connection, after its engine was told to stop it")
-)
-
-// serverDownError says that a backend server refuses connections after the connection that ended
-// a response.
-type serverDownError struct{ Address string }
-
-func (e *serverDownError) Error() string {
-	return fmt.Sprintf("it ends with its connection, and backend server %s refuses others", e.Address)
-}
+var errStoppedForMove = errors.New("it ends with its connection, after its engine was told to stop it")
 
 // streamEnd is where a stream of one backend server ended.
 type streamEnd struct {
@@ -48,9 +30,9 @@
 	case end.cause != io.EOF && !unframed:
 		return end.cause
 	case len(end.rest) > 0 && (unframed || sse.Is(resp.Header)):
-		return errInsideEvent
+		return bodyend.ErrInsideEvent
 	case unframed && !end.anyEvent:
-		return errNoEvent
+		return bodyend.ErrNoEvent
 	}
 	return x.checkEnd(ctx, run, end.cause)
 }
@@ -58,9 +40,10 @@
 // checkBodyEnd returns nil if a response that is not a stream is complete with body, which the
 // error end has ended.
 func (x *exchange) checkBodyEnd(ctx context.Context, run *fleet.Assignment, resp *origin.Response, body []byte, end error) error {
-	isJSON := strings.HasPrefix(resp.Header.Get("Content-Type"), "application/json")
-	if isUnframedEnd(end) && isJSON && !json.Valid(body) {
-		return errInsideJSON
+	if isUnframedEnd(end) {
+		if err := bodyend.CheckContent(resp.Header, body); err != nil {
+			return err
+		}
 	}
 	return x.checkEnd(ctx, run, end)
 }
@@ -76,14 +59,11 @@
 	case run.Leaving() && run.DepartsAt().IsZero():
 		return nil // it ends after its last response, and then refuses connections too
 	}
-	refused, err := dialer.RefusedTwice(ctx, run.Address)
-	if err != nil {
-		x.recordEvent("crash_not_checked", run.Address, err.Error())
-	}
-	if refused {
-		return &serverDownError{run.Address}
+	err, dialErr := bodyend.CheckServer(ctx, run.Address)
+	if dialErr != nil {
+		x.recordEvent("crash_not_checked", run.Address, dialErr.Error())
 	}
-	return nil
+	return err
 }
 
 func isUnframedEnd(err error) bool {
