--- a/quarantine/frames_test.go
+++ b/quarantine/frames_test.go
@@ -22,3 +22,8 @@
 func TestFramesOfEarlierBuild(t *testing.T) {
 	frames.Check(t, "testdata/frames-34f6cf6.txt", framedTypes)
 }
+
+// TestFramesWithParts is TestFramesOfEarlierBuild for the build that added parts of prompts.
+func TestFramesWithParts(t *testing.T) {
+	frames.Check(t, "testdata/frames-30046e8.txt", map[string]any{"note": Observations{}, "try_call": trialRequest{}, "watch_reply": watchReply{}})
+}
