--- a/entry/old_caller_test.go
+++ b/entry/old_caller_test.go
@@ -15,9 +15,10 @@
 	"github.com/bamboostep/bamboostep/daemon"
 )
 
-// TestInterruptedAnswerIsNotCompleteToOldCaller guards against an answer of a plain service that was broken off and looks complete to a
-// caller that speaks HTTP/1.0 (issue 31). Such a caller gets no chunks, and takes an orderly end of the
-// connection for the end of the answer. It must see a reset instead.
+// TestInterruptedAnswerIsNotCompleteToOldCaller guards against an answer of a plain service that
+// was broken off and looks complete to a caller that speaks HTTP/1.0 (issue 31). Such a caller gets
+// no chunks, and takes an orderly end of the connection for the end of the answer. It must see a
+// reset instead.
 func TestInterruptedAnswerIsNotCompleteToOldCaller(t *testing.T) {
 	const events = "data: 1\n\n"
 	for name, c := range map[string]struct {
--- a/node/crash_part_test.go
+++ b/node/crash_part_test.go
@@ -26,8 +26,9 @@
 }
 
 // TestCrashingPromptPartOverRestarts guards against a part of prompts that crashes one backend
-// server after another (issue 31). Requests with it come to two entries in turn, no two alike, while entries
-// and the voter restart. Sound requests share all their other parts and must be served.
+// server after another (issue 31). Requests with it come to two entries in turn, no two alike,
+// while entries and the voter restart. Sound requests share all their other parts and must be
+// served.
 func TestCrashingPromptPartOverRestarts(t *testing.T) {
 	for name, c := range map[string]struct{ deadly, sound string }{
 		"second of three": {"aaaa:100," + crashPart + ":50,%x:10", "aaaa:100,%x:10"},
--- a/node/old_caller_test.go
+++ b/node/old_caller_test.go
@@ -44,7 +44,8 @@
 }
 
 // readOldResponse sends a request of a given HTTP version, and returns the body as it came and
-// the error that ended its connection, nil for an orderly end. began is called once the first event is there.
+// the error that ended its connection, nil for an orderly end. began is called once the first
+// events are there.
 func readOldResponse(t *testing.T, address, version string, began func()) (string, error) {
 	t.Helper()
 	nc, err := net.Dial("tcp", address)
@@ -73,8 +74,9 @@
 }
 
 // TestInterruptedStreamIsNotCompleteToOldCaller guards against a stream that was broken off and
-// looks complete to a caller that speaks HTTP/1.0 (issue 31). Such a caller gets neither a length nor chunks, and takes an
-// orderly end of the connection for the end of the stream. It must see a reset instead.
+// looks complete to a caller that speaks HTTP/1.0 (issue 31). Such a caller gets neither a length
+// nor chunks, and takes an orderly end of the connection for the end of the stream. It must see a
+// reset instead.
 func TestInterruptedStreamIsNotCompleteToOldCaller(t *testing.T) {
 	for name, c := range map[string]struct {
 		end       func(w http.ResponseWriter, r *http.Request) // of the backend server's stream
--- a/quarantine/part_property_test.go
+++ b/quarantine/part_property_test.go
@@ -10,7 +10,8 @@
 
 // The bounds that the platform states for a part of prompts that crashes backend servers: from
 // propagationTime after the fifth crash, at most maxLateRetries requests with it reach a backend
-// server; from twice that on, sound requests with the same first part begin at least half as often as before.
+// server; from twice that on, sound requests with the same first part begin at least half as often
+// as before.
 const partCrashes = 5
 
 const (
--- a/quarantine/part_verdict.go
+++ b/quarantine/part_verdict.go
@@ -53,7 +53,8 @@
 	return worst
 }
 
-// moreSevereThan orders the verdicts on the parts of a prompt: a trial is for the part that has most crashes.
+// moreSevereThan orders the verdicts on the parts of a prompt. A trial is for the part that has
+// most crashes.
 func (v Verdict) moreSevereThan(o Verdict) bool {
 	return v.Trial && (!o.Trial || cmp.Or(cmp.Compare(v.RetryAfter, o.RetryAfter), cmp.Compare(v.Crashes, o.Crashes)) > 0)
 }
@@ -79,8 +80,9 @@
 	return v
 }
 
-// standsOut reports whether no other part has about as many crashes as s, and backend servers crashed
-// less often without it than with it, while other prompts were answered well. mu is held.
+// standsOut reports whether no other part at the crashes of s has enough of them to be refused,
+// and backend servers crashed less often without s than with it, while other prompts were answered
+// well. mu is held.
 func (t *Table) standsOut(s *suspect) bool {
 	contrasted := 0
 	for i, c := range s.crashes {
--- a/quarantine/part_verdict_test.go
+++ b/quarantine/part_verdict_test.go
@@ -100,7 +100,8 @@
 	}
 }
 
-// TestOnePartTrialAtATime asks for trials of two parts. The second is granted once that of the first has passed or crashed.
+// TestOnePartTrialAtATime asks for trials of two parts. The second is granted once that of the
+// first has passed or crashed.
 func TestOnePartTrialAtATime(t *testing.T) {
 	one, two := SuspectID{Fingerprint: 1, Part: true}, SuspectID{Fingerprint: 2, Part: true}
 	for name, end := range map[string]Record{
@@ -149,7 +150,8 @@
 	}
 }
 
-// TestRequestBesideCrashingPartIsNotBlamed has a request at the same two crashes as a part that is to blame.
+// TestRequestBesideCrashingPartIsNotBlamed has a request at the same two crashes as a part that is
+// to blame.
 func TestRequestBesideCrashingPartIsNotBlamed(t *testing.T) {
 	var table Table
 	table.Merge(baseTime, []Record{crashRecord(1, "a", "b")})
--- a/quarantine/request_verdict.go
+++ b/quarantine/request_verdict.go
@@ -65,7 +65,8 @@
 	return t.unrelatedCrashes(s) < n
 }
 
-// explainsCrash reports whether a suspect is the cause of the crashes at which it was present. mu is held.
+// explainsCrash reports whether a suspect is the cause of the crashes at which it was present. mu
+// is held.
 func (t *Table) explainsCrash(s *suspect) bool {
 	if s.part {
 		return len(s.crashes) >= refuseThreshold && t.toBlame(s, []uint64{s.record.Fingerprint})
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// Table holds the crash records of all suspects, requests and parts of prompts, that one process knows of. Records may arrive
-// in any order and more than once: tables that have received the same records give the same
+// Table holds the crash records of all suspects, requests and parts of prompts, that one process
+// knows of. Records may arrive in any order and more than once: tables that have received the same records give the same
 // verdicts. All methods are safe for concurrent use. The zero value is an empty table.
 type Table struct {
 	mu               sync.Mutex
