--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -61,9 +61,13 @@
 		if limitErr := usage.resize(b.Len()); limitErr != nil && err == nil {
 			err = limitErr
 		}
-		if err != nil {
-			return b.Bytes(), x.checkBodyEnd(ctx, run, resp, b.Bytes(), err)
+		if err == nil {
+			continue
 		}
+		if err := x.checkBodyEnd(ctx, run, resp, b.Bytes(), err); err != nil {
+			return nil, err // without the body, so that it is not held while the failure is handled
+		}
+		return b.Bytes(), nil
 	}
 	return nil, errResponseTooLarge
 }
