--- a/agent/unframed_response_test.go
+++ b/agent/unframed_response_test.go
@@ -1,48 +1,21 @@
 package main
 
 import (
-	"bufio"
 	"cmp"
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/internal/rawserver"
 )
 
 // startRawServer starts a server that sends response as it is to each request, and closes the
 // connection in order. If crashes is set, it also stops listening before that.
 func startRawServer(t *testing.T, response string, crashes bool) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer nc.Close()
-				r, err := http.ReadRequest(bufio.NewReader(nc))
-				if err != nil {
-					return // a connection that was only opened to see whether the server listens
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(nc, response)
-				if crashes {
-					l.Close()
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
+	return "http://" + rawserver.Server{Listen: "127.0.0.1:0", Response: response, Crashes: crashes}.Start(t)
 }
 
 // Guards against an application's response that has neither a length nor chunks, was broken off,
--- a/fleet/silence.go
+++ b/fleet/silence.go
@@ -16,7 +16,7 @@
 
 // silence follows whether a backend server answers this entry's requests.
 type silence struct {
-	answeredAt      time.Time // of the last sign of life
+	answeredAt      time.Time // of the last head of a response
 	unansweredSince time.Time // when the first request was sent after that; zero if there is none
 	assignedAt      time.Time // of the last request
 }
@@ -29,7 +29,7 @@
 	s.assignedAt = now
 }
 
-// answered notes a sign of life of the server.
+// answered notes the head of a response of the server.
 func (s *silence) answered(now time.Time) {
 	s.answeredAt = now
 	s.unansweredSince = time.Time{}
--- a/gateway/unframed_response_test.go
+++ b/gateway/unframed_response_test.go
@@ -1,14 +1,12 @@
 package gateway
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"github.com/bamboostep/bamboostep/internal/rawserver"
 	"github.com/bamboostep/bamboostep/route"
 )
 
@@ -47,35 +45,13 @@
 // closes the connection in order. If crashes is set, it also stops listening before that.
 func startRawBackend(t *testing.T, response string, crashes bool) *fakeBackend {
 	t.Helper()
-	l, err := net.Listen("tcp", uniqueLoopbackAddress())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	s := &fakeBackend{Server: &httptest.Server{URL: "http://" + l.Addr().String()}}
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer nc.Close()
-				r, err := http.ReadRequest(bufio.NewReader(nc))
-				if err != nil {
-					return // a connection that was only opened to see whether the server listens
-				}
-				_, _ = io.Copy(io.Discard, r.Body)
-				s.mu.Lock()
-				s.runIDs = append(s.runIDs, r.Header.Get("X-Attempt-Id"))
-				s.mu.Unlock()
-				_, _ = io.WriteString(nc, response)
-				if crashes {
-					l.Close()
-				}
-			}()
-		}
-	}()
+	s := &fakeBackend{}
+	raw := rawserver.Server{Listen: uniqueLoopbackAddress(), Response: response, Crashes: crashes, Received: func(r *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.runIDs = append(s.runIDs, r.Header.Get("X-Attempt-Id"))
+	}}
+	s.Server = &httptest.Server{URL: "http://" + raw.Start(t)}
 	return s
 }
 
--- a/node/crash_part_test.go
+++ b/node/crash_part_test.go
@@ -6,8 +6,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"github.com/bamboostep/bamboostep/platform"
 )
 
 // The bound that the platform states for a part of prompts that crashes backend servers: five
@@ -27,39 +25,29 @@
 
 // TestCrashingPromptPartOverRestarts guards against a part of prompts that crashes one backend
 // server after another (issue 31). Requests with it come to two entries in turn, no two alike,
-// while entries and the voter restart. Sound requests share all their other parts and must be
+// while entries and the voter restart. Harmless requests share all their other parts and must be
 // served.
 func TestCrashingPromptPartOverRestarts(t *testing.T) {
-	for name, c := range map[string]struct{ deadly, sound string }{
+	for name, c := range map[string]struct{ crashing, harmless string }{
 		"second of three": {"aaaa:100," + crashPart + ":50,%x:10", "aaaa:100,%x:10"},
 		"third of four":   {"aaaa:100,bbbb:20," + crashPart + ":50,%x:10", "aaaa:100,bbbb:20,%x:10"},
 		"first of three":  {crashPart + ":50,bbbb:20,%x:10", "aaaa:100,bbbb:20,%x:10"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			service := newCrashingService(t, 6)
-			directory := service.directory()
-			voter := newRole(t, "voter", "127.0.0.21", directory)
-			entries := []*testRole{newRole(t, "entry", "127.0.0.22", directory), newRole(t, "entry", "127.0.0.23", directory)}
-			awaitOK(t, "publication", http.MethodPut, voter.cfg.OperatorAddr, strings.TrimPrefix(platform.PatternPublishRoutes, "PUT "), testRoutes)
-			ready := func(e *testRole) {
-				awaitOK(t, "readiness", http.MethodGet, e.cfg.ReadyAddr, strings.TrimPrefix(platform.PatternReady, "GET "), "")
-			}
-			for _, e := range entries {
-				ready(e)
-			}
+			service, voter, entries := startCrashTest(t)
 			for i := range 16 {
 				e := entries[i%2]
-				if got := sendPrompt(t, e.cfg.CallerAddr, fmt.Sprint("a", i), fmt.Sprintf(c.deadly, 1000+i)); got < http.StatusInternalServerError {
+				if got := sendPrompt(t, e.cfg.CallerAddr, fmt.Sprint("a", i), fmt.Sprintf(c.crashing, 1000+i)); got < http.StatusInternalServerError {
 					t.Errorf("request %d: got status %d, want 500 or higher", i, got)
 				}
-				if got := sendPrompt(t, e.cfg.CallerAddr, fmt.Sprint("b", i), fmt.Sprintf(c.sound, 2000+i)); got != http.StatusOK {
-					t.Errorf("sound request %d: got status %d, want 200", i, got)
+				if got := sendPrompt(t, e.cfg.CallerAddr, fmt.Sprint("b", i), fmt.Sprintf(c.harmless, 2000+i)); got != http.StatusOK {
+					t.Errorf("harmless request %d: got status %d, want 200", i, got)
 				}
 				time.Sleep(restartTime)
 				switch i {
 				case 6, 9, 12:
 					e.restart()
-					ready(e)
+					awaitReady(t, e)
 				case 10:
 					voter.restart()
 				}
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -215,22 +215,33 @@
 "target_latency_ms":500,"priority":1,"backend":"orders","attempts":3}],"backends":[{"name":"orders","health_check":"/health","max_connections":100}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
 
+// startCrashTest starts a service whose backend servers may crash, and a voter and two entries that
+// are ready to send it requests.
+func startCrashTest(t *testing.T) (service *crashingService, voter *testRole, entries []*testRole) {
+	t.Helper()
+	service = newCrashingService(t, 6)
+	directory := service.directory()
+	voter = newRole(t, "voter", "127.0.0.21", directory)
+	entries = []*testRole{newRole(t, "entry", "127.0.0.22", directory), newRole(t, "entry", "127.0.0.23", directory)}
+	awaitOK(t, "publication", http.MethodPut, voter.cfg.OperatorAddr, strings.TrimPrefix(platform.PatternPublishRoutes, "PUT "), testRoutes)
+	for _, e := range entries {
+		awaitReady(t, e)
+	}
+	return service, voter, entries
+}
+
+// awaitReady waits until an entry reports that it is ready.
+func awaitReady(t *testing.T, e *testRole) {
+	t.Helper()
+	awaitOK(t, "readiness", http.MethodGet, e.cfg.ReadyAddr, strings.TrimPrefix(platform.PatternReady, "GET "), "")
+}
+
 // TestCrashingRequestOverRestarts guards against a request that crashes one backend server
 // after another (issue 20). The caller sends it to two entries in turn while entries and the
 // voter restart. It may reach at most three backend servers and three retries; other requests
 // must succeed meanwhile.
 func TestCrashingRequestOverRestarts(t *testing.T) {
-	service := newCrashingService(t, 6)
-	directory := service.directory()
-	voter := newRole(t, "voter", "127.0.0.21", directory)
-	entries := []*testRole{newRole(t, "entry", "127.0.0.22", directory), newRole(t, "entry", "127.0.0.23", directory)}
-	awaitOK(t, "publication", http.MethodPut, voter.cfg.OperatorAddr, strings.TrimPrefix(platform.PatternPublishRoutes, "PUT "), testRoutes)
-	ready := func(e *testRole) {
-		awaitOK(t, "readiness", http.MethodGet, e.cfg.ReadyAddr, strings.TrimPrefix(platform.PatternReady, "GET "), "")
-	}
-	for _, e := range entries {
-		ready(e)
-	}
+	service, voter, entries := startCrashTest(t)
 	for i := range 12 {
 		e := entries[i%2]
 		if got := sendRequest(http.MethodPost, e.cfg.CallerAddr, "/p/x", crashBody, fmt.Sprint("a", i)); got < http.StatusInternalServerError {
@@ -243,7 +254,7 @@
 		switch i {
 		case 4, 5, 8:
 			e.restart()
-			ready(e)
+			awaitReady(t, e)
 		case 6:
 			voter.restart()
 		}
--- a/node/old_caller_test.go
+++ b/node/old_caller_test.go
@@ -92,7 +92,7 @@
 			voter := newRole(t, "voter", "127.0.0.21", directory)
 			entry := newRole(t, "entry", "127.0.0.22", directory)
 			awaitOK(t, "publication", http.MethodPut, voter.cfg.OperatorAddr, strings.TrimPrefix(platform.PatternPublishRoutes, "PUT "), oldCallerRoutes)
-			awaitOK(t, "readiness", http.MethodGet, entry.cfg.ReadyAddr, strings.TrimPrefix(platform.PatternReady, "GET "), "")
+			awaitReady(t, entry)
 			body, err := readOldResponse(t, entry.cfg.CallerAddr, "HTTP/1.0", func() {
 				if c.stopEntry {
 					go entry.stop()
--- a/quarantine/crash_sim_test.go
+++ b/quarantine/crash_sim_test.go
@@ -68,7 +68,7 @@
 	fingerprint     uint64
 	parts           []uint64 // of its prompt, that others may share
 	culprit         bool
-	deadlyPart      uint64 // of parts, for a culprit that crashes backend servers for it
+	crashingPart    uint64 // of parts, for a culprit that crashes backend servers for it
 	timeToComplete  time.Duration
 	sentAt          time.Duration // for the first time
 	entry           *simEntry
--- a/quarantine/distribution_test.go
+++ b/quarantine/distribution_test.go
@@ -187,25 +187,25 @@
 
 // TestPartRefusalSurvivesRestarts guards against a part of prompts that crashes backend servers
 // again once processes have restarted (issue 31): an entry, a voter without its disk, then all at
-// once. A sound prompt clears the part that it shares, at all entries.
+// once. A harmless prompt clears the part that it shares, at all entries.
 func TestPartRefusalSurvivesRestarts(t *testing.T) {
-	const shared, deadly = 7, 8
+	const shared, crashing = 7, 8
 	file := filepath.Join(t.TempDir(), "quarantine")
 	v := startVoter(t, "127.0.0.1:0", file)
 	e := startEntry(t, v)
-	e.observePartCrashes(shared, deadly)
+	e.observePartCrashes(shared, crashing)
 	other := startEntry(t, v)
 	awaitCondition(t, "records of both parts", func() bool { return len(withCrashes(other.guard.Table.PartRecords(), refuseThreshold)) == 2 })
 	if other.refusesPart(shared)() {
-		t.Error("sound prompt: got it refused, want it admitted")
+		t.Error("harmless prompt: got it refused, want it admitted")
 	}
 	other.guard.ClearParts(time.Now(), []uint64{shared})
 	awaitCondition(t, "clearing at another entry", func() bool { return len(withCrashes(e.guard.Table.PartRecords(), 1)) == 1 })
-	awaitCondition(t, "refusal by an entry started later", other.refusesPart(shared, deadly))
+	awaitCondition(t, "refusal by an entry started later", other.refusesPart(shared, crashing))
 
 	e.stop()
 	e = startEntry(t, v)
-	awaitCondition(t, "refusal by a restarted entry", e.refusesPart(shared, deadly))
+	awaitCondition(t, "refusal by a restarted entry", e.refusesPart(shared, crashing))
 
 	v.stop()
 	v = startVoter(t, v.address, "")
@@ -216,12 +216,12 @@
 	v.stop()
 	v = startVoter(t, v.address, file)
 	e = startEntry(t, v)
-	awaitCondition(t, "refusal after a restart of all processes", e.refusesPart(shared, deadly))
+	awaitCondition(t, "refusal after a restart of all processes", e.refusesPart(shared, crashing))
 	if e.refusesPart(shared)() {
-		t.Error("sound prompt after a restart of all processes: got it refused, want it admitted")
+		t.Error("harmless prompt after a restart of all processes: got it refused, want it admitted")
 	}
-	e.guard.ClearParts(time.Now(), []uint64{deadly})
-	awaitCondition(t, "end of the refusal", func() bool { return !e.refusesPart(shared, deadly)() })
+	e.guard.ClearParts(time.Now(), []uint64{crashing})
+	awaitCondition(t, "end of the refusal", func() bool { return !e.refusesPart(shared, crashing)() })
 }
 
 // TestClearingReachesAllEntries clears a request at one entry that others refuse.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -102,9 +102,9 @@
 	}
 }
 
-// ReportInterrupted records that a response stream broke off after some events, and checks whether the
-// backend server crashed. It returns after the first dial of the check, after
-// maxCheckWait or when ctx ends; a second dial runs in the background.
+// ReportInterrupted records that a response stream broke off after some events, and checks whether
+// the backend server crashed. It returns after the first dial of the check, after maxCheckWait or
+// when ctx ends; a second dial runs in the background.
 func (g *Guard) ReportInterrupted(ctx context.Context, address string, content Content, events int) {
 	if g == nil {
 		return
@@ -179,7 +179,7 @@
 // of their prompts that may have caused it.
 func (t *Table) crashObservations(now time.Time, address string, at time.Time, interrupted []interruption) Observations {
 	var o Observations
-	answers := t.recentAnswers(now)
+	contrasted := t.answeredRecently(now)
 	seen := make(map[uint64]bool) // parts
 	for _, i := range interrupted {
 		crash := Crash{Address: address, At: at.UnixMilli(), Events: i.events}
@@ -189,7 +189,7 @@
 				continue
 			}
 			seen[part] = true
-			o.Parts = append(o.Parts, Record{Fingerprint: part, Crashes: []Crash{{Address: address, At: at.UnixMilli(), Events: answers}}})
+			o.Parts = append(o.Parts, Record{Fingerprint: part, Crashes: []Crash{partCrash(address, at, contrasted)}})
 		}
 	}
 	return o
--- a/quarantine/part_verdict_test.go
+++ b/quarantine/part_verdict_test.go
@@ -8,10 +8,10 @@
 
 // Fingerprints of parts of prompts.
 const (
-	deadlyPart = iota + 1
-	firstPart  // shared by sound requests and those with deadlyPart
-	ownersPart // the same
-	otherPart  // of requests that ran beside
+	crashingPart = iota + 1
+	firstPart    // shared by harmless requests and those with crashingPart
+	ownersPart   // the same
+	otherPart    // of requests that ran beside
 )
 
 // crashesAtOnce returns crashes of n backend servers within a second.
@@ -35,8 +35,8 @@
 
 // TestEvaluateParts checks the verdict on prompts given the crashes of their parts.
 func TestEvaluateParts(t *testing.T) {
-	deadly := []uint64{firstPart, ownersPart, deadlyPart}
-	sound := []uint64{firstPart, ownersPart}
+	crashing := []uint64{firstPart, ownersPart, crashingPart}
+	harmless := []uint64{firstPart, ownersPart}
 	clearedAt := func(fingerprint uint64, after time.Duration) Record {
 		return Record{Fingerprint: fingerprint, ClearedAt: baseTime.Add(after).UnixMilli()}
 	}
@@ -47,32 +47,32 @@
 		alone   bool // no other prompt is answered well
 		refused time.Duration
 	}{
-		"no crash":                         {prompt: deadly},
-		"two crashes":                      {records: []Record{crashRecord(deadlyPart, "a", "b")}, prompt: deadly},
-		"three":                            {records: []Record{crashRecord(deadlyPart, "a", "b", "c")}, prompt: deadly, refused: 30 * time.Second},
-		"three, backend servers crash too": {records: []Record{crashRecord(deadlyPart, "a", "b", "c")}, crashes: crashRecord(0, "x", "y", "z").Crashes, prompt: deadly, refused: 2 * time.Second},
-		"three, other prompt":              {records: []Record{crashRecord(deadlyPart, "a", "b", "c")}, prompt: sound},
-		"four":                             {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d")}, prompt: deadly, refused: 30 * time.Second},
-		"four, backend servers crash too":  {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d")}, crashes: crashRecord(0, "w", "x", "y", "z").Crashes, prompt: deadly, refused: 4 * time.Second},
-		"five":                             {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d", "e")}, prompt: deadly, refused: time.Minute},
-		"six":                              {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d", "e", "f")}, prompt: deadly, refused: 24 * time.Hour},
-		"seven":                            {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d", "e", "f", "g")}, prompt: deadly, refused: 24 * time.Hour},
-		"ten":                              {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j")}, prompt: deadly, refused: 24 * time.Hour},
-		"all parts at all crashes":         {records: []Record{crashRecord(deadlyPart, "a", "b", "c"), crashRecord(firstPart, "a", "b", "c"), crashRecord(ownersPart, "a", "b", "c")}, prompt: deadly, refused: 2 * time.Second},
-		"all parts, sound prompt":          {records: []Record{crashRecord(deadlyPart, "a", "b", "c"), crashRecord(firstPart, "a", "b", "c"), crashRecord(ownersPart, "a", "b", "c")}, prompt: sound, refused: 2 * time.Second},
-		"all parts, first alone":           {records: []Record{crashRecord(deadlyPart, "a", "b", "c"), crashRecord(firstPart, "a", "b", "c")}, prompt: []uint64{firstPart}, refused: 2 * time.Second},
-		"shared part at more crashes":      {records: []Record{crashRecord(deadlyPart, "a", "b", "c"), crashRecord(firstPart, "a", "b", "c", "x")}, prompt: sound, refused: 4 * time.Second},
-		"a part beside, at one crash":      {records: []Record{crashRecord(deadlyPart, "a", "b", "c"), crashRecord(otherPart, "a")}, prompt: deadly, refused: 30 * time.Second},
-		"a part beside, at all crashes":    {records: []Record{crashRecord(deadlyPart, "a", "b", "c"), crashRecord(otherPart, "a", "b", "c")}, prompt: deadly, refused: 2 * time.Second},
-		"a part beside, one crash less":    {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d"), crashRecord(otherPart, "a", "b", "c")}, prompt: deadly, refused: 2 * time.Second},
-		"a part beside, two crashes less":  {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d", "e"), crashRecord(otherPart, "a", "b", "c")}, prompt: deadly, refused: 2 * time.Second},
-		"a part beside, three less":        {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d", "e", "f"), crashRecord(otherPart, "a", "b", "c")}, prompt: deadly, refused: 24 * time.Hour},
-		"a part beside, cleared":           {records: []Record{crashRecord(deadlyPart, "a", "b", "c"), crashRecord(otherPart, "a", "b", "c"), clearedAt(otherPart, time.Minute)}, prompt: deadly, refused: 30 * time.Second},
-		"seven while nothing is answered":  {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d", "e", "f", "g")}, prompt: deadly, alone: true, refused: 2 * time.Second},
-		"eight at once":                    {records: []Record{{Fingerprint: deadlyPart, Crashes: crashesAtOnce(8)}}, prompt: deadly, refused: 30 * time.Second},
-		"uncertain, five":                  {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d", "e"), crashRecord(otherPart, "a", "b", "c", "d", "e")}, prompt: deadly, refused: 2 * time.Second},
-		"answered well":                    {records: []Record{crashRecord(deadlyPart, "a", "b", "c"), clearedAt(deadlyPart, time.Minute)}, prompt: deadly},
-		"answered well after the second":   {records: []Record{crashRecord(deadlyPart, "a", "b", "c", "d"), clearedAt(deadlyPart, 3*time.Second)}, prompt: deadly},
+		"no crash":                         {prompt: crashing},
+		"two crashes":                      {records: []Record{crashRecord(crashingPart, "a", "b")}, prompt: crashing},
+		"three":                            {records: []Record{crashRecord(crashingPart, "a", "b", "c")}, prompt: crashing, refused: 30 * time.Second},
+		"three, backend servers crash too": {records: []Record{crashRecord(crashingPart, "a", "b", "c")}, crashes: crashRecord(0, "x", "y", "z").Crashes, prompt: crashing, refused: 2 * time.Second},
+		"three, other prompt":              {records: []Record{crashRecord(crashingPart, "a", "b", "c")}, prompt: harmless},
+		"four":                             {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d")}, prompt: crashing, refused: 30 * time.Second},
+		"four, backend servers crash too":  {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d")}, crashes: crashRecord(0, "w", "x", "y", "z").Crashes, prompt: crashing, refused: 4 * time.Second},
+		"five":                             {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d", "e")}, prompt: crashing, refused: time.Minute},
+		"six":                              {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d", "e", "f")}, prompt: crashing, refused: 24 * time.Hour},
+		"seven":                            {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d", "e", "f", "g")}, prompt: crashing, refused: 24 * time.Hour},
+		"ten":                              {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j")}, prompt: crashing, refused: 24 * time.Hour},
+		"all parts at all crashes":         {records: []Record{crashRecord(crashingPart, "a", "b", "c"), crashRecord(firstPart, "a", "b", "c"), crashRecord(ownersPart, "a", "b", "c")}, prompt: crashing, refused: 2 * time.Second},
+		"all parts, harmless prompt":       {records: []Record{crashRecord(crashingPart, "a", "b", "c"), crashRecord(firstPart, "a", "b", "c"), crashRecord(ownersPart, "a", "b", "c")}, prompt: harmless, refused: 2 * time.Second},
+		"all parts, first alone":           {records: []Record{crashRecord(crashingPart, "a", "b", "c"), crashRecord(firstPart, "a", "b", "c")}, prompt: []uint64{firstPart}, refused: 2 * time.Second},
+		"shared part at more crashes":      {records: []Record{crashRecord(crashingPart, "a", "b", "c"), crashRecord(firstPart, "a", "b", "c", "x")}, prompt: harmless, refused: 4 * time.Second},
+		"a part beside, at one crash":      {records: []Record{crashRecord(crashingPart, "a", "b", "c"), crashRecord(otherPart, "a")}, prompt: crashing, refused: 30 * time.Second},
+		"a part beside, at all crashes":    {records: []Record{crashRecord(crashingPart, "a", "b", "c"), crashRecord(otherPart, "a", "b", "c")}, prompt: crashing, refused: 2 * time.Second},
+		"a part beside, one crash less":    {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d"), crashRecord(otherPart, "a", "b", "c")}, prompt: crashing, refused: 2 * time.Second},
+		"a part beside, two crashes less":  {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d", "e"), crashRecord(otherPart, "a", "b", "c")}, prompt: crashing, refused: 2 * time.Second},
+		"a part beside, three less":        {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d", "e", "f"), crashRecord(otherPart, "a", "b", "c")}, prompt: crashing, refused: 24 * time.Hour},
+		"a part beside, cleared":           {records: []Record{crashRecord(crashingPart, "a", "b", "c"), crashRecord(otherPart, "a", "b", "c"), clearedAt(otherPart, time.Minute)}, prompt: crashing, refused: 30 * time.Second},
+		"seven while nothing is answered":  {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d", "e", "f", "g")}, prompt: crashing, alone: true, refused: 2 * time.Second},
+		"eight at once":                    {records: []Record{{Fingerprint: crashingPart, Crashes: crashesAtOnce(8)}}, prompt: crashing, refused: 30 * time.Second},
+		"uncertain, five":                  {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d", "e"), crashRecord(otherPart, "a", "b", "c", "d", "e")}, prompt: crashing, refused: 2 * time.Second},
+		"answered well":                    {records: []Record{crashRecord(crashingPart, "a", "b", "c"), clearedAt(crashingPart, time.Minute)}, prompt: crashing},
+		"answered well after the second":   {records: []Record{crashRecord(crashingPart, "a", "b", "c", "d"), clearedAt(crashingPart, 3*time.Second)}, prompt: crashing},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var table Table
@@ -89,8 +89,8 @@
 			if got.Refused != (c.refused > 0) || got.RetryAfter != c.refused {
 				t.Errorf("got %+v, want refused for %v", got, c.refused)
 			}
-			if c.refused > 0 && got.Part != deadlyPart && len(c.records) == 1 {
-				t.Errorf("got part %d to blame, want %d", got.Part, deadlyPart)
+			if c.refused > 0 && got.Part != crashingPart && len(c.records) == 1 {
+				t.Errorf("got part %d to blame, want %d", got.Part, crashingPart)
 			}
 			later := table.EvaluateParts(now.Add(c.refused), c.prompt)
 			if later.Refused || later.Trial != (c.refused > 0) {
@@ -101,10 +101,10 @@
 }
 
 // TestPartAnsweredWellIsNotSuspected has backend servers crash under prompts with a part that is
-// answered well meanwhile, and one that is not. The first is what sound prompts share.
+// answered well meanwhile, and one that is not. The first is what harmless prompts share.
 func TestPartAnsweredWellIsNotSuspected(t *testing.T) {
 	var table Table
-	prompt := []interruption{{content: Content{Fingerprint: 1, Parts: []uint64{firstPart, deadlyPart}}}}
+	prompt := []interruption{{content: Content{Fingerprint: 1, Parts: []uint64{firstPart, crashingPart}}}}
 	for i := range 4 {
 		now := baseTime.Add(time.Duration(i) * time.Second)
 		table.ClearParts(now, []uint64{firstPart})
@@ -114,10 +114,10 @@
 	if v := table.EvaluateParts(now, []uint64{firstPart}); v != (Verdict{}) {
 		t.Errorf("shared part: got %+v, want nothing held against it", v)
 	}
-	if v := table.EvaluateParts(now, []uint64{firstPart, deadlyPart}); !v.Refused || v.Part != deadlyPart {
+	if v := table.EvaluateParts(now, []uint64{firstPart, crashingPart}); !v.Refused || v.Part != crashingPart {
 		t.Errorf("the other part: got %+v, want it refused", v)
 	}
-	late := now.Add(2 * soundWindow)
+	late := now.Add(2 * answeredWindow)
 	if got := table.crashObservations(late, "x", late, prompt).Parts; len(got) != 2 {
 		t.Errorf("long after the last answer: got %d parts suspected, want both", len(got))
 	}
@@ -171,7 +171,7 @@
 func TestPartsDoNotCrowdOutRequests(t *testing.T) {
 	var table Table
 	table.Merge(baseTime, []Record{crashRecord(1, "a", "b", "c")})
-	table.MergeParts(baseTime, []Record{crashRecord(deadlyPart, "a", "b", "c")})
+	table.MergeParts(baseTime, []Record{crashRecord(crashingPart, "a", "b", "c")})
 	at := baseTime.Add(time.Minute)
 	for i := range 3 * maxRecords {
 		table.MergeParts(at, []Record{{Fingerprint: uint64(10 + i), Crashes: []Crash{{Address: "x", At: at.UnixMilli()}}}})
@@ -182,7 +182,7 @@
 	if v := table.Evaluate(baseTime.Add(5*time.Second), 1); !v.Refused {
 		t.Errorf("request at three crashes: got %+v, want it refused", v)
 	}
-	if v := table.EvaluateParts(baseTime.Add(5*time.Second), []uint64{deadlyPart}); !v.Refused {
+	if v := table.EvaluateParts(baseTime.Add(5*time.Second), []uint64{crashingPart}); !v.Refused {
 		t.Errorf("part at three crashes: got %+v, want it refused", v)
 	}
 }
@@ -195,7 +195,7 @@
 	if v := table.Evaluate(baseTime, 1); !v.Isolated {
 		t.Errorf("at two crashes: got %+v, want it isolated", v)
 	}
-	table.MergeParts(baseTime, []Record{crashRecord(deadlyPart, "a", "b", "c")})
+	table.MergeParts(baseTime, []Record{crashRecord(crashingPart, "a", "b", "c")})
 	if v := table.Evaluate(baseTime, 1); v.Isolated || v.Refused {
 		t.Errorf("at two crashes that a part explains: got %+v, want it neither isolated nor refused", v)
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -39,7 +39,7 @@
 
 	Address string
 	At      int64 // Unix milliseconds, by the clock of the entry that observed it
-	Events  int   // number of response events that the request had received by then; for a part, over 0 if a prompt was answered well shortly before
+	Events  int   // number of response events that the request had received by then; for a part see partCrash
 }
 
 // crashWindowMillis is the largest difference between the times at which two entries
--- a/quarantine/request_verdict.go
+++ b/quarantine/request_verdict.go
@@ -69,7 +69,7 @@
 // is held.
 func (t *Table) explainsCrash(s *suspect) bool {
 	if s.part {
-		return len(s.crashes) >= refuseThreshold && t.toBlame(s, []uint64{s.record.Fingerprint})
+		return len(s.crashes) >= refuseThreshold && t.causedCrashes(s, []uint64{s.record.Fingerprint})
 	}
 	return t.isCulprit(s)
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -134,30 +134,28 @@
 	return cleared
 }
 
-// recentAnswers returns 1 if a prompt was answered well within contrastWindow, else 0.
-func (t *Table) recentAnswers(now time.Time) int {
+// answeredRecently reports whether a prompt was answered well within contrastWindow.
+func (t *Table) answeredRecently(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(t.answeredAt) < contrastWindow {
-		return 1
-	}
-	return 0
+	return now.Sub(t.answeredAt) < contrastWindow
 }
 
 // unanswered returns those of some parts that were in no prompt answered well here within
-// soundWindow.
+// answeredWindow.
 func (t *Table) unanswered(now time.Time, parts []uint64) []uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []uint64
 	for _, part := range parts {
-		if !t.answeredParts.since(part, now.Add(-soundWindow)) {
+		if !t.answeredParts.since(part, now.Add(-answeredWindow)) {
 			list = append(list, part)
 		}
 	}
 	return list
 }
 
+// clear does the work of Clear for a request or a part.
 func (t *Table) clear(now time.Time, part bool, fingerprint uint64) (Record, bool) {
 	t.mu.Lock()
 	s := t.suspects(part)[fingerprint]
