Software versions are read from the list, and each resumption is logged with both versions

Cause: no line told at which software version a stream began and at which it goes on, so the hypotheses of the incident could not be told apart. Ruled out: a change of what is chosen: versions are read and logged, nothing else. Call.Resumes. Event stream_resumed. Next a failing test over processes.

--- a/call.go
+++ b/call.go
@@ -26,6 +26,7 @@
 	MaxAnswerTokens int           // upper limit; 0 if not given
 	Prompt          []PromptPart  // parts of the prompt, in order; the last is specific to the request or its session
 	ResumeAfter     string        // ID of the last event that the caller received of an earlier answer; empty if none
+	Resumes         string        // ID of the earlier request whose answer began the stream that this one resumes; empty if none
 }
 
 // WithBody returns a copy of c with the given body.
--- a/directory.go
+++ b/directory.go
@@ -12,6 +12,10 @@
 	Slots     int           `msgpack:"slots"`   // requests that it can process concurrently
 	Leaving   bool          `msgpack:"leaving"` // shutting down
 	Models    []LoadedModel `msgpack:"models"`  // models that it holds
+
+	// SoftwareVersion is the version of the backend server's software, not of a model's weights. Equal
+	// strings are equal versions; empty if unknown, which equals no version.
+	SoftwareVersion string `msgpack:"software,omitempty"`
 }
 
 // Directory reads the platform's list of backend servers.
--- a/fleet/list_history.go
+++ b/fleet/list_history.go
@@ -97,7 +97,7 @@
 // ignored; see sameVersion.
 func sameListing(x, y bamboostep.Listing) bool {
 	return x.Leaving == y.Leaving && x.Address == y.Address && x.Service == y.Service &&
-		x.Domain == y.Domain && x.Slots == y.Slots && slices.EqualFunc(x.Models, y.Models, sameVersion)
+		x.Domain == y.Domain && x.Slots == y.Slots && x.SoftwareVersion == y.SoftwareVersion && slices.EqualFunc(x.Models, y.Models, sameVersion)
 }
 
 // sameVersion compares models without their adapters, which change too often for the
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -182,6 +182,7 @@
 	}
 	x.sentAttempts++
 	x.permitUsed = true
+	x.recordResumption(run)
 	sent := time.Now()
 	resp, err := x.g.Pool.Do(ctx, run.Address, x.call, bamboostep.ForwardOptions{
 		TimeLeft:         left,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -126,6 +126,7 @@
 	chargedAttempts   int               // value of sentAttempts when the retry budget was last charged
 	provablyNotRun    bool              // no backend server has run the request or will
 	stream            *streamState
+	beginVersion      string        // software version at which the stream of this answer began; empty if unknown
 	permit            quota.Permit  // of the latest attempt
 	permitUsed        bool          // its request was sent
 	limitWait         time.Duration // shortest wait for a permit, if backend servers at their limits are why none was chosen
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -105,6 +105,9 @@
 		if end := sse.LastEnd(buffered); end > 0 {
 			anyEvent = true
 			run.Started()
+			if x.stream.events == 0 && x.resumeEventID() == "" {
+				x.beginVersion = run.Version
+			}
 			if werr := x.forwardEvents(resp, buffered[:end]); werr != nil {
 				return &callerWriteError{werr}
 			}
