--- /dev/null
+++ b/node/processes_test.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/bamboostep/bamboostep/platform"
+)
+
+// Tests over real processes: the test binary starts itself as the program, so that processes can be
+// killed without notice.
+
+// nodeVariable makes the test binary run as the program.
+const nodeVariable = "BAMBOOSTEP_TEST_NODE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(nodeVariable) != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// nodeProcess is a process of the system.
+type nodeProcess struct {
+	t        *testing.T
+	role, ip string
+	settings string // path
+	logPath  string
+	cmd      *exec.Cmd
+}
+
+// start starts the process. Its output is appended to its log.
+func (p *nodeProcess) start() {
+	p.t.Helper()
+	program, err := os.Executable()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer log.Close()
+	p.cmd = exec.Command(program, p.role)
+	p.cmd.Env = append(os.Environ(), nodeVariable+"=1", platform.SettingsVariable+"="+p.settings)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// kill ends the process without notice.
+func (p *nodeProcess) kill() {
+	if p.cmd == nil {
+		return
+	}
+	_ = p.cmd.Process.Kill() // fails if it has ended already
+	_ = p.cmd.Wait()         // the error says that it was killed
+	p.cmd = nil
+}
+
+// callerAddr returns the address for callers.
+func (p *nodeProcess) callerAddr() string { return portOf(p.ip, 1) }
+
+func portOf(ip string, port int) string {
+	return net.JoinHostPort(ip, strconv.Itoa(testBasePort+port))
+}
+
+// nodeCluster is a set of voters and entries, each a process of its own.
+type nodeCluster struct {
+	t       *testing.T
+	voters  []*nodeProcess
+	entries []*nodeProcess
+}
+
+// startCluster starts voters and entries on loopback addresses 127.0.SUBNET.x, publishes routes and
+// waits until the entries are ready.
+func startCluster(t *testing.T, subnet, voters, entries int, directory, routes string) *nodeCluster {
+	t.Helper()
+	c := &nodeCluster{t: t}
+	var seeds []string
+	for i := range voters {
+		seeds = append(seeds, portOf(fmt.Sprintf("127.0.%d.%d", subnet, 1+i), 3))
+	}
+	for i := range voters {
+		c.voters = append(c.voters, c.newProcess("voter", fmt.Sprintf("127.0.%d.%d", subnet, 1+i), directory, seeds))
+	}
+	for i := range entries {
+		c.entries = append(c.entries, c.newProcess("entry", fmt.Sprintf("127.0.%d.%d", subnet, 11+i), directory, seeds))
+	}
+	t.Cleanup(c.kill)
+	c.start()
+	awaitOK(t, "publication", http.MethodPut, portOf(c.voters[0].ip, 3), strings.TrimPrefix(platform.PatternPublishRoutes, "PUT "), routes)
+	c.awaitReady()
+	return c
+}
+
+// newProcess writes the settings of a process.
+func (c *nodeCluster) newProcess(role, ip, directory string, seeds []string) *nodeProcess {
+	c.t.Helper()
+	dir := c.t.TempDir()
+	lines := []string{
+		"node=" + role + "-" + ip, "ip=" + ip, "zone=z-" + ip, "bootstrap=true", "limits.memory_mb=284",
+		fmt.Sprintf("port_range=%d,%d", testBasePort, testBasePort+9),
+		"seeds=" + strings.Join(seeds, ","), "cloud_api.address=" + directory,
+		"bounds.contact_ms=3000", "bounds.drain_ms=3000", "bounds.grace_s=1", "bounds.retry_budget=10", "bounds.budget_window_s=10", "bounds.budget_extra=1000",
+	}
+	switch role {
+	case "entry":
+		lines = append(lines, "listen.front="+portOf(ip, 1), "listen.ready_addr="+portOf(ip, 2))
+	case "voter":
+		lines = append(lines, "listen.control="+portOf(ip, 3), "data_dir="+filepath.Join(dir, "data"))
+		if err := os.Mkdir(filepath.Join(dir, "data"), 0o700); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	p := &nodeProcess{t: c.t, role: role, ip: ip, settings: filepath.Join(dir, "settings"), logPath: filepath.Join(dir, "log")}
+	if err := os.WriteFile(p.settings, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return p
+}
+
+// processes returns all processes.
+func (c *nodeCluster) processes() []*nodeProcess {
+	return append(append([]*nodeProcess(nil), c.voters...), c.entries...)
+}
+
+func (c *nodeCluster) start() {
+	for _, p := range c.processes() {
+		p.start()
+	}
+}
+
+// kill ends all processes at once, without notice.
+func (c *nodeCluster) kill() {
+	var killed sync.WaitGroup
+	for _, p := range c.processes() {
+		killed.Go(p.kill)
+	}
+	killed.Wait()
+}
+
+// restart kills all processes at once, starts them again and waits until the entries are ready.
+func (c *nodeCluster) restart() {
+	c.t.Helper()
+	c.kill()
+	c.start()
+	c.awaitReady()
+}
+
+func (c *nodeCluster) awaitReady() {
+	c.t.Helper()
+	for _, e := range c.entries {
+		awaitOK(c.t, "readiness of "+e.ip, http.MethodGet, portOf(e.ip, 2), strings.TrimPrefix(platform.PatternReady, "GET "), "")
+	}
+}
+
+// logs returns what all processes have logged.
+func (c *nodeCluster) logs() string {
+	var all strings.Builder
+	for _, p := range c.processes() {
+		text, err := os.ReadFile(p.logPath)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		all.Write(text)
+	}
+	return all.String()
+}
