Streams go on only at the software version at which they began

Callers saw: a stream whose first part came from one software version and the rest from another, with nothing in the answer to show it. Cause: the version was not read, so a broken stream went on at any backend server of its service, in one answer and, since Resumes was not read either, over a caller's requests. Class: state that a later step depends on is not kept by anyone, and what is unknown is taken as fitting. Ruled out: a choice by hash of the request's ID, which needs the set of versions of the moment at which the stream began; asking engines, which drop a run with its connection; only the memory of entries, which a loss of power empties; a place in the answer, which the caller does not send back. Change: package release. Within an answer the next attempt is bound to the version of the first event, and so is a move. Version unknown: goes on nowhere. Requirements.Version of fleet; a failed backend server is tried again once if no other has the version. Fixtures of gateway tests name a version, since a stream of unknown version does not go on. Conclusion: the reported fault is mended in our tests; what it costs over processes, and restarts of a backend server under its ID, come next.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -17,6 +17,7 @@
 	MaxAnswerTokens int                     // limit on the length of the answer
 	BodyBytes       int                     // size of the request body
 	DefaultSlots    int                     // concurrent requests per backend server, if its listing does not say
+	Version         string                  // of the backend server's software; empty for any
 	Exclude         []string                // addresses of backend servers that already failed this request
 	MaxWait         time.Duration           // longest acceptable wait for the first event; 0 for no limit
 
@@ -37,11 +38,12 @@
 
 // The reasons for choosing no backend server.
 const (
-	ReasonNoServer Reason = "no_backend_server" // no usable server of the service is known
-	ReasonNoModel  Reason = "model_not_held"    // no server of the service holds the model
-	ReasonBusy     Reason = "all_busy"          // every candidate's estimated wait exceeds the request's limit
-	ReasonBackoff  Reason = "all_resting"       // the remaining servers asked this entry to retry later
-	ReasonLimited  Reason = "all_at_limit"      // the remaining servers get as many requests as the limits allow that they name
+	ReasonNoServer  Reason = "no_backend_server"  // no usable server of the service is known
+	ReasonNoVersion Reason = "version_not_served" // no server of the service runs the software version
+	ReasonNoModel   Reason = "model_not_held"     // no server of the service holds the model
+	ReasonBusy      Reason = "all_busy"           // every candidate's estimated wait exceeds the request's limit
+	ReasonBackoff   Reason = "all_resting"        // the remaining servers asked this entry to retry later
+	ReasonLimited   Reason = "all_at_limit"       // the remaining servers get as many requests as the limits allow that they name
 )
 
 // Error implements error.
@@ -137,9 +139,18 @@
 // never returned. If there are no candidates, the Reason says why.
 func (f *Fleet) candidates(now time.Time, req Requirements) (candidates, limited []*server, reason Reason) {
 	reason = ReasonNoServer
+	if req.Version != "" {
+		reason = ReasonNoVersion
+	}
 	var preferred, fallback []*server
 	for _, s := range f.byService[req.Service] {
-		if s.listing.Leaving || s.listing.Instance == "" || slices.Contains(req.Exclude, s.listing.Address) {
+		if s.listing.Leaving || s.listing.Instance == "" || req.Version != "" && s.listing.SoftwareVersion != req.Version {
+			continue
+		}
+		if reason == ReasonNoVersion {
+			reason = ReasonNoServer
+		}
+		if slices.Contains(req.Exclude, s.listing.Address) {
 			continue
 		}
 		if req.ModelName.Model != "" && !s.holdsModel(req.ModelName.Model) {
--- a/fleet/choose_test.go
+++ b/fleet/choose_test.go
@@ -1,6 +1,11 @@
 package fleet
 
-import "testing"
+import (
+	"errors"
+	"testing"
+
+	"github.com/bamboostep/bamboostep"
+)
 
 // Requests that were involved in the same crashes are retried at the same time. With
 // randomization they spread over all backend servers instead of all going to the best one.
@@ -21,3 +26,42 @@
 		t.Errorf("backend servers: got %v, want all four", seen)
 	}
 }
+
+// TestChooseByVersion checks that a request that needs a software version goes to no other, and why there is
+// no server if there is none.
+func TestChooseByVersion(t *testing.T) {
+	running := func(n int, version string, models ...bamboostep.LoadedModel) bamboostep.Listing {
+		l := engine(n, "a", models...)
+		l.SoftwareVersion = version
+		return l
+	}
+	leaving := running(1, "v1", holding("m"))
+	leaving.Leaving = true
+	for name, c := range map[string]struct {
+		listings []bamboostep.Listing
+		exclude  []string
+		instance string
+		reason   Reason
+	}{
+		"its version":               {[]bamboostep.Listing{running(1, "v2", holding("m")), running(2, "v1", holding("m"))}, nil, "i2", ""},
+		"another version only":      {[]bamboostep.Listing{running(1, "v2", holding("m"))}, nil, "", ReasonNoVersion},
+		"unknown version only":      {[]bamboostep.Listing{running(1, "", holding("m"))}, nil, "", ReasonNoVersion},
+		"its version is leaving":    {[]bamboostep.Listing{leaving, running(2, "v2", holding("m"))}, nil, "", ReasonNoVersion},
+		"without the model":         {[]bamboostep.Listing{running(1, "v1"), running(2, "v2", holding("m"))}, nil, "", ReasonNoModel},
+		"the only one has failed":   {[]bamboostep.Listing{running(1, "v1", holding("m")), running(2, "v2", holding("m"))}, []string{"10.0.0.1:1"}, "", ReasonNoServer},
+		"no servers of the service": {nil, nil, "", ReasonNoVersion},
+	} {
+		t.Run(name, func(t *testing.T) {
+			req := want("m")
+			req.Version, req.Exclude = "v1", c.exclude
+			run, err := newFleet(c.listings...).Choose(start, req)
+			var none *NoServerError
+			switch {
+			case c.reason != "" && (!errors.As(err, &none) || none.Reason != c.reason):
+				t.Errorf("error: got %v, want %s", err, c.reason)
+			case c.reason == "" && (err != nil || run.Instance != c.instance || run.Version != "v1"):
+				t.Errorf("got %+v, %v, want %s with version v1", run, err, c.instance)
+			}
+		})
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -82,6 +82,9 @@
 	if x.pendingMove != nil {
 		return x.pendingMove.target, true
 	}
+	if x.resumesUnknown() {
+		return nil, x.giveUp(reasonVersionUnknown)
+	}
 	began := time.Now()
 	absenceNoted := false
 	var limits limitSearch
@@ -89,6 +92,7 @@
 		changed := x.g.Fleet.Changed()
 		now := time.Now()
 		criteria := x.serverCriteria(now)
+		criteria.Version = x.requiredVersion()
 		criteria.Exclude = slices.Concat(criteria.Exclude, limits.full)
 		run, err := x.g.Fleet.Choose(now, criteria)
 		if err == nil {
@@ -105,6 +109,9 @@
 		if !errors.As(err, &noServer) {
 			return nil, x.giveUp("no_backend_server")
 		}
+		if x.retryFailedServers(noServer) {
+			continue
+		}
 		reason := limits.reason(noServer)
 		if !absenceNoted && x.call.Model != "" && (reason == fleet.ReasonNoModel || reason == fleet.ReasonLimited) {
 			absenceNoted = true
--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -126,7 +126,7 @@
 	for i := range n {
 		m := newCrashingBackend(t, other)
 		servers = append(servers, m)
-		listings = append(listings, bamboostep.Listing{Instance: fmt.Sprintf("i%d", i), StartedMS: 1, Service: "s", Address: m.address, Domain: "a", Slots: 8})
+		listings = append(listings, bamboostep.Listing{Instance: fmt.Sprintf("i%d", i), StartedMS: 1, Service: "s", Address: m.address, Domain: "a", Slots: 8, SoftwareVersion: `"v1"`})
 	}
 	return servers, listings
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,7 +20,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -32,6 +31,7 @@
 	"github.com/bamboostep/bamboostep/origin"
 	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/quota"
+	"github.com/bamboostep/bamboostep/release"
 	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/timeline"
 )
@@ -59,6 +59,7 @@
 	Quarantine   *quarantine.Guard    // may be nil
 	QuotaLimiter *quota.Limiter       // may be nil
 	ServerLimits *quota.ServerLimiter // may be nil
+	Releases     *release.Tracker     // software versions at which streams began; may be nil
 	KeyLease     *ledger.Lease        // while it is valid, the keys in the current table can be trusted; may be nil
 	Recorder     *timeline.Recorder
 	Metrics      *Metrics
@@ -126,11 +127,12 @@
 	chargedAttempts   int               // value of sentAttempts when the retry budget was last charged
 	provablyNotRun    bool              // no backend server has run the request or will
 	stream            *streamState
-	beginVersion      string        // software version at which the stream of this answer began; empty if unknown
-	permit            quota.Permit  // of the latest attempt
-	permitUsed        bool          // its request was sent
-	limitWait         time.Duration // shortest wait for a permit, if backend servers at their limits are why none was chosen
-	pendingMove       *streamMove   // completed move that the next attempt continues; nil for none
+	origin            release.Origin // of the stream, once the caller has an event of it; its version is empty if unknown
+	retriedFailed     bool           // failedAddresses was cleared once, since no other backend server has the version
+	permit            quota.Permit   // of the latest attempt
+	permitUsed        bool           // its request was sent
+	limitWait         time.Duration  // shortest wait for a permit, if backend servers at their limits are why none was chosen
+	pendingMove       *streamMove    // completed move that the next attempt continues; nil for none
 }
 
 func (x *exchange) serve() {
@@ -177,11 +179,14 @@
 		x.refuseCrashing()
 		return false
 	}
+	if !x.findOrigin() {
+		return false
+	}
 	if !x.admitByQuota() {
 		return false
 	}
 	x.setDeadline()
-	x.service = x.table.Service(x.route.SelectService(rand.Uint64()))
+	x.service = x.selectService()
 	x.g.RetryBudget(x.service.Name).AddRequest(x.arrived)
 	if call.Model != "" {
 		x.g.Fleet.CountRequest(x.modelName())
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -133,7 +133,7 @@
 	known := &fleet.Fleet{Domain: "a"}
 	var listings []bamboostep.Listing
 	for i, s := range servers {
-		listings = append(listings, bamboostep.Listing{Instance: fmt.Sprintf("i%d", i), StartedMS: 1, Service: "s", Address: strings.TrimPrefix(s.URL, "http://"), Domain: "a", Slots: 8})
+		listings = append(listings, bamboostep.Listing{Instance: fmt.Sprintf("i%d", i), StartedMS: 1, Service: "s", Address: strings.TrimPrefix(s.URL, "http://"), Domain: "a", Slots: 8, SoftwareVersion: `"v1"`})
 	}
 	known.ApplyList(listings, time.Now())
 	return table, known
--- a/gateway/move_test.go
+++ b/gateway/move_test.go
@@ -131,6 +131,11 @@
 	report := func(i int, e *departingEngine) fleet.Report {
 		return fleet.Report{Instance: fmt.Sprint("i", i), StartedMS: 1, Service: "s", Address: e.address(), Domain: "a", Running: 20 * i, CacheTokens: 1000, Models: []bamboostep.LoadedModel{{Name: "m"}}}
 	}
+	var listings []bamboostep.Listing
+	for i, e := range engines {
+		listings = append(listings, bamboostep.Listing{Instance: fmt.Sprint("i", i), StartedMS: 1, Service: "s", Address: e.address(), Domain: "a", SoftwareVersion: `"v1"`})
+	}
+	known.ApplyList(listings, time.Now())
 	for i, e := range engines {
 		known.ApplyReport(report(i, e), time.Now())
 	}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -129,9 +129,9 @@
 	}
 	after := retryAfterBusy
 	switch reason {
-	case string(fleet.ReasonNoModel):
+	case string(fleet.ReasonNoModel), string(fleet.ReasonNoVersion):
 		after = retryAfterModelLoad
-	case string(fleet.ReasonNoServer):
+	case string(fleet.ReasonNoServer), reasonVersionUnknown:
 		after = retryAfterShort
 	case string(fleet.ReasonLimited):
 		after = max(retryAfterShort, x.limitWait)
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -1,11 +1,112 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
+	"time"
 
 	"github.com/bamboostep/bamboostep/fleet"
+	"github.com/bamboostep/bamboostep/release"
+	"github.com/bamboostep/bamboostep/route"
 )
 
+// A stream goes on only at the software version of the service at which it began, within one answer and over a
+// caller's requests. Once the caller has an event, each further attempt is bound to that version. A
+// request that takes up a stream of an earlier one is bound from the start, to what package release knows of
+// the request that it names. If nothing is known, or the version serves no more, the request is refused at
+// once, not run.
+
+// Reasons for refusing a stream that goes on.
+const (
+	reasonVersionUnknown   = "stream_version_unknown"
+	reasonServiceNotRouted = "stream_service_not_routed"
+)
+
+const (
+	unlimitedKeep = time.Minute     // for which the origin of a stream is kept if its caller names no deadline
+	keepMargin    = 2 * time.Second // beyond the deadline
+)
+
+var errVersionUnknown = errors.New("the software version of the engine is unknown")
+
+// takesUp reports whether the request takes up a stream that an earlier request began.
+func (x *exchange) takesUp() bool {
+	return x.route.Kind == route.Streaming && x.route.Resumable && x.call.ResumeAfter != ""
+}
+
+// findOrigin finds where the stream began that the request takes up. If it takes up none, there is nothing to
+// find. If the stream cannot go on for what is known, findOrigin writes the response and returns false.
+func (x *exchange) findOrigin() bool {
+	if !x.takesUp() {
+		return true
+	}
+	o, known := x.g.Releases.Find(x.r.Context(), x.call.Resumes)
+	if !known {
+		return x.refuseWithDetail(reasonVersionUnknown, fmt.Sprintf("begun by request %q", x.call.Resumes), retryAfterShort)
+	}
+	if !x.route.HasService(o.Service) {
+		return x.refuseWithDetail(reasonServiceNotRouted, "begun at service "+o.Service, retryAfterBusy)
+	}
+	x.origin = o
+	return true
+}
+
+// selectService returns the service of the stream that the request takes up, else one of its route at random.
+func (x *exchange) selectService() *route.Service {
+	name := x.origin.Service
+	if name == "" {
+		name = x.route.SelectService(rand.Uint64())
+	}
+	return x.table.Service(name)
+}
+
+// noteOrigin binds the stream to the service and the software version of run, unless it is bound already. Call it before
+// each event is forwarded.
+func (x *exchange) noteOrigin(run *fleet.Assignment) {
+	if x.stream.events > 0 {
+		return
+	}
+	if x.origin.Service == "" {
+		x.origin = release.Origin{Service: x.service.Name, Version: run.Version}
+	}
+	if !x.route.Resumable {
+		return // its caller cannot take it up
+	}
+	keep := unlimitedKeep
+	if x.call.TimeLimit > 0 {
+		keep = x.call.TimeLimit + keepMargin
+	}
+	x.g.Releases.Note(x.call.ID, x.origin, keep)
+	if x.takesUp() {
+		x.g.Releases.Note(x.call.Resumes, x.origin, keep)
+	}
+}
+
+// requiredVersion returns the software version that the next attempt needs, or "" if the stream has not begun.
+func (x *exchange) requiredVersion() string {
+	if x.resumeEventID() == "" {
+		return ""
+	}
+	return x.origin.Version
+}
+
+// resumesUnknown reports whether the next attempt would go on with a stream of unknown software version.
+func (x *exchange) resumesUnknown() bool {
+	return x.resumeEventID() != "" && x.origin.Version == ""
+}
+
+// retryFailedServers allows backend servers again that have failed the request, once, if no other has the
+// required software version. It returns false if that changes nothing.
+func (x *exchange) retryFailedServers(err *fleet.NoServerError) bool {
+	if x.retriedFailed || x.requiredVersion() == "" || len(x.failedAddresses) == 0 || err.Reason == fleet.ReasonNoVersion {
+		return false
+	}
+	x.retriedFailed = true
+	x.failedAddresses = nil
+	return true
+}
+
 // recordResumption records that run goes on with a stream that began at another backend server, in the
 // same answer or in that of an earlier request of the caller.
 func (x *exchange) recordResumption(run *fleet.Assignment) {
@@ -13,9 +114,5 @@
 	if after == "" {
 		return
 	}
-	began := x.beginVersion
-	if began == "" {
-		began = "unknown"
-	}
-	x.recordEvent("stream_resumed", run.Address, fmt.Sprintf("after event %s, begun by request %q at software version %s, goes on at %s", after, x.call.Resumes, began, run.Version))
+	x.recordEvent("stream_resumed", run.Address, fmt.Sprintf("after event %s, begun by request %q at software version %s, goes on at %s", after, x.call.Resumes, x.origin.Version, run.Version))
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -105,9 +105,7 @@
 		if end := sse.LastEnd(buffered); end > 0 {
 			anyEvent = true
 			run.Started()
-			if x.stream.events == 0 && x.resumeEventID() == "" {
-				x.beginVersion = run.Version
-			}
+			x.noteOrigin(run)
 			if werr := x.forwardEvents(resp, buffered[:end]); werr != nil {
 				return &callerWriteError{werr}
 			}
@@ -136,6 +134,7 @@
 		return nil
 	}
 	run.Started()
+	x.noteOrigin(run)
 	if err := x.forwardEvents(resp, end.rest); err != nil {
 		return &callerWriteError{err}
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -22,6 +22,7 @@
 	"github.com/bamboostep/bamboostep/platform"
 	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/quota"
+	"github.com/bamboostep/bamboostep/release"
 	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/wire"
 )
@@ -49,6 +50,7 @@
 	suspects  *quarantine.Follower // requests that may crash backend servers, as shared with voters
 	quotas    *quota.Limiter
 	limits    *quota.ServerLimiter
+	releases  *release.Tracker // software versions at which streams began
 	client    *ledger.Client
 	gateway   *gateway.Gateway
 	pool      *origin.Pool
@@ -80,7 +82,9 @@
 	guard := e.newGuard()
 	e.quotas = &quota.Limiter{Voters: e.reachableVoters, EntryCount: e.follower.Entries, Recorder: p.recorder, Metrics: quota.NewMetrics(p.registry)}
 	e.limits = &quota.ServerLimiter{Voters: e.limitVoters, EntryCount: e.follower.Entries, Recorder: p.recorder, Metrics: quota.NewServerLimitMetrics(p.registry)}
+	e.releases = &release.Tracker{Voters: e.releaseVoters, Metrics: release.NewMetrics(p.registry)}
 	e.follower.OnConnect = func(ctx context.Context, c *wire.Conn) {
+		e.releases.Resend(c)
 		go e.limits.Watch(ctx, c)
 		e.suspects.Watch(ctx, c)
 	}
@@ -94,6 +98,7 @@
 		Quarantine:   guard,
 		QuotaLimiter: e.quotas,
 		ServerLimits: e.limits,
+		Releases:     e.releases,
 		KeyLease:     &ledger.Lease{Client: e.client, For: leaseDuration(p.cfg.RevokeTimeout)},
 		Recorder:     p.recorder,
 		Metrics:      gateway.NewMetrics(p.registry),
@@ -121,6 +126,16 @@
 	return voters, all
 }
 
+// releaseVoters returns the voters to which the entry has a connection, and the number of all.
+func (e *entry) releaseVoters() ([]release.Voter, int) {
+	conns, all := e.follower.Conns()
+	voters := make([]release.Voter, len(conns))
+	for i, c := range conns {
+		voters[i] = c
+	}
+	return voters, all
+}
+
 // leaseDuration returns how long an entry accepts API keys after a quorum last proved them
 // current: four fifths of the time in which a withdrawn key must be rejected, the rest is a
 // margin. 0, for a revoke of 0, means no limit.
@@ -159,6 +174,7 @@
 	group.Go(func() error { return e.follower.Run(runCtx) })
 	group.Go(func() error { return e.links.Run(runCtx) })
 	group.Go(func() error { return e.quotas.Run(runCtx) })
+	group.Go(func() error { return e.releases.Run(runCtx) })
 	group.Go(func() error { return e.runPeriodicTasks(runCtx) })
 	group.Go(func() error { return serve(runCtx, ready, e.readyHandler()) })
 	group.Go(func() error { return e.serveCallers(runCtx, callers) })
--- a/node/joined_versions_test.go
+++ b/node/joined_versions_test.go
@@ -253,10 +253,12 @@
 
 // saveUpRetries sends streams that don't break, so that the retry budgets of the entries fill.
 func saveUpRetries(t *testing.T, cluster *nodeCluster) {
-	time.Sleep(time.Second) // entries start with a budget of one, until they know how many they are
-	forEach(newStreams(), func(i int, s *callerStream) {
-		s.read(t, cluster.entries[i%2].callerAddr(), fmt.Sprint("early-", i), eventsPerStream)
-	})
+	for round := range 2 {
+		forEach(newStreams(), func(i int, s *callerStream) {
+			s.read(t, cluster.entries[i%2].callerAddr(), fmt.Sprint("early-", round, "-", i), eventsPerStream)
+		})
+		time.Sleep(time.Second) // an entry's first budget has room for one, until it knows how many entries there are
+	}
 }
 
 // checkStreams checks that no stream is joined, that at least half of those whose version serves are whole, and
--- a/node/voter.go
+++ b/node/voter.go
@@ -17,6 +17,7 @@
 	"github.com/bamboostep/bamboostep/platform"
 	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/quota"
+	"github.com/bamboostep/bamboostep/release"
 	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/stock"
 	"github.com/bamboostep/bamboostep/wire"
@@ -29,6 +30,9 @@
 // quarantineFileName is the file in the data directory that holds the suspected requests.
 const quarantineFileName = "quarantine"
 
+// releaseFileName is the file in the data directory that holds the software versions at which streams began.
+const releaseFileName = "streams"
+
 // minWorkToMove is the load of an engine, in tokens per second, below which models are not
 // moved. It is about a tenth of the rate at which an engine reads prompts.
 const minWorkToMove = 3000
@@ -69,6 +73,8 @@
 	limits.Register(mux)
 	board, boardFile := newQuarantineBoard(p)
 	board.Register(mux)
+	releases := newReleaseRegistry(p)
+	releases.Register(mux)
 	links := &fleet.HolderLinks{
 		Node:     p.wire,
 		Fleet:    backends,
@@ -109,6 +115,9 @@
 	if boardFile != nil {
 		group.Go(func() error { return boardFile.Run(ctx) })
 	}
+	if releases.File != nil {
+		group.Go(func() error { return releases.File.Run(ctx) })
+	}
 	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return placer.Run(ctx) })
 	group.Go(func() error {
@@ -133,6 +142,16 @@
 	return board, file
 }
 
+// newReleaseRegistry returns the registry of the software versions at which streams began, with a file unless the
+// VM has no disk.
+func newReleaseRegistry(p *process) *release.Registry {
+	r := &release.Registry{Recorder: p.recorder, Metrics: release.NewMetrics(p.registry)}
+	if p.cfg.DataDir != "" {
+		r.File = &release.File{Path: filepath.Join(p.cfg.DataDir, releaseFileName), Recorder: p.recorder}
+	}
+	return r
+}
+
 // openLedgerDir returns the ledger's directory. On a VM without a disk that is a new
 // temporary directory, so a restarted voter must be added again by the others.
 func openLedgerDir(p *process) (string, error) {
--- a/route/route.go
+++ b/route/route.go
@@ -9,6 +9,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -70,6 +71,11 @@
 	return ""
 }
 
+// HasService reports whether the route may send requests to a service.
+func (r *Route) HasService(name string) bool {
+	return slices.ContainsFunc(r.Split, func(s WeightedService) bool { return s.Service == name && s.Weight > 0 })
+}
+
 // weight returns the sum of the weights of all services.
 func (r *Route) weight() int {
 	total := 0
