Models are loaded at the software version that a stream needs

Callers saw: streams that could not go on though their version serves, since their model was held at other versions alone. Cause: placement does not know of versions; a model with a copy anywhere counts as held. Ruled out: copies of each model at each version ahead of time: they cost memory, loads and orders while nothing breaks. Change: an entry whose stream finds no engine of its version with its model tells the voters (DemandUpdate.VersionNeeds), the leader's placer gets it as Fleet.Needs for 3 s, and loads the model on one of these engines as it restores a model that no engine holds. Lines of requests that cannot go on name service and version.

--- a/fleet/demand.go
+++ b/fleet/demand.go
@@ -41,6 +41,10 @@
 // demand so that the voters learn of it immediately.
 func (f *Fleet) CountMissing(n ModelName) {
 	f.CountLate(n)
+	f.signalUrgentDemand()
+}
+
+func (f *Fleet) signalUrgentDemand() {
 	select {
 	case f.UrgentDemand() <- struct{}{}:
 	default:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -56,6 +56,7 @@
 	urgentDemand  chan struct{}              // capacity 1; demand should be sent at once
 	prefixesReady chan struct{}              // capacity 1; a server has newPrefixes
 	demand        map[ModelName]*demandCount // since it was last taken
+	versionNeeds  map[VersionNeed]bool       // since they were last taken
 	entryCount    int                        // number of entries, 0 if unknown
 	sentRates     map[string]*sentRate       // by service
 	rng           *rand.Rand
@@ -110,6 +111,7 @@
 	f.urgentDemand = make(chan struct{}, 1)
 	f.prefixesReady = make(chan struct{}, 1)
 	f.demand = make(map[ModelName]*demandCount)
+	f.versionNeeds = make(map[VersionNeed]bool)
 	f.sentRates = make(map[string]*sentRate)
 	f.rng = newRNG(f.Seed)
 }
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -92,4 +92,6 @@
 type DemandUpdate struct {
 	Entry  string   `msgpack:"entry"`
 	Demand []Demand `msgpack:"demand"`
+
+	VersionNeeds []VersionNeed `msgpack:"version_needs,omitempty"`
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -115,7 +115,7 @@
 		reason := limits.reason(noServer)
 		if !absenceNoted && x.call.Model != "" && (reason == fleet.ReasonNoModel || reason == fleet.ReasonLimited) {
 			absenceNoted = true
-			x.g.Fleet.CountMissing(x.modelName())
+			x.countMissing()
 		}
 		if now.Sub(began) >= x.maxServerWait(reason) {
 			x.limitWait = limits.shortestWait
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -125,7 +125,7 @@
 		return false
 	}
 	if !x.provablyNotRun {
-		return x.fail(http.StatusBadGateway, reason, "")
+		return x.fail(http.StatusBadGateway, reason, x.versionDetail())
 	}
 	after := retryAfterBusy
 	switch reason {
@@ -136,7 +136,7 @@
 	case string(fleet.ReasonLimited):
 		after = max(retryAfterShort, x.limitWait)
 	}
-	return x.refuse(reason, after)
+	return x.refuseWithDetail(reason, x.versionDetail(), after)
 }
 
 // handleTimeout ends a request whose context has ended: its deadline has passed or its
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -107,6 +107,24 @@
 	return true
 }
 
+// countMissing tells the voters that no backend server holds the model, or none of the software version that the
+// stream needs.
+func (x *exchange) countMissing() {
+	if version := x.requiredVersion(); version != "" {
+		x.g.Fleet.CountMissingAtVersion(fleet.VersionNeed{Service: x.service.Name, Model: x.call.Model, Version: version})
+		return
+	}
+	x.g.Fleet.CountMissing(x.modelName())
+}
+
+// versionDetail formats what the next attempt would have needed, for the event log.
+func (x *exchange) versionDetail() string {
+	if x.resumeEventID() == "" || !x.route.Resumable {
+		return ""
+	}
+	return fmt.Sprintf("needs service %s at software version %s", x.origin.Service, x.origin.Version)
+}
+
 // recordResumption records that run goes on with a stream that began at another backend server, in the
 // same answer or in that of an earlier request of the caller.
 func (x *exchange) recordResumption(run *fleet.Assignment) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -198,6 +198,6 @@
 // not look complete. It panics with http.ErrAbortHandler.
 func (x *exchange) abortStream(reason string) {
 	x.g.Metrics.countFailure(http.StatusBadGateway, "stream_broken")
-	x.recordEvent("stream_broken", "", reason+" after event "+x.stream.lastID)
+	x.recordEvent("stream_broken", "", reason+" after event "+x.stream.lastID+" "+x.versionDetail())
 	panic(http.ErrAbortHandler)
 }
--- a/interface.go
+++ b/interface.go
@@ -114,11 +114,18 @@
 	Adapters      []Adapter
 	VMs           []Report          // latest report of each VM
 	Demand        map[string]Demand // by name of the model or adapter
+	Needs         []Need
 	LoadsInFlight int               // loads from the store in progress
 
 	AllowedStoreLoads int // loads from the store that may start now; not every Placer uses it
 }
 
+// Need is a model of which a copy must be on one of some VMs, while it can be loaded there.
+type Need struct {
+	Model string
+	VMs   []string
+}
+
 // Move is an order that a Placer wants to send to one VM.
 type Move struct {
 	VM     string
--- a/node/entry.go
+++ b/node/entry.go
@@ -330,7 +330,7 @@
 				e.links.SendAdapterUse(address, used)
 			}
 		}
-		e.follower.SendDemand(fleet.DemandUpdate{Entry: e.cfg.VMName, Demand: e.fleet.TakeDemand()})
+		e.follower.SendDemand(fleet.DemandUpdate{Entry: e.cfg.VMName, Demand: e.fleet.TakeDemand(), VersionNeeds: e.fleet.TakeVersionNeeds()})
 	}
 }
 
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -1,7 +1,10 @@
 package placement
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
@@ -15,7 +18,8 @@
 // demand sums up the demand for each model over all entries. Older counts decay, so that a
 // shift of demand shows within seconds.
 type demand struct {
-	models map[string]*modelDemand // by model name
+	models map[string]*modelDemand         // by model name
+	needs  map[fleet.VersionNeed]time.Time // when each was last reported
 }
 
 // modelDemand holds the decaying counts for one model, as of updatedAt.
@@ -58,6 +62,41 @@
 	return urgent
 }
 
+// Needs are met for as long as a stream may wait, and their number is bounded.
+const (
+	needTTL  = 3 * time.Second
+	maxNeeds = 256
+)
+
+// addNeeds adds the needs reported by an entry. It returns true if there are any, so that placement should run
+// immediately.
+func (d *demand) addNeeds(needs []fleet.VersionNeed, now time.Time) (urgent bool) {
+	if d.needs == nil {
+		d.needs = make(map[fleet.VersionNeed]time.Time)
+	}
+	maps.DeleteFunc(d.needs, func(_ fleet.VersionNeed, at time.Time) bool { return now.Sub(at) > needTTL })
+	for _, n := range needs {
+		if len(d.needs) < maxNeeds {
+			d.needs[n] = now
+		}
+	}
+	return len(needs) > 0
+}
+
+// needsOf returns the needs of a service that are met now.
+func (d *demand) needsOf(service string, now time.Time) []fleet.VersionNeed {
+	var needs []fleet.VersionNeed
+	for n, at := range d.needs {
+		if n.Service == service && now.Sub(at) <= needTTL {
+			needs = append(needs, n)
+		}
+	}
+	slices.SortFunc(needs, func(a, b fleet.VersionNeed) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Version, b.Version))
+	})
+	return needs
+}
+
 // totalRate returns the requests per second for all given models together.
 func (d *demand) totalRate(models []route.Model, now time.Time) float64 {
 	sum := 0.0
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -88,7 +88,9 @@
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if p.demand.add(note.Demand, time.Now()) {
+		now := time.Now()
+		needed := p.demand.addNeeds(note.VersionNeeds, now)
+		if p.demand.add(note.Demand, now) || needed {
 			select {
 			case p.urgent <- struct{}{}:
 			default:
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -220,3 +220,64 @@
 		})
 	}
 }
+
+// TestModelIsLoadedAtNeededVersion guards against streams that cannot go on since their model is held at other
+// software versions alone (issue 34). While a stream needs a model at a version, an engine of that version loads it; the
+// rest stays as it is.
+func TestModelIsLoadedAtNeededVersion(t *testing.T) {
+	need := func(model, version string) []fleet.VersionNeed {
+		return []fleet.VersionNeed{{Service: "llm", Model: model, Version: version}}
+	}
+	for name, c := range map[string]struct {
+		needs []fleet.VersionNeed
+		age   time.Duration
+		want  string // address of the engine that loads m
+	}{
+		"nobody needs it":          {nil, 0, ""},
+		"held at the version":      {need("m", "v1"), 0, ""},
+		"held at another version":  {need("m", "v2"), 0, "10.0.0.2:1"},
+		"the need is over":         {need("m", "v2"), 2 * needTTL, ""},
+		"no engine of the version": {need("m", "v3"), 0, ""},
+		"unknown model":            {need("x", "v2"), 0, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leads := true
+			p, f, _ := newTest(&leads)
+			now := time.Now()
+			orders := make(chan string, 8)
+			p.Orders = orderFunc(func(address string, c fleet.OrderCall) {
+				if c.Load && c.Model == "m" {
+					orders <- address
+				}
+			})
+			var listings []bamboostep.Listing
+			held := []bamboostep.LoadedModel{{Name: "m"}, {Name: "n"}}
+			for i, version := range []string{"v1", "v2"} {
+				address := fmt.Sprintf("10.0.0.%d:1", i+1)
+				instance := fmt.Sprint("i", i+1)
+				listings = append(listings, bamboostep.Listing{Instance: instance, StartedMS: 1, Service: "llm", Address: address, Domain: "a", SoftwareVersion: version})
+				f.ApplyList(listings, now)
+				f.ApplyReport(fleet.Report{Address: address, Instance: instance, StartedMS: 1, Service: "llm", Models: held[i : i+1]}, now)
+			}
+			p.demand.add([]fleet.Demand{{Model: "m", Requests: 1, Tokens: 10}, {Model: "n", Requests: 1, Tokens: 10}}, now)
+			p.demand.addNeeds(c.needs, now.Add(-c.age))
+			p.runRound(t.Context(), now)
+			got := ""
+			select {
+			case got = <-orders:
+			case <-time.After(50 * time.Millisecond):
+			}
+			if got != c.want {
+				t.Errorf("engine that loads m: got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// orderFunc is Orders made of a function.
+type orderFunc func(address string, c fleet.OrderCall)
+
+func (f orderFunc) Order(_ context.Context, address string, c fleet.OrderCall) error {
+	f(address, c)
+	return nil
+}
--- a/placement/view.go
+++ b/placement/view.go
@@ -39,6 +39,9 @@
 		f.VMs = append(f.VMs, p.vmReport(s, r))
 	}
 	p.setLimitedVMs(&f, reports)
+	for _, n := range p.demand.needsOf(s.Name, now) {
+		f.Needs = append(f.Needs, bamboostep.Need{Model: n.Model, VMs: p.Fleet.AddressesOfVersion(s.Name, n.Version)})
+	}
 	return f
 }
 
--- a/stock/spread.go
+++ b/stock/spread.go
@@ -48,6 +48,7 @@
 	return planEnginePlaces(fleet, func(v *placeView) {
 		v.unloadUndeclared(fleet)
 		p.restoreMissingCopies(now, v)
+		p.meetNeeds(now, v, fleet.Needs)
 		p.placer.useSpaceClaims(now, v)
 		for range maxSpreadMoves {
 			if v.loadsLeft <= 0 || !p.applyBestCandidate(now, v) {
@@ -79,10 +80,16 @@
 // restoreCopy loads one copy of m, or starts to make room for it. It returns false if
 // no worker is suitable.
 func (p *Spread) restoreCopy(now time.Time, v *placeView, m *model) bool {
+	return p.addCopy(now, v, m, v.workers, m.activeCopies() > 0)
+}
+
+// addCopy loads one copy of m on one of the given workers, or starts to make room for it there. It returns false if
+// none of them is suitable. If hasOtherCopies is set, little may be evicted for it.
+func (p *Spread) addCopy(now time.Time, v *placeView, m *model, workers []*worker, hasOtherCopies bool) bool {
 	var best *candidateCopy
-	for _, w := range v.workers {
+	for _, w := range workers {
 		c := candidateCopy{model: m, worker: w}
-		if m.isOn(w) || len(w.reservedFor) > 0 || v.loadsLeft <= 0 || !v.selectEvictionsFor(&c, m.activeCopies() > 0) {
+		if m.isOn(w) || len(w.reservedFor) > 0 || v.loadsLeft <= 0 || !v.selectEvictionsFor(&c, hasOtherCopies) {
 			continue
 		}
 		if best == nil || v.isBetterRestore(&c, best) {
@@ -96,6 +103,27 @@
 	return true
 }
 
+// meetNeeds loads copies of models that are needed on certain workers, or makes room for them there.
+func (p *Spread) meetNeeds(now time.Time, v *placeView, needs []bamboostep.Need) {
+	for _, n := range needs {
+		m := v.modelsByName[n.Model]
+		if m == nil {
+			continue
+		}
+		var workers []*worker
+		met := false
+		for _, w := range v.workers {
+			if slices.Contains(n.VMs, w.name) {
+				workers = append(workers, w)
+				met = met || m.isOn(w) || p.placer.spaceClaims[w.name].model == m.Name
+			}
+		}
+		if !met {
+			p.addCopy(now, v, m, workers, false)
+		}
+	}
+}
+
 // isBetterRestore reports whether a is better than b for a copy of the same model. It
 // prefers a worker that stores the weights, then evicting less work, then a failure
 // domain without a copy, then more free memory.
