--- a/interface.go
+++ b/interface.go
@@ -115,7 +115,7 @@
 	VMs           []Report          // latest report of each VM
 	Demand        map[string]Demand // by name of the model or adapter
 	Needs         []Need
-	LoadsInFlight int               // loads from the store in progress
+	LoadsInFlight int // loads from the store in progress
 
 	AllowedStoreLoads int // loads from the store that may start now; not every Placer uses it
 }
--- a/node/processes_test.go
+++ b/node/processes_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -97,7 +98,12 @@
 	for i := range entries {
 		c.entries = append(c.entries, c.newProcess("entry", fmt.Sprintf("127.0.%d.%d", subnet, 11+i), directory, seeds))
 	}
-	t.Cleanup(c.kill)
+	t.Cleanup(func() {
+		c.kill()
+		if t.Failed() {
+			t.Log(c.linesWith("msg=stream_", "msg=request_failed"))
+		}
+	})
 	c.start()
 	awaitOK(t, "publication", http.MethodPut, portOf(c.voters[0].ip, 3), strings.TrimPrefix(platform.PatternPublishRoutes, "PUT "), routes)
 	c.awaitReady()
@@ -165,15 +171,19 @@
 	}
 }
 
-// logs returns what all processes have logged.
-func (c *nodeCluster) logs() string {
-	var all strings.Builder
+// linesWith returns the lines of all logs that contain any of some texts.
+func (c *nodeCluster) linesWith(texts ...string) string {
+	var found strings.Builder
 	for _, p := range c.processes() {
-		text, err := os.ReadFile(p.logPath)
+		log, err := os.ReadFile(p.logPath)
 		if err != nil {
-			c.t.Fatal(err)
+			return err.Error()
+		}
+		for line := range strings.Lines(string(log)) {
+			if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+				found.WriteString(line)
+			}
 		}
-		all.Write(text)
 	}
-	return all.String()
+	return found.String()
 }
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -10,8 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/internal/frames"
 	"github.com/bamboostep/bamboostep/timeline"
@@ -325,34 +323,3 @@
 func TestFrames(t *testing.T) {
 	frames.Check(t, "testdata/frames-first.txt", map[string]any{"note": note{}, "group": group{}, "find_request": findRequest{}, "find_reply": findReply{}})
 }
-
-// BenchmarkNote measures what a stream costs an entry and three voters, without the network.
-func BenchmarkNote(b *testing.B) {
-	var voters []*fakeVoter
-	for _, name := range []string{"a", "b", "c"} {
-		r := &Registry{Recorder: newTestRecorder()}
-		r.Register(&wire.Mux{})
-		voters = append(voters, &fakeVoter{name: name, registry: r})
-	}
-	tracker := newTracker(3, voters...)
-	ids := make([]string, 1<<14)
-	for i := range ids {
-		ids[i] = fmt.Sprintf("%016x", i*7919)
-	}
-	b.ResetTimer()
-	for i := range b.N {
-		tracker.Note(ids[i%len(ids)], older, 15*time.Second)
-		tracker.flush()
-	}
-}
-
-// BenchmarkNoteBytes reports the bytes of a note with one stream, without the frame around it.
-func BenchmarkNoteBytes(b *testing.B) {
-	var body []byte
-	for range b.N {
-		notes := make(noteBuilder)
-		notes.add(1, older, 3)
-		body, _ = msgpack.Marshal(notes.note())
-	}
-	b.ReportMetric(float64(len(body)), "B/note")
-}
