One odd entry of the platform's list hides no other

Callers saw: nothing of any backend server that was listed, for as long as another writer's entry was there: 503 no_backend_server. Class: one bad part of a message stands for the message. A listing of a service that does not exist replaces no backend server at its address.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -46,6 +46,10 @@
 	Domain string // failure domain of this process
 	Seed   uint64 // seed of random choices; must differ between entries
 
+	// HasService reports whether a service is published. A listing of another service does not replace a backend
+	// server at the same address. Nil counts all services as published.
+	HasService func(name string) bool
+
 	mu            sync.Mutex
 	servers       map[serverKey]*server
 	byAddress     map[string]*server
@@ -179,12 +183,17 @@
 }
 
 // supersedes reports whether an unknown start is at least as new as the known one at the
-// same address.
+// same address, and not of a service that does not exist.
 func (f *Fleet) supersedes(l bamboostep.Listing) bool {
 	old := f.byAddress[l.Address]
-	return old == nil || l.StartedMS >= old.listing.StartedMS
+	if old == nil {
+		return true
+	}
+	return l.StartedMS >= old.listing.StartedMS && (f.hasService(l.Service) || !f.hasService(old.listing.Service))
 }
 
+func (f *Fleet) hasService(name string) bool { return f.HasService == nil || f.HasService(name) }
+
 // add adds a server and removes an earlier start at the same address.
 func (f *Fleet) add(l bamboostep.Listing) *server {
 	if old := f.byAddress[l.Address]; old != nil {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -183,6 +183,28 @@
 	}
 }
 
+// TestListingOfUnknownServiceReplacesNone guards against a list entry of a service that does not exist, and that names
+// the address of a backend server (issue 34). One of another service that exists does replace it, since
+// addresses are assigned again.
+func TestListingOfUnknownServiceReplacesNone(t *testing.T) {
+	for name, c := range map[string]struct {
+		service string
+		held    bool
+	}{"unknown service": {"unheard-of", true}, "another service": {"orders", false}} {
+		t.Run(name, func(t *testing.T) {
+			f := &Fleet{Domain: "a", HasService: func(name string) bool { return name == "llm" || name == "orders" }}
+			odd := engine(2, "a", holding("m"))
+			odd.Address, odd.Service, odd.StartedMS = "10.0.0.1:1", c.service, 99
+			for i := range 3 {
+				f.ApplyList([]bamboostep.Listing{engine(1, "a", holding("m")), odd}, start.Add(time.Duration(i)*time.Second))
+			}
+			if _, err := f.Choose(start, want("m")); (err == nil) != c.held {
+				t.Errorf("backend server at the same address: got error %v, want it to be kept %v", err, c.held)
+			}
+		})
+	}
+}
+
 // An engine has crashed and restarted at the same address. The old start must not be
 // chosen, nor brought back by the list, which lags behind the holder's report.
 func TestRestartAtSameAddress(t *testing.T) {
--- a/node/entry.go
+++ b/node/entry.go
@@ -65,7 +65,7 @@
 // runEntry runs an entry, see run.
 func runEntry(p *process) error {
 	e := &entry{process: p, startedAt: time.Now(), retryBudgets: make(map[string]*dispatch.RetryBudget)}
-	e.fleet = &fleet.Fleet{Domain: p.cfg.FailureDomain, Seed: rand.Uint64()}
+	e.fleet = &fleet.Fleet{Domain: p.cfg.FailureDomain, Seed: rand.Uint64(), HasService: hasService(&e.table)}
 	e.fleet.RegisterMetrics(p.registry)
 	seeds := p.seedVoters()
 	e.client = &ledger.Client{Node: p.wire, Members: seeds, Recorder: p.recorder, Applied: func(s *ledger.State) { applyRoutes(p, s, &e.table) }}
--- a/node/routes.go
+++ b/node/routes.go
@@ -32,3 +32,12 @@
 	table.Store(frozen)
 	p.recorder.Record(timeline.Event{Kind: "routes_in_force", Revision: version, Detail: fmt.Sprintf("%d routes", len(decoded.Routes))})
 }
+
+// hasService returns a function that reports whether a service is in the routes in force. Before the first routes every
+// service counts.
+func hasService(table *atomic.Pointer[route.Table]) func(name string) bool {
+	return func(name string) bool {
+		t := table.Load()
+		return t == nil || t.Service(name) != nil
+	}
+}
--- a/node/voter.go
+++ b/node/voter.go
@@ -61,9 +61,9 @@
 	v.Register(mux)
 	client := &ledger.Client{Node: p.wire, Members: seeds, Local: v, Recorder: p.recorder}
 	client.RegisterMetrics(p.registry)
-	backends := &fleet.Fleet{Domain: p.cfg.FailureDomain}
-	backends.RegisterMetrics(p.registry)
 	var table atomic.Pointer[route.Table]
+	backends := &fleet.Fleet{Domain: p.cfg.FailureDomain, HasService: hasService(&table)}
+	backends.RegisterMetrics(p.registry)
 	v.Applied = func(s *ledger.State) { applyRoutes(p, s, &table) }
 	reader := &fleet.ListReader{Directory: p.directory(), Fleet: backends, Recorder: p.recorder}
 	reader.Register(mux)
