An earlier refusal on a kept connection is not taken for that of the next request

Callers saw: 503, 'not run, try again', for requests that had run, and requests that ran at two backend servers. Cause: an error response without an attempt ID was taken for the response to the request that was waiting, whatever had come on its connection before; and a request that is sent again under its ID could meet its own earlier refusal on the same connection. Class: the place of a message on a connection stands for what it answers. TestStrayRefusalOnKeptConnection, TestRepeatedRequestUsesNoConnectionOfItsRefusal and TestRequestWithoutIDUsesNoKeptConnection fail before. Ruled out: refusals with the ID of their own request, which were discarded before; bytes that come while a connection is idle, which close it. Change: on a kept connection a response without an ID is no answer to anything: it is discarded and the next is read. On a new one, where nothing was asked before, it still counts. A request without ID gets a new connection, which is not kept. A request that is sent again avoids connections on which it was refused or failed.

--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -73,7 +73,7 @@
 // before the response is closed, the connection is reset, even while the body is being
 // read. The error is a *SendError.
 func (p *Pool) Do(ctx context.Context, address string, c bamboostep.Call, pass bamboostep.ForwardOptions) (*Response, error) {
-	cn, err := p.get(ctx, address)
+	cn, err := p.get(ctx, address, c.ID)
 	if err != nil {
 		return nil, &SendError{Address: address, Cause: err}
 	}
@@ -141,11 +141,12 @@
 			return err
 		}
 		mark := r.pool.Dialect.ReadAnswerInfo(resp.StatusCode, resp.Header)
-		if mark.CallID == c.ID || (mark.CallID == "" && resp.StatusCode >= http.StatusBadRequest) {
-			r.setHead(resp, mark)
+		isError := resp.StatusCode >= http.StatusBadRequest
+		switch {
+		case mark.CallID == c.ID, mark.CallID == "" && isError && !r.conn.reused:
+			r.setHead(c, resp, mark)
 			return nil
-		}
-		if mark.CallID == "" {
+		case mark.CallID == "" && !isError:
 			return errMissingAttemptID
 		}
 		r.pool.Metrics.countStray()
@@ -188,8 +189,11 @@
 	return nil
 }
 
-// setHead initializes r from the head of its response.
-func (r *Response) setHead(resp *http.Response, mark bamboostep.AnswerInfo) {
+// setHead initializes r from the head of its response to c.
+func (r *Response) setHead(c bamboostep.Call, resp *http.Response, mark bamboostep.AnswerInfo) {
+	if mark.NotRun || resp.StatusCode >= http.StatusInternalServerError {
+		r.conn.failedIDs = append(r.conn.failedIDs, c.ID)
+	}
 	r.Status = resp.StatusCode
 	r.Header = resp.Header
 	r.Mark = mark
@@ -257,6 +261,10 @@
 		r.conn.netConn.Close()
 		return
 	}
+	if r.Mark.CallID == "" {
+		r.conn.netConn.Close() // what follows on it could not be told from this response
+		return
+	}
 	r.pool.put(r.conn, r.Mark.IdleTimeout)
 }
 
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -9,7 +9,10 @@
 //     it is reused, and dropped if it was closed or has received unsolicited bytes.
 //   - A response must carry the attempt ID of its request. A response with another ID is
 //     discarded, and the next one on the connection is read. An error response may lack
-//     the ID.
+//     the ID, but only on a new connection, where no earlier request can have caused it; on a
+//     kept one it is discarded. So a request that has no ID gets a new connection, which is not kept.
+//   - A request that is sent again under its ID, after it was refused or has failed, does not use the
+//     connection of that response, which could come once more.
 //   - A failure before the first byte of a request was written is a *SendError with Sent
 //     false.
 package origin
@@ -20,6 +23,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -78,12 +82,22 @@
 	address      string
 	idleDeadline time.Time // when it is closed if still idle
 	reused       bool
+	failedIDs    []string // attempt IDs of the requests that were refused or failed on it
 }
 
-// get returns an idle connection that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// maxFailedIDs bounds the failures on a connection that is kept.
+const maxFailedIDs = 64
+
+// maySend reports whether a kept connection may carry the request with an attempt ID.
+func (c *conn) maySend(id string) bool { return !slices.Contains(c.failedIDs, id) }
+
+// get returns a connection for the request with an attempt ID: an idle one that is still usable, or a new one.
+func (p *Pool) get(ctx context.Context, address, id string) (*conn, error) {
+	if id == "" {
+		return p.dial(ctx, address)
+	}
 	for {
-		c := p.takeIdle(address, time.Now())
+		c := p.takeIdle(address, id, time.Now())
 		if c == nil {
 			return p.dial(ctx, address)
 		}
@@ -95,17 +109,21 @@
 	}
 }
 
-// takeIdle removes and returns the most recently used idle connection to an address, or
-// returns nil if there is none. It closes expired ones.
-func (p *Pool) takeIdle(address string, now time.Time) *conn {
+// takeIdle removes and returns the most recently used idle connection to an address that may carry the request with
+// an attempt ID, or returns nil if there is none. It closes expired ones.
+func (p *Pool) takeIdle(address, id string, now time.Time) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		expired := !now.Before(c.idleDeadline)
+		if !expired && !c.maySend(id) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		p.idle[address] = list
-		if now.Before(c.idleDeadline) {
+		if !expired {
 			return c
 		}
 		c.netConn.Close()
@@ -171,7 +189,7 @@
 		keep = defaultIdleTimeout
 	}
 	keep = min(keep-idleCloseMargin, maxIdleTimeout)
-	if keep <= 0 || c.r.Buffered() > 0 {
+	if keep <= 0 || c.r.Buffered() > 0 || len(c.failedIDs) > maxFailedIDs {
 		c.netConn.Close()
 		return
 	}
