Moves of KV caches keep no connection

Callers saw: nothing yet; a stream that goes on from the cache of another request, or one that was stopped and looks complete, would be the result. Cause: responses to moves name no request, so an earlier one that comes once more on a kept connection is taken for that of the next move. Ruled out: orders of holders, which have the same weakness: a refusal that is believed falsely costs an order, and the report, 100 ms later, shows what the engine does; nothing that a caller is told depends on it. Change: NewCacheMoveClient, without kept connections.

--- a/node/entry.go
+++ b/node/entry.go
@@ -89,7 +89,7 @@
 		e.suspects.Watch(ctx, c)
 	}
 	e.gateway = &gateway.Gateway{
-		Dialect:      platform.CacheMoveDialect{Client: platform.NewEngineClient(engineTimeout)},
+		Dialect:      platform.CacheMoveDialect{Client: platform.NewCacheMoveClient(engineTimeout)},
 		RouteTable:   e.table.Load,
 		Fleet:        e.fleet,
 		Pool:         e.pool,
