Agents keep no connection to their engine

Callers saw: not_run for a request of the own interface that has run, after an engine wrote an earlier refusal once more. Ruled out: applications, whose client keeps no connection already; offers between entries and agents, which carry the attempt's ID over package wire. Change: no kept connections to the engine, which is on the same VM. MaxIdleConnsPerHost and the reading to the end of responses go.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -348,7 +348,7 @@
 // The agent itself rejects a body that is not JSON, with outcome not_run. No engine
 // listens here, so a valid body fails with backend_down.
 func TestInvalidJSONBodyIsNotRun(t *testing.T) {
-	e := newEngine("http://127.0.0.1:0", "vm-1", 1)
+	e := newEngine("http://127.0.0.1:0", "vm-1")
 	for _, body := range []string{"", "{", "{} {}", "{}"} {
 		offer := bamboostep.Offer{Attempt: "1", Request: bamboostep.Request{Model: "m", Body: []byte(body)}}
 		err := e.Generate(t.Context(), offer, func(bamboostep.Answer) error { return nil })
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -17,7 +17,9 @@
 )
 
 // engine is the HTTP client of a model engine on the same VM. Control requests and
-// generated text are JSON; a KV cache is transferred as raw bytes.
+// generated text are JSON; a KV cache is transferred as raw bytes. It keeps no connection: responses
+// name no request, so an earlier refusal that an engine writes once more would be taken for that of the next
+// request, which runs.
 type engine struct {
 	baseURL string
 	vmName  string
@@ -30,16 +32,10 @@
 	_ bamboostep.KVExporter = (*engine)(nil)
 )
 
-const (
-	maxKVBytes       = 4 << 20 // largest KV cache of one attempt that ExportKV returns
-	maxTrailingBytes = 4 << 10 // read past the last line of a response, so that its connection can be reused
-)
+const maxKVBytes = 4 << 20 // largest KV cache of one attempt that ExportKV returns
 
-func newEngine(baseURL, vmName string, concurrency int) *engine {
-	client := &http.Client{Transport: &http.Transport{
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: concurrency,
-	}}
+func newEngine(baseURL, vmName string) *engine {
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
 	return &engine{
 		baseURL: baseURL,
 		vmName:  vmName,
@@ -109,11 +105,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return responseError(resp)
 	}
-	if err := readTokens(json.NewDecoder(resp.Body), yield); err != nil {
-		return err
-	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxTrailingBytes)) // the connection is reused only after the body was read to EOF
-	return nil
+	return readTokens(json.NewDecoder(resp.Body), yield)
 }
 
 // newRequest builds the request that s describes and binds it to ctx.
--- a/agent/run.go
+++ b/agent/run.go
@@ -95,7 +95,7 @@
 		Settle:       cfg.SettleTime.Duration,
 	}
 	if cfg.Kind == bamboostep.EnginePlace {
-		s.Engine = newEngine(cfg.BackendURL, cfg.Name, cfg.Concurrency)
+		s.Engine = newEngine(cfg.BackendURL, cfg.Name)
 		return s
 	}
 	s.Application = newApplication(cfg.BackendURL)
--- a/agent/unframed_response_test.go
+++ b/agent/unframed_response_test.go
@@ -73,7 +73,7 @@
 		"in chunks":        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ncache\r\n0\r\n\r\n", true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			kv, err := newEngine(startRawServer(t, c.response, false), "vm", 1).ExportKV(context.Background(), "1")
+			kv, err := newEngine(startRawServer(t, c.response, false), "vm").ExportKV(context.Background(), "1")
 			if whole := err == nil; whole != c.whole || whole && string(kv) != "cache" {
 				t.Errorf("cache: got %q (%v), want complete %v", kv, err, c.whole)
 			}
