A connection's silence counts from the check before it is awaited

Callers saw: a request of the own interface that stays with a silent VM for up to 3.0 s where 3 s are promised. Cause: a check each 250 ms notices that something is awaited, and counts from then on; it may have been awaited for 250 ms. With the next check (250 ms), the 2 s and the 500 ms for another connection this adds up to the 3 s. Evidence: TestSilenceIsNoticedInTime, whose uses now begin between two checks, fails before after 0 to 5 draws: abandoned after 2.5 s and more of silence, where 2 s and one check are the bound. Ruled out: load of that run: the model has no time of its own. Change: the wait counts from the check before. A connection is abandoned 1.75 to 2.25 s after its use, which leaves 250 ms of the 3 s.

--- a/wire/silence.go
+++ b/wire/silence.go
@@ -32,15 +32,19 @@
 	idle limits // otherwise
 
 	wasBusy   bool
-	busySince time.Time
+	busySince time.Time // the last check before something was awaited, so that no wait seems shorter than it is
+	checkedAt time.Time // zero before the first check
 }
 
 // check says what to do with a connection that was last heard at a moment.
 func (s *silence) check(now, heard time.Time, busy bool) (ping, abandon bool) {
 	if busy && !s.wasBusy {
 		s.busySince = now
+		if !s.checkedAt.IsZero() {
+			s.busySince = s.checkedAt
+		}
 	}
-	s.wasBusy = busy
+	s.wasBusy, s.checkedAt = busy, now
 	quiet := now.Sub(heard)
 	if !busy {
 		return quiet > s.idle.ping, quiet > s.idle.abandon
--- a/wire/silence_test.go
+++ b/wire/silence_test.go
@@ -25,7 +25,8 @@
 			now = now.Add(checkInterval)
 			busy := rapid.IntRange(0, 9).Draw(t, "changes") == 0 != wasBusy
 			if busy && !wasBusy {
-				busySince = now
+				sinceUse := rapid.IntRange(0, int(checkInterval/time.Millisecond)).Draw(t, "ms_since_use")
+				busySince = now.Add(-time.Duration(sinceUse) * time.Millisecond)
 			}
 			wasBusy = busy
 			if deadSince.IsZero() && rapid.IntRange(0, 29).Draw(t, "dies") == 0 {
@@ -38,6 +39,9 @@
 			if abandon && deadSince.IsZero() {
 				t.Fatalf("a connection that answers is abandoned after %v", now.Sub(heard))
 			}
+			if abandon && busy && min(now.Sub(deadSince), now.Sub(busySince)) > dialerLimits.abandon+checkInterval {
+				t.Fatalf("abandoned only after %v of silence, awaited for %v", now.Sub(deadSince), now.Sub(busySince))
+			}
 			if abandon {
 				return
 			}
