Responses are buffered in chunks that are used again

Callers saw: nothing; the heap of an entry with a hundred unbounded responses came near its bound. Cause: buffers that double as they grow leave as much garbage as they hold, and copy it, while the collector is behind. Change: chunkedBuffer, 16 KB chunks from a pool; what a response holds is copied once, when it has ended.

--- a/gateway/buffer.go
+++ b/gateway/buffer.go
@@ -1,10 +1,10 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	"github.com/bamboostep/bamboostep/fleet"
@@ -55,19 +55,62 @@
 func (x *exchange) readBuffered(ctx context.Context, run *fleet.Assignment, resp *origin.Response) ([]byte, error) {
 	usage := bufferUsage{total: &x.g.bufferedBytes}
 	defer usage.release()
-	var b bytes.Buffer
-	for b.Len() < maxBufferedResponse {
-		_, err := io.CopyN(&b, resp, uncountedBufferBytes)
-		if limitErr := usage.resize(b.Len()); limitErr != nil && err == nil {
+	var b chunkedBuffer
+	defer b.free()
+	for b.size < maxBufferedResponse {
+		err := b.readFrom(resp)
+		if limitErr := usage.resize(b.size); limitErr != nil && err == nil {
 			err = limitErr
 		}
-		if err == nil {
+		switch {
+		case err == nil:
 			continue
+		case err != io.EOF && !isUnframedEnd(err):
+			return nil, err
 		}
-		if err := x.checkBodyEnd(ctx, run, resp, b.Bytes(), err); err != nil {
+		body := b.bytes()
+		if err := x.checkBodyEnd(ctx, run, resp, body, err); err != nil {
 			return nil, err // without the body, so that it is not held while the failure is handled
 		}
-		return b.Bytes(), nil
+		return body, nil
 	}
 	return nil, errResponseTooLarge
 }
+
+// chunkedBuffer grows without copying what it holds, so that many large buffers leave no garbage as they grow.
+type chunkedBuffer struct {
+	chunks []*[chunkBytes]byte
+	size   int // bytes that it holds
+}
+
+const chunkBytes = 16 << 10
+
+var chunkPool = sync.Pool{New: func() any { return new([chunkBytes]byte) }}
+
+// readFrom appends the result of one read.
+func (b *chunkedBuffer) readFrom(r io.Reader) error {
+	used := b.size % chunkBytes
+	if used == 0 && b.size == len(b.chunks)*chunkBytes {
+		b.chunks = append(b.chunks, chunkPool.Get().(*[chunkBytes]byte))
+	}
+	n, err := r.Read(b.chunks[len(b.chunks)-1][used:])
+	b.size += n
+	return err
+}
+
+// bytes returns a copy of what the buffer holds.
+func (b *chunkedBuffer) bytes() []byte {
+	all := make([]byte, 0, b.size)
+	for _, c := range b.chunks {
+		all = append(all, c[:min(chunkBytes, b.size-len(all))]...)
+	}
+	return all
+}
+
+// free releases the chunks. The buffer must not be used after it.
+func (b *chunkedBuffer) free() {
+	for _, c := range b.chunks {
+		chunkPool.Put(c)
+	}
+	b.chunks = nil
+}
