A search for a stream waits for a voter that keeps it

Cause: with more than five voters, a majority may have answered of which none keeps the stream, so that it counted as unknown after 300 ms. Evidence: TestFindWaitsForKeepers fails before, with seven voters whose three keepers take 400 ms. Change: so many voters must have answered that one of the keepers is among them; else the search goes on to its end of 800 ms.

--- a/release/release_test.go
+++ b/release/release_test.go
@@ -156,6 +156,31 @@
 
 func forget(v *fakeVoter) { v.registry.table = newTable(8, time.Now()) }
 
+// TestFindWaitsForKeepers guards against a stream that counts as unknown after a majority of seven voters has answered, of
+// which none keeps it.
+func TestFindWaitsForKeepers(t *testing.T) {
+	var voters []*fakeVoter
+	for i := range 7 {
+		voters = append(voters, newFakeVoter(t, fmt.Sprint("v", i), ""))
+	}
+	began := newTracker(len(voters), voters...)
+	began.Note("r1", older, 10*time.Second)
+	began.flush()
+	keep := 0
+	for _, v := range voters {
+		if v.notes > 0 {
+			keep++
+			v.delay = findTimeout + 100*time.Millisecond
+		}
+	}
+	if keep != copies {
+		t.Fatalf("voters that keep the stream: got %d, want %d", keep, copies)
+	}
+	if got, known := newTracker(len(voters), voters...).Find(context.Background(), "r1"); !known || got != older {
+		t.Errorf("origin: got %v, %v, want %v", got, known, older)
+	}
+}
+
 // TestFindWaitsForVoters checks that a search waits for voters that come back after a loss of power.
 func TestFindWaitsForVoters(t *testing.T) {
 	voter := newFakeVoter(t, "a", "")
--- a/release/tracker.go
+++ b/release/tracker.go
@@ -17,7 +17,7 @@
 	copies            = 3                      // voters that keep a stream
 	noteInterval      = 20 * time.Millisecond  // between notes to a voter
 	maxTrackerStreams = 1 << 14                // streams that an entry keeps itself
-	findTimeout       = 300 * time.Millisecond // of a search, once a majority of voters has answered
+	findTimeout       = 300 * time.Millisecond // of a search, once enough voters have answered
 	reconnectTimeout  = 800 * time.Millisecond // of a search before that: after a loss of power voters come back one after the other
 	findPollInterval  = 20 * time.Millisecond  // for voters that have come back
 )
@@ -150,8 +150,8 @@
 }
 
 // Find returns where a stream began that a request has begun. It asks voters unless this entry has begun
-// the stream, and returns false if nobody knows: after all voters have answered, or after findTimeout, or
-// after reconnectTimeout while no majority has answered.
+// the stream, and returns false if nobody knows: after all voters have answered, after findTimeout if enough of them have,
+// and after reconnectTimeout in any case.
 func (t *Tracker) Find(ctx context.Context, request string) (Origin, bool) {
 	if t == nil || request == "" {
 		return Origin{}, false
@@ -194,12 +194,16 @@
 			answered++
 		case <-poll.C:
 		}
-		if answered >= all && all > 0 || 2*answered > all && time.Since(began) >= findTimeout {
+		if answered >= all && all > 0 || enoughAnswered(answered, all) && time.Since(began) >= findTimeout {
 			return Origin{}, false
 		}
 	}
 }
 
+// enoughAnswered reports whether a majority of the voters has answered, and so many that one of those that keep the
+// stream is among them.
+func enoughAnswered(answered, all int) bool { return 2*answered > all && all-answered < copies }
+
 // askVoter sends the reply of a voter, unless there is none before ctx ends.
 func askVoter(ctx context.Context, v Voter, id streamID, replies chan<- findReply) {
 	var r findReply
