The software version of a server counts from when it is listed, also for requests that run there

Cause: an engine that has just started is reported by its holder up to two seconds before the list names its version; a stream that began there in between was of unknown version, and could not go on. Evidence: TestVersionIsKnownOnceListed. Change: Assignment.ListedVersion in place of the version at the assignment; it is read as the first event goes out. Conclusion: an unknown version still goes on nowhere.

--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -43,6 +43,14 @@
 	return leaves
 }
 
+// ListedVersion returns the software version of the server. It may be known only after the request was assigned, since
+// reports of holders name none and come before the list.
+func (r *Assignment) ListedVersion() string {
+	r.fleet.mu.Lock()
+	defer r.fleet.mu.Unlock()
+	return r.server.listing.SoftwareVersion
+}
+
 // DepartureKnown returns a channel that is closed once the server's shutdown time is known, which
 // may be after the request has ended.
 func (r *Assignment) DepartureKnown() <-chan struct{} { return r.departureKnown }
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -58,7 +58,6 @@
 	Instance      string
 	StartedMS     int64 // start of the backend server, Unix milliseconds
 	Domain        string
-	Version       string        // of the backend server's software; empty if unknown
 	AdapterReady  bool          // the adapter is already loaded, or the request needs none
 	EstimatedWait time.Duration // estimated time until the first event
 	LimitWait     time.Duration // time until the server's limit is expected to allow a request; 0 if it is not known to be used up
@@ -211,7 +210,6 @@
 		Instance:       l.Instance,
 		StartedMS:      l.StartedMS,
 		Domain:         l.Domain,
-		Version:        l.SoftwareVersion,
 		AdapterReady:   e.adapterReady,
 		EstimatedWait:  e.wait,
 		LimitWait:      e.limitWait,
--- a/fleet/choose_test.go
+++ b/fleet/choose_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/bamboostep/bamboostep"
 )
@@ -59,9 +60,26 @@
 			switch {
 			case c.reason != "" && (!errors.As(err, &none) || none.Reason != c.reason):
 				t.Errorf("error: got %v, want %s", err, c.reason)
-			case c.reason == "" && (err != nil || run.Instance != c.instance || run.Version != "v1"):
+			case c.reason == "" && (err != nil || run.Instance != c.instance || run.ListedVersion() != "v1"):
 				t.Errorf("got %+v, %v, want %s with version v1", run, err, c.instance)
 			}
 		})
 	}
 }
+
+// TestVersionIsKnownOnceListed checks that a request at an engine that was reported before it was listed has its software
+// version once that is known.
+func TestVersionIsKnownOnceListed(t *testing.T) {
+	f := newFleet()
+	f.ApplyReport(Report{Address: "10.0.0.1:1", Instance: "i1", StartedMS: 1, Service: "llm", Domain: "a", Models: []bamboostep.LoadedModel{holding("m")}}, start)
+	run, err := f.Choose(start, want("m"))
+	if err != nil || run.ListedVersion() != "" {
+		t.Fatalf("before the list: got %v, version %q, want an engine of unknown version", err, run.ListedVersion())
+	}
+	listed := engine(1, "a", holding("m"))
+	listed.SoftwareVersion = "v1"
+	f.ApplyList([]bamboostep.Listing{listed}, start.Add(time.Second))
+	if got := run.ListedVersion(); got != "v1" {
+		t.Errorf("after the list: got version %q, want v1", got)
+	}
+}
--- a/gateway/move.go
+++ b/gateway/move.go
@@ -107,14 +107,15 @@
 // chooseTarget selects an engine to move to, and takes a permit for the request there.
 func (m *streamMove) chooseTarget(ctx context.Context) (*fleet.Assignment, quota.Permit, error) {
 	x := m.x
-	if m.source.Version == "" {
+	version := m.source.ListedVersion()
+	if version == "" {
 		return nil, quota.Permit{}, errVersionUnknown
 	}
 	exclude := []string{m.source.Address}
 	for {
 		now := time.Now()
 		criteria := x.serverCriteria(now)
-		criteria.Version = m.source.Version
+		criteria.Version = version
 		criteria.Exclude = slices.Concat(criteria.Exclude, exclude)
 		to, err := x.g.Fleet.Choose(now, criteria)
 		if err != nil {
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -68,7 +68,7 @@
 		return
 	}
 	if x.origin.Service == "" {
-		x.origin = release.Origin{Service: x.service.Name, Version: run.Version}
+		x.origin = release.Origin{Service: x.service.Name, Version: run.ListedVersion()}
 	}
 	if !x.route.Resumable {
 		return // its caller cannot take it up
@@ -132,5 +132,5 @@
 	if after == "" {
 		return
 	}
-	x.recordEvent("stream_resumed", run.Address, fmt.Sprintf("after event %s, begun by request %q at software version %s, goes on at %s", after, x.call.Resumes, x.origin.Version, run.Version))
+	x.recordEvent("stream_resumed", run.Address, fmt.Sprintf("after event %s, begun by request %q at software version %s, goes on at %s", after, x.call.Resumes, x.origin.Version, run.ListedVersion()))
 }
