Tests: one server with a script in place of four

Ruled out: a change of what they check; the late refusals of the process test still come in a part of their own. Change: rawserver.StartScript. Conclusion: none.

--- a/node/stray_refusal_test.go
+++ b/node/stray_refusal_test.go
@@ -1,17 +1,16 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/bamboostep/bamboostep/internal/rawserver"
 )
 
 const writeRoutes = `{"version":1,"routes":[{"name":"r","hostname":"h.example","path_prefix":"/p/","route_type":"non_idempotent","timeout_ms":3000,
@@ -38,56 +37,39 @@
 // start starts a backend server and returns its address.
 func (s *repeatingService) start(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(nc)
+	address, _ := rawserver.StartScript(t, func(e rawserver.Exchange) (string, bool) {
+		id := e.Request.Header.Get("X-Attempt-Id")
+		idLine := "X-Attempt-Id: " + id + "\r\n"
+		if e.Number%3 == 0 {
+			return refusal + idLine + framing, false
 		}
-	}()
-	return l.Addr().String()
-}
-
-func (s *repeatingService) serve(nc net.Conn) {
-	defer nc.Close()
-	const framing = "Keep-Alive: timeout=9\r\nContent-Length: 2\r\n\r\nok"
-	r := bufio.NewReader(nc)
-	refused := ""
-	for n := 1; ; n++ {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, req.Body)
-		id := "X-Attempt-Id: " + req.Header.Get("X-Attempt-Id") + "\r\n"
-		if n%3 == 0 {
-			refused = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
-			if s.withID {
-				refused += id
-			}
-			refused += framing
-			io.WriteString(nc, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"+id+framing)
-			continue
-		}
-		s.run(req.Header.Get("X-Attempt-Id"))
+		s.run(id)
 		time.Sleep(s.delay)
-		if refused != "" {
-			s.mu.Lock()
-			s.repeats++
-			s.mu.Unlock()
-			io.WriteString(nc, refused)
-			refused = ""
-			time.Sleep(s.delay)
+		if e.Number%3 == 1 && e.Number > 1 {
+			s.repeat(e)
 		}
-		io.WriteString(nc, "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n"+id+framing)
+		return "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\n" + idLine + framing, false
+	})
+	return address
+}
+
+// Parts of responses.
+const (
+	refusal = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n"
+	framing = "Keep-Alive: timeout=9\r\nContent-Length: 2\r\n\r\nok"
+)
+
+// repeat writes an earlier refusal once more.
+func (s *repeatingService) repeat(e rawserver.Exchange) {
+	s.mu.Lock()
+	s.repeats++
+	s.mu.Unlock()
+	if s.withID {
+		e.Send(refusal + "X-Attempt-Id: earlier\r\n" + framing)
+	} else {
+		e.Send(refusal + framing)
 	}
+	time.Sleep(s.delay)
 }
 
 // TestRepeatedRefusalIsNotBelieved guards against callers who are told that a request has not run which has, and against
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/internal/rawserver"
 	"github.com/bamboostep/bamboostep/platform"
 )
 
@@ -22,39 +23,7 @@
 // connection is closed after the response. conns counts the connections.
 func startBackend(t *testing.T, script func(conn, request int) (answer string, end bool)) (address string, conns *atomic.Int32) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	conns = new(atomic.Int32)
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serveScript(nc, int(conns.Add(1)), script)
-		}
-	}()
-	return l.Addr().String(), conns
-}
-
-func serveScript(nc net.Conn, conn int, script func(conn, request int) (string, bool)) {
-	defer nc.Close()
-	r := bufio.NewReader(nc)
-	for n := 1; ; n++ {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		io.Copy(io.Discard, req.Body)
-		answer, end := script(conn, n)
-		io.WriteString(nc, answer)
-		if end {
-			return
-		}
-	}
+	return rawserver.StartScript(t, func(e rawserver.Exchange) (string, bool) { return script(e.Conn, e.Number) })
 }
 
 func responseFor(id, body string) string {
--- a/origin/stray_refusal_test.go
+++ b/origin/stray_refusal_test.go
@@ -1,17 +1,15 @@
 package origin
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/internal/rawserver"
 	"github.com/bamboostep/bamboostep/platform"
 )
 
@@ -75,15 +73,16 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var ran atomic.Int32
-			address, conns := startIdentifyingBackend(t, func(conn, n int, id string) string {
+			address, conns := rawserver.StartScript(t, func(e rawserver.Exchange) (string, bool) {
+				id := e.Request.Header.Get("X-Attempt-Id")
 				switch {
-				case conn == 1 && n == 1:
-					return first
-				case conn == 1 && id == "a":
+				case e.Conn == 1 && e.Number == 1:
+					return first, false
+				case e.Conn == 1 && id == "a":
 					ran.Add(1)
-					return first + responseFor("a", "ok")
+					return first + responseFor("a", "ok"), false
 				}
-				return responseFor(id, "ok")
+				return responseFor(id, "ok"), false
 			})
 			p := &Pool{Dialect: platform.HTTPDialect{}}
 			if _, err := sendAndRead(t, p, address, "a"); err != nil {
@@ -137,35 +136,3 @@
 		t.Errorf("connections: got %d, want 3", got)
 	}
 }
-
-// startIdentifyingBackend is startBackend for a script that knows the ID of the request.
-func startIdentifyingBackend(t *testing.T, script func(conn, request int, id string) string) (address string, conns *atomic.Int32) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	conns = new(atomic.Int32)
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func(conn int) {
-				defer nc.Close()
-				r := bufio.NewReader(nc)
-				for n := 1; ; n++ {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					_, _ = io.WriteString(nc, script(conn, n, req.Header.Get("X-Attempt-Id")))
-				}
-			}(int(conns.Add(1)))
-		}
-	}()
-	return l.Addr().String(), conns
-}
