Process tests wait for conditions instead of times

Cause: the tests of streams over processes slept for fixed times, which CONTRIBUTING rules out and which says nothing on a slow machine. Change: they wait for the voters' files and metrics, for the entries' view of backend servers and for the retry budgets. Conclusion: none; nothing but tests and a comment has changed.

--- a/interface.go
+++ b/interface.go
@@ -114,8 +114,8 @@
 	Adapters      []Adapter
 	VMs           []Report          // latest report of each VM
 	Demand        map[string]Demand // by name of the model or adapter
-	Needs         []Need
-	LoadsInFlight int // loads from the store in progress
+	Needs         []Need            // copies that must be on certain VMs
+	LoadsInFlight int               // loads from the store in progress
 
 	AllowedStoreLoads int // loads from the store that may start now; not every Placer uses it
 }
--- a/node/joined_versions_test.go
+++ b/node/joined_versions_test.go
@@ -226,13 +226,15 @@
 				s.read(t, cluster.entries[i%2].callerAddr(), fmt.Sprint("first-", i), events)
 			})
 			if !c.breaks {
-				time.Sleep(300 * time.Millisecond) // what processes know of streams may take that long to be on disk
+				cluster.awaitStreamsOnDisk(len(streams))
 				for range c.kills {
 					cluster.restart()
 				}
 				if c.retire {
 					service.retire("v1")
-					time.Sleep(4 * time.Second) // until all entries have dropped them
+					for _, e := range cluster.entries {
+						e.awaitMetric("fleet_backend_servers", func(servers float64) bool { return servers == 2 })
+					}
 				}
 				forEach(streams, func(i int, s *callerStream) {
 					s.read(t, cluster.entries[(i+1)%2].callerAddr(), fmt.Sprint("second-", i), eventsPerStream)
@@ -251,13 +253,23 @@
 	return streams
 }
 
-// saveUpRetries sends streams that don't break, so that the retry budgets of the entries fill.
+// saveUpRetries sends streams that don't break, until each entry has retries for its share of the streams. An entry's first
+// budget has room for one, until it knows how many entries there are.
 func saveUpRetries(t *testing.T, cluster *nodeCluster) {
-	for round := range 2 {
+	for round := 0; ; round++ {
 		forEach(newStreams(), func(i int, s *callerStream) {
 			s.read(t, cluster.entries[i%2].callerAddr(), fmt.Sprint("early-", round, "-", i), eventsPerStream)
 		})
-		time.Sleep(time.Second) // an entry's first budget has room for one, until it knows how many entries there are
+		enough := true
+		for _, e := range cluster.entries {
+			enough = enough && e.metric("gateway_retry_budget") >= streamsPerCase
+		}
+		if enough {
+			return
+		}
+		if round > 20 {
+			t.Fatal("the retry budgets of the entries did not fill")
+		}
 	}
 }
 
--- a/node/processes_test.go
+++ b/node/processes_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/bamboostep/bamboostep/platform"
 )
@@ -69,6 +71,34 @@
 	p.cmd = nil
 }
 
+// metric returns the value of a metric of the process, named without its prefix, or 0 if it has none yet. If
+// there are several by label, it returns the last.
+func (p *nodeProcess) metric(name string) float64 {
+	resp, err := http.Get("http://" + net.JoinHostPort(p.ip, metricsPorts[p.role]) + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	value := 0.0
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		full, number, _ := strings.Cut(lines.Text(), " ")
+		if bare, _, _ := strings.Cut(full, "{"); bare == "bamboostep_"+name {
+			value, _ = strconv.ParseFloat(number, 64)
+		}
+	}
+	return value
+}
+
+// awaitMetric waits until a metric of the process satisfies a condition, and fails the test after waitTimeout.
+func (p *nodeProcess) awaitMetric(name string, ok func(value float64) bool) {
+	p.t.Helper()
+	for until := time.Now().Add(waitTimeout); !ok(p.metric(name)); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(until) {
+			p.t.Fatalf("metric %s of %s %s: got %v after %v", name, p.role, p.ip, p.metric(name), waitTimeout)
+		}
+	}
+}
+
 // callerAddr returns the address for callers.
 func (p *nodeProcess) callerAddr() string { return portOf(p.ip, 1) }
 
@@ -171,6 +201,24 @@
 	}
 }
 
+// awaitStreamsOnDisk waits until the file of each voter holds the origins of at least so many streams.
+func (c *nodeCluster) awaitStreamsOnDisk(streams int) {
+	c.t.Helper()
+	const bytesPerStream = 8 // and more for what they share
+	for _, v := range c.voters {
+		path := filepath.Join(filepath.Dir(v.settings), "data", releaseFileName)
+		for until := time.Now().Add(waitTimeout); ; time.Sleep(20 * time.Millisecond) {
+			info, err := os.Stat(path)
+			if err == nil && info.Size() > int64(streams*bytesPerStream) && v.metric("release_streams") >= float64(streams) {
+				break
+			}
+			if time.Now().After(until) {
+				c.t.Fatalf("file of voter %s: got %+v, %v, want more than %d bytes", v.ip, info, err, streams*bytesPerStream)
+			}
+		}
+	}
+}
+
 // linesWith returns the lines of all logs that contain any of some texts.
 func (c *nodeCluster) linesWith(texts ...string) string {
 	var found strings.Builder
