--- a/node/odd_list_test.go
+++ b/node/odd_list_test.go
@@ -25,6 +25,7 @@
 		`{"id":"o5","backend":"lm","address":"10.9.9.9:1","state":"ready","slots":9223372036854775807}`,
 		`{"id":"o6","backend":"lm","address":"10.9.9.9:1","state":"ready","born":1e300}`,
 		`{"id":"` + strings.Repeat("x", 3<<20) + `","backend":"lm","address":"10.9.9.9:1","state":"ready"}`,
+		`{"id":"o9","backend":"lm","address":"10.9.9.9:1","state":"ready","models":[{"name":"m","adapters":[` + strings.Repeat(`"`+strings.Repeat("x", 200)+`",`, 50000) + `"a1"]}]}`,
 		`{"id":"o8","backend":"lm","address":"10.9.9.9:-7","state":"ready"}`,
 		"{\"id\":\"\xff\x00\"}", `{"id":}`, `7`, `null`,
 	}
