--- /dev/null
+++ b/gateway/resumption_test.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/bamboostep/bamboostep/daemon"
+	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/release"
+	"github.com/bamboostep/bamboostep/route"
+	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
+)
+
+// TestStreamGoesOnWhereItFailed breaks a stream once at the only backend server of its version. It goes on there, since no
+// other one can.
+func TestStreamGoesOnWhereItFailed(t *testing.T) {
+	var broken atomic.Bool
+	only := newFakeBackend(t, true, func(w http.ResponseWriter, r *http.Request) {
+		cut := 0
+		if broken.CompareAndSwap(false, true) {
+			cut = 3
+		}
+		streamEvents(4, cut)(w, r)
+	})
+	s := startGateway(t, route.Route{Kind: route.Streaming, Attempts: 2, Resumable: true}, only)
+	resp, body, err := sendWithID(t, s, "a1", "/p/x", "")
+	if want := "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"; err != nil || body != want {
+		t.Errorf("stream: got %v, %q, %v, want %q", resp, body, err, want)
+	}
+	if got := len(only.recordedRuns()); got != 2 {
+		t.Errorf("runs: got %d, want 2", got)
+	}
+}
+
+// TestTakenUpStreamStaysAtItsOrigin checks where a request goes that takes a stream up, by where that began.
+func TestTakenUpStreamStaysAtItsOrigin(t *testing.T) {
+	for name, c := range map[string]struct {
+		origin release.Origin
+		status int
+		reason string
+	}{
+		"its service and version":  {release.Origin{Service: "s", Version: `"v1"`}, http.StatusOK, ""},
+		"a version that has left":  {release.Origin{Service: "s", Version: `"v0"`}, http.StatusServiceUnavailable, "version_not_served"},
+		"a service that has moved": {release.Origin{Service: "another", Version: `"v1"`}, http.StatusServiceUnavailable, reasonServiceNotRouted},
+		"unknown":                  {release.Origin{}, http.StatusServiceUnavailable, reasonVersionUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			backend := newFakeBackend(t, true, streamEvents(4, 0))
+			table, known := newTableAndFleet(t, route.Route{Kind: route.Streaming, Attempts: 2, Resumable: true}, backend)
+			tracker := &release.Tracker{Voters: func() ([]release.Voter, int) { return []release.Voter{emptyVoter{}}, 1 }}
+			tracker.Note("a1", c.origin, time.Minute)
+			recorder := &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}
+			g := newGateway(newSingleEntryGuard(recorder), &dispatch.RetryBudget{}, recorder, table, known)
+			g.Releases = tracker
+			s := httptest.NewServer(g)
+			defer s.Close()
+			req, err := http.NewRequest(http.MethodPost, s.URL+"/p/x", strings.NewReader(""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Host = "h.example"
+			req.Header = http.Header{"X-Attempt-Id": {"a2"}, "Last-Event-Id": {"2"}, "Resumes": {"a1"}}
+			began := time.Now()
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			body, err := io.ReadAll(resp.Body)
+			if err != nil || resp.StatusCode != c.status || !strings.Contains(string(body), c.reason) {
+				t.Errorf("response: got %d %q, %v, want %d %s", resp.StatusCode, body, err, c.status, c.reason)
+			}
+			if took := time.Since(began); took > time.Second {
+				t.Errorf("response: got it after %v, want within 1s", took)
+			}
+			if want := "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"; c.status == http.StatusOK && string(body) != want {
+				t.Errorf("events: got %q, want %q", body, want)
+			}
+			if got := len(backend.recordedRuns()); (got > 0) != (c.status == http.StatusOK) {
+				t.Errorf("runs: got %d", got)
+			}
+		})
+	}
+}
+
+// emptyVoter is a voter that knows no stream.
+type emptyVoter struct{}
+
+func (emptyVoter) Peer() wire.Hello                             { return wire.Hello{} }
+func (emptyVoter) Send(string, any) error                       { return nil }
+func (emptyVoter) Call(context.Context, string, any, any) error { return nil }
--- a/release/file.go
+++ b/release/file.go
@@ -19,7 +19,7 @@
 )
 
 // The file of a voter holds notes in the order in which they came. They are appended and synced in batches. When it
-// has grown to twice of what is still kept, it is replaced by a file with that alone.
+// has grown to twice its size after the last replacement, it is replaced by a file with what is still kept.
 //
 // Each note is preceded by its length (4 bytes) and checksum (8 bytes). What follows a damaged note is lost: it is the
 // end of a batch that was not synced.
@@ -93,7 +93,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	batch, err := appendRecord(f.batch, n)
-	if err != nil || len(batch) > maxPending {
+	if err != nil || len(batch) > maxPending { // the replacement is made from the table, which has the note
 		batch, f.replace = nil, true
 	}
 	f.batch = batch
--- a/release/tracker.go
+++ b/release/tracker.go
@@ -113,7 +113,7 @@
 	for i, b := range notes {
 		if b != nil {
 			t.Metrics.countNote()
-			_ = connected[i].Send(kindNote, b.note())
+			_ = connected[i].Send(kindNote, b.note()) // fails only if the connection has ended, see Resend
 		}
 	}
 }
