--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-in that the scripts of the cases start, into review/bin/.
+set -e
+cd "$(dirname "$0")/.."
+go build -o review/bin/standin ./review/_standin
