Review case 4: streams go on at another software version after a restart

Cause: for a service without holders a start of a worker is known from the platform's list alone, so until the list shows it, the version of the earlier start under the same ID is noted for streams that begin at the new one.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -31,11 +31,12 @@
 
 // a case returns nil if its rule was kept, errBroken if it was broken, and another error if it could not run.
 var cases = map[string]func(s *system, trouble bool) error{
-	"replaced-model":  replacedModel,
-	"withdrawn-model": withdrawnModel,
-	"two-disks":       twoDisks,
-	"capital-host":    capitalHost,
-	"empty-key":       emptyKey,
+	"replaced-model":   replacedModel,
+	"withdrawn-model":  withdrawnModel,
+	"two-disks":        twoDisks,
+	"capital-host":     capitalHost,
+	"restarted-worker": restartedWorker,
+	"empty-key":        emptyKey,
 }
 
 func main() {
