Review case 2: prompts of many parts stop the entries for all callers

Cause: beyond 1,024 prefixes a server's prefix cache walks all of them for each part of each prompt and deletes only what the last 128 prompts have not used, under the fleet's lock (fleet/prefix_cache.go). 128 prompts of 400 parts are 51,200 prefixes. The dump of an entry shows a goroutine in evictOld and the others waiting for the lock.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,4 +6,4 @@
 	echo "build with the command of deploy/system.toml and review/build.sh first" >&2
 	exit 2
 fi
-exec "$root/review/bin/standin" replaced-model "$root" "$here"
+exec "$root/review/bin/standin" long-histories "$root" "$here"
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -35,6 +35,7 @@
 	"withdrawn-model":  withdrawnModel,
 	"two-disks":        twoDisks,
 	"capital-host":     capitalHost,
+	"long-histories":   longHistories,
 	"restarted-worker": restartedWorker,
 	"empty-key":        emptyKey,
 }
