--- a/review/_standin/cases_test.go
+++ b/review/_standin/cases_test.go
@@ -31,7 +31,7 @@
 // errBroken says that a rule was broken.
 var errBroken = errors.New("rule broken")
 
-// a case returns nil if its rule was kept, errBroken if it was broken, and another error if it could not run.
+// cases are the cases by name. A case returns nil if its rule was kept, errBroken if it was broken, and another error if it could not run.
 var cases = map[string]func(s *system, trouble bool) error{
 	"replaced-model":   replacedModel,
 	"withdrawn-model":  withdrawnModel,
@@ -191,7 +191,7 @@
 	return &engine{s: s, ip: s.address(n), zone: zone, service: "huvo11a", version: "v1", weightsMB: 83000, adapterSlots: 8, catalog: models}
 }
 
-// listEngines has the platform's list show workers, as they were some time ago.
+// listEngines has the platform's list show workers.
 func (s *system) listEngines(engines []*engine) {
 	s.list = func() []map[string]any {
 		var entries []map[string]any
--- a/review/_standin/engine_test.go
+++ b/review/_standin/engine_test.go
@@ -67,8 +67,6 @@
 	up       bool
 
 	overloads int // orders to load more than the worker holds
-	crashes   int
-	brokenOff int // streams that ended because the worker crashed
 }
 
 // start starts the worker, empty but for the given models.
@@ -122,8 +120,6 @@
 
 // crash ends the worker at once. It comes back empty, under a new ID, with its disk. mu is held.
 func (e *engine) crash(why string) {
-	e.crashes++
-	e.brokenOff += e.running
 	e.s.record.printf("worker %s (%s) crashes: %s; %d streams run there", e.id, e.ip, why, e.running)
 	e.up = false
 	server := e.server
--- a/review/_standin/history_test.go
+++ b/review/_standin/history_test.go
@@ -67,7 +67,7 @@
 	}
 	var workers []*plainWorker
 	for i := range zones {
-		w := &plainWorker{s: s, ip: s.address(151 + i)}
+		w := &plainWorker{ip: s.address(151 + i)}
 		if err := w.start(); err != nil {
 			return err
 		}
--- a/review/_standin/host_test.go
+++ b/review/_standin/host_test.go
@@ -4,18 +4,14 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 )
 
 // plainWorker is a worker of a plain service.
 type plainWorker struct {
-	s     *system
-	ip    string
-	id    string
-	born  int64
-	runs  atomic.Int64
-	calls atomic.Int64
+	ip   string
+	id   string
+	born int64
 }
 
 func (w *plainWorker) start() error {
@@ -29,7 +25,6 @@
 }
 
 func (w *plainWorker) serve(rw http.ResponseWriter, r *http.Request) {
-	w.calls.Add(1)
 	id := r.Header.Get("X-Attempt-Id")
 	rw.Header().Set("X-Attempt-Id", id)
 	rw.Header().Set("X-Server-Load", "0,0,6")
@@ -42,7 +37,6 @@
 		rw.Header().Set("X-Instance-Id", w.id)
 		return
 	}
-	w.runs.Add(1)
 	time.Sleep(30 * time.Millisecond)
 	rw.Header().Set("X-Response-Signature", w.id+"."+id)
 	fmt.Fprintf(rw, "order %s\n", id)
@@ -70,7 +64,7 @@
 	zones := []string{"uy-sur-a", "uy-sur-b", "uy-sur-c"}
 	var workers []*plainWorker
 	for i := range zones {
-		w := &plainWorker{s: s, ip: s.address(101 + i)}
+		w := &plainWorker{ip: s.address(101 + i)}
 		if err := w.start(); err != nil {
 			return err
 		}
--- a/review/_standin/system_test.go
+++ b/review/_standin/system_test.go
@@ -264,7 +264,7 @@
 	return os.WriteFile(p.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
 }
 
-// boundsOf are the bounds of a deployment sheet.
+// boundsOfSmall are the bounds of the sheet of cobreplata, whose deployment bears the loss of one machine with a disk.
 var boundsOfSmall = []string{
 	"fault_tolerance.machines=1", "fault_tolerance.zones=0", "fault_tolerance.regions=0",
 	"contracts=base,drain,config,cost,retry,recover,fleet,stream,engine",
