--- a/review/_standin/client_test.go
+++ b/review/_standin/client_test.go
@@ -24,6 +24,10 @@
 	took   time.Duration
 }
 
+// streamPatience is the gap after which a client abandons a stream: four times the objective of 800 ms, or eight times the
+// longest pause of 400 ms.
+const streamPatience = 3200 * time.Millisecond
+
 var callerClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -35,6 +39,8 @@
 	defer func() { a.took = time.Since(began) }()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
+	patience := time.AfterFunc(streamPatience, cancel)
+	defer patience.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+at(e.ip, portFront)+path, strings.NewReader(`{"prompt":"p"}`))
 	if err != nil {
 		return a
@@ -63,6 +69,7 @@
 	}
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
+		patience.Reset(streamPatience)
 		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
 			a.lastID = id
 		}
--- a/review/_standin/engine_test.go
+++ b/review/_standin/engine_test.go
@@ -18,6 +18,8 @@
 	eventPause      = 40 * time.Millisecond
 	adapterLoadTime = 6 * time.Millisecond
 	workerSlots     = 96
+	hostMB          = 53000.0  // of copies of weights in memory, as in the configuration
+	diskMB          = 160000.0 // and on disk
 )
 
 // modelSpec is a model as the configuration lists it.
@@ -59,7 +61,10 @@
 	server   *http.Server
 	models   []heldModel
 	pending  []string
-	onDisk   []string
+	onDisk   []string        // the one that was loaded last at the end
+	inMemory []string        // of the machine, in the same order; lost at a restart
+	runs     map[string]int  // by MODEL and by MODEL/ADAPTER
+	leaving  map[string]bool // models and adapters that are unloaded once their runs have ended
 	busy     bool
 	sequence uint64
 	fence    uint64
@@ -81,6 +86,7 @@
 	e.id = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(e.ip, ".", ""), e.starts)
 	e.born = time.Now().UnixMilli()
 	e.models, e.pending, e.busy, e.sequence, e.fence, e.running, e.up = nil, nil, false, 0, 0, 0, true
+	e.inMemory, e.runs, e.leaving = nil, make(map[string]int), make(map[string]bool)
 	for _, m := range models {
 		e.hold(m)
 	}
@@ -92,7 +98,40 @@
 // hold adds a model. mu is held, or the worker has not started.
 func (e *engine) hold(model string) {
 	e.models = append(e.models, heldModel{Name: model, Version: 1, Adapters: []string{}})
-	e.onDisk = append(slices.DeleteFunc(e.onDisk, func(m string) bool { return m == model }), model)
+	e.onDisk = e.keepCopy(e.onDisk, model, diskMB)
+	e.inMemory = e.keepCopy(e.inMemory, model, hostMB)
+}
+
+// keepCopy adds a copy of a model's weights to those that the machine keeps, and evicts the ones used least recently.
+func (e *engine) keepCopy(kept []string, model string, roomMB float64) []string {
+	kept = append(slices.DeleteFunc(kept, func(m string) bool { return m == model }), model)
+	for {
+		sum := 0.0
+		for _, m := range kept {
+			sum += e.catalog[m].weightsMB
+		}
+		if sum <= roomMB {
+			return kept
+		}
+		kept = kept[1:]
+	}
+}
+
+// dropWhenUnused calls drop once no run uses a model or an adapter. Until then its new requests are turned away.
+func (e *engine) dropWhenUnused(name string, drop func()) {
+	e.leaving[name] = true
+	born := e.born
+	go func() {
+		for done := false; !done; time.Sleep(2 * time.Millisecond) {
+			e.mu.Lock()
+			if done = e.born != born || !e.up; !done && e.runs[name] == 0 {
+				delete(e.leaving, name)
+				drop()
+				done = true
+			}
+			e.mu.Unlock()
+		}
+	}()
 }
 
 func (e *engine) find(model string) *heldModel {
@@ -188,7 +227,7 @@
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"born": e.born, "stage": "unified", "state": "ready", "models": models, "busy": e.busy, "sequence": e.sequence,
 		"queued": 0, "running": e.running, "kv_used": 1000 * e.running, "kv_total": 207195, "handles": 0, "pinned": 0, "held": 0, "next": 0, "runs": runs,
-		"pending": slices.Clone(e.pending), "at_hand": map[string]any{"in_memory": []string{}, "on_disk": slices.Clone(e.onDisk)}})
+		"pending": slices.Clone(e.pending), "at_hand": map[string]any{"in_memory": slices.Clone(e.inMemory), "on_disk": slices.Clone(e.onDisk)}})
 }
 
 type orderCall struct {
@@ -239,7 +278,11 @@
 		return http.StatusOK
 	case o.Operation == "unload":
 		e.sequence++
-		e.models = slices.DeleteFunc(e.models, func(h heldModel) bool { return h.Name == o.Model })
+		e.busy = true
+		e.dropWhenUnused(o.Model, func() {
+			e.busy = false
+			e.models = slices.DeleteFunc(e.models, func(h heldModel) bool { return h.Name == o.Model })
+		})
 		return http.StatusAccepted
 	}
 	used, _ := e.used()
@@ -254,6 +297,9 @@
 	if slices.Contains(e.onDisk, o.Model) {
 		took = spec.diskS
 	}
+	if slices.Contains(e.inMemory, o.Model) {
+		took = spec.warmS
+	}
 	born := e.born
 	time.AfterFunc(time.Duration(took*float64(time.Second)), func() {
 		e.mu.Lock()
@@ -285,8 +331,18 @@
 	}
 	if o.Operation == "unload" {
 		e.sequence++
-		m.Adapters = slices.DeleteFunc(m.Adapters, func(a string) bool { return a == o.Adapter })
-		return http.StatusOK
+		name := o.Model + "/" + o.Adapter
+		drop := func() {
+			if m := e.find(o.Model); m != nil {
+				m.Adapters = slices.DeleteFunc(m.Adapters, func(a string) bool { return a == o.Adapter })
+			}
+		}
+		if e.runs[name] == 0 {
+			drop()
+			return http.StatusOK
+		}
+		e.dropWhenUnused(name, drop)
+		return http.StatusAccepted
 	}
 	if len(e.pending) >= 4 {
 		return http.StatusConflict
@@ -326,14 +382,32 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	name := r.Header.Get("X-Model")
+	if e.leaving[model] || e.leaving[name] {
+		e.mu.Unlock()
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	used := []string{model}
+	if adapter != "" {
+		used = append(used, name)
+	}
+	for _, n := range used {
+		e.runs[n]++
+	}
 	e.running++
 	born, id := e.born, e.id
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if e.born == born && e.up {
-			e.running--
+		if e.born != born || !e.up {
+			return
+		}
+		e.running--
+		for _, n := range used {
+			e.runs[n]--
 		}
 	}()
 	_, out, _ := strings.Cut(r.Header.Get("X-Token-Usage"), ",")
--- a/review/_standin/history_test.go
+++ b/review/_standin/history_test.go
@@ -19,17 +19,31 @@
 	ordersPerS    = 8
 	historyFor    = 40 * time.Second
 	partTokens    = 10
-	longHistory   = 400 // parts of a prompt
+	longHistory   = 800 // parts of a prompt
 	shortHistory  = 3
+	sessions      = 85 // as many as ask the fitters' questions on cobreplata
 )
 
-// historyHeader returns X-Prompt-Prefix of a session: parts that it has in common with nobody, and the last one.
-func historyHeader(parts int) string {
-	ids := make([]string, parts)
-	for i := range ids {
-		ids[i] = fmt.Sprintf("%08x:%d", rand.Uint32(), partTokens)
+// histories are the prompts of the callers' sessions: a first part that all share, the parts of the session's history, which its
+// requests share, and for each request a last part of its own.
+type histories [][]string
+
+func newHistories(parts int) histories {
+	const common = "5c1e07a2"
+	all := make(histories, sessions)
+	for i := range all {
+		all[i] = []string{fmt.Sprintf("%s:%d", common, partTokens)}
+		for len(all[i]) < parts-1 {
+			all[i] = append(all[i], fmt.Sprintf("%08x:%d", rand.Uint32(), partTokens))
+		}
 	}
-	return strings.Join(ids, ",")
+	return all
+}
+
+// header returns X-Prompt-Prefix of a request of a session drawn by chance.
+func (h histories) header() string {
+	shared := h[rand.IntN(len(h))]
+	return strings.Join(shared, ",") + fmt.Sprintf(",%08x:%d", rand.Uint32(), partTokens)
 }
 
 // order sends a request of the route of orders and waits for its answer beyond the route's timeout.
@@ -100,7 +114,8 @@
 	if trouble {
 		parts = longHistory
 	}
-	s.record.printf("prompts of %d parts; X-Prompt-Prefix has %d bytes", parts, len(historyHeader(parts)))
+	prompts := newHistories(parts)
+	s.record.printf("prompts of %d parts; X-Prompt-Prefix has %d bytes", parts, len(prompts.header()))
 	var clients sync.WaitGroup
 	var mu sync.Mutex
 	counts := make(map[string]int)
@@ -127,7 +142,7 @@
 			return nil
 		case <-streams.C:
 			clients.Go(func() {
-				header := map[string]string{"X-Prompt-Prefix": historyHeader(parts)}
+				header := map[string]string{"X-Prompt-Prefix": prompts.header()}
 				a := stream(e, "/pufi791/2f", modelSmall.name, parts*partTokens, 52, 5*time.Second, header)
 				mu.Lock()
 				defer mu.Unlock()
--- a/review/_standin/system_test.go
+++ b/review/_standin/system_test.go
@@ -24,6 +24,7 @@
 	portControl  = 18144
 	portApp      = 18145
 	portList     = 18142
+	listLag      = 800 * time.Millisecond // lag_ms
 	restartDelay = 500 * time.Millisecond // until the platform starts a process again that has ended
 	killTimeout  = 10 * time.Second
 )
@@ -199,18 +200,37 @@
 	return nil
 }
 
-// serveList serves the platform's list.
+// serveList serves the platform's list as it was listLag ago.
 func (s *system) serveList() error {
 	l, err := net.Listen("tcp", at(s.address(250), portList))
 	if err != nil {
 		return err
 	}
+	var mu sync.Mutex
+	type snapshot struct {
+		at      time.Time
+		entries []map[string]any
+	}
+	snapshots := []snapshot{{time.Now(), s.list()}}
+	go func() {
+		for !s.ending() {
+			time.Sleep(listLag / 16)
+			mu.Lock()
+			snapshots = append(snapshots, snapshot{time.Now(), s.list()})
+			for len(snapshots) > 1 && time.Since(snapshots[1].at) >= listLag {
+				snapshots = snapshots[1:]
+			}
+			mu.Unlock()
+		}
+	}()
 	go http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/instances" {
 			http.NotFound(w, r)
 			return
 		}
-		entries := s.list()
+		mu.Lock()
+		entries := snapshots[0].entries
+		mu.Unlock()
 		if entries == nil {
 			entries = []map[string]any{}
 		}
--- a/review/_standin/versions_test.go
+++ b/review/_standin/versions_test.go
@@ -12,18 +12,11 @@
 )
 
 const (
-	listLag        = 800 * time.Millisecond // lag_ms
 	workerDownFor  = 2 * time.Second
 	streamEvents   = 60
 	resumableRoute = "/pufi791/"
 )
 
-// listed is an entry of the platform's list from a time on; nil if the worker is not listed.
-type listed struct {
-	since time.Time
-	entry map[string]any
-}
-
 // streamWorker is a worker of a service without engines that answers with streams. Each event names its software version.
 type streamWorker struct {
 	s        *system
@@ -34,7 +27,7 @@
 	version string
 	server  *http.Server
 	running int
-	history []listed
+	entry   map[string]any // of the platform's list
 }
 
 // start starts the worker under its ID, with a software version.
@@ -50,8 +43,8 @@
 	defer w.mu.Unlock()
 	now := time.Now()
 	w.version, w.running = version, 0
-	w.history = append(w.history, listed{now, map[string]any{"id": w.id, "born": now.UnixMilli(), "backend": "wuno96b", "address": at(w.ip, portApp),
-		"zone": w.zone, "version": version, "slots": workerSlots, "state": "ready", "cold_left_ms": 0}})
+	w.entry = map[string]any{"id": w.id, "born": now.UnixMilli(), "backend": "wuno96b", "address": at(w.ip, portApp),
+		"zone": w.zone, "version": version, "slots": workerSlots, "state": "ready", "cold_left_ms": 0}
 	w.server = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serve(version, rw, r) })}
 	go w.server.Serve(l)
 	w.s.record.printf("worker %s starts at %s with software version %s", w.id, w.ip, version)
@@ -67,17 +60,11 @@
 	w.s.record.printf("worker %s crashes; %d streams run there", w.id, running)
 }
 
-// listing returns the worker's entry as the platform shows it, with its lag.
+// listing returns the worker's entry in the platform's list.
 func (w *streamWorker) listing() map[string]any {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	shown := w.history[0].entry
-	for _, h := range w.history {
-		if time.Since(h.since) >= listLag {
-			shown = h.entry
-		}
-	}
-	return shown
+	return w.entry
 }
 
 func (w *streamWorker) serve(version string, rw http.ResponseWriter, r *http.Request) {
@@ -132,7 +119,7 @@
 // restartedWorker has a worker of a service without engines start again under its ID with another software version, and crash
 // once more under its first load.
 func restartedWorker(s *system, trouble bool) error {
-	zones := []string{"uy-sur-a", "uy-sur-b", "uy-sur-c"}
+	zones := []string{"uy-sur-a", "uy-sur-b", "uy-sur-c", "uy-sur-a", "uy-sur-b"}
 	var workers []*streamWorker
 	for i, zone := range zones {
 		w := &streamWorker{s: s, ip: s.address(101 + i), zone: zone, id: fmt.Sprintf("i-%d", 7000+i)}
@@ -162,7 +149,7 @@
 		return err
 	}
 	time.Sleep(6 * time.Second)
-	last := workers[2]
+	last := workers[4]
 	if trouble {
 		last.crash()
 		time.Sleep(workerDownFor)
