Logs tell from whom routes come, how old their proof is and when they were published

The record could not tell an entry that is behind from one whose route is gone: a refusal named neither the voter that brought the routes nor the age of the proof, a new revision neither its source nor when it was published. Now ledger_state_received has both, ledger_source_left the reason, no_route the proof, and ledger_slow_save a disk that took over 250 ms. No logic is changed. Names and fields that exist stay.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -62,6 +63,7 @@
 	ServerLimits *quota.ServerLimiter // may be nil
 	Releases     *release.Tracker     // software versions at which streams began; may be nil
 	KeyLease     *ledger.Lease        // while it is valid, the keys in the current table can be trusted; may be nil
+	Proof        RouteProof           // what the current table rests on; may be nil
 	Recorder     *timeline.Recorder
 	Metrics      *Metrics
 
@@ -171,7 +173,7 @@
 	x.table = x.g.RouteTable()
 	x.route = x.table.Match(call.Host, call.Path)
 	if x.route == nil {
-		return x.fail(http.StatusNotFound, "no_route", call.Host+call.Path)
+		return x.fail(http.StatusNotFound, "no_route", call.Host+call.Path+x.proofDetail())
 	}
 	if !x.authenticate(leased) {
 		return false
@@ -208,6 +210,24 @@
 	return true
 }
 
+// RouteProof tells since when the routing table is known to be the newest. *ledger.Client is one.
+type RouteProof interface {
+	Current() time.Time // when the table was last proved to be the newest; zero for never
+	Source() string     // process that proved it
+}
+
+// proofDetail formats what the routing table rests on, for the event log.
+func (x *exchange) proofDetail() string {
+	if x.g.Proof == nil {
+		return ""
+	}
+	at := x.g.Proof.Current()
+	if at.IsZero() {
+		return ", routes never proved the newest"
+	}
+	return fmt.Sprintf(", routes proved the newest %s ago by %s", formatMilliseconds(time.Since(at)), x.g.Proof.Source())
+}
+
 // waitForRouteTable returns the current routing table, or nil if there is still none
 // after a short wait. A process that has just started receives its first table as soon as
 // it reaches a voter.
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -50,7 +50,7 @@
 	once    sync.Once
 	state   atomic.Pointer[State]
 	learned atomic.Pointer[[]Member] // voters that one of them has told, for as long as there is no state
-	current atomic.Pointer[time.Time]
+	proof   atomic.Pointer[proof]
 	leader  atomic.Pointer[leadership]
 
 	mu    sync.Mutex
@@ -72,7 +72,7 @@
 func (c *Client) init() {
 	c.once.Do(func() {
 		c.state.Store(encodedState{}.state())
-		c.current.Store(&time.Time{})
+		c.proof.Store(&proof{})
 		c.leader.Store(&leadership{})
 		c.links = make(map[string]*wire.Link)
 	})
@@ -108,7 +108,7 @@
 // quorum had committed then.
 func (c *Client) Current() time.Time {
 	c.init()
-	watched := *c.current.Load()
+	watched := c.proof.Load().at
 	if c.Local == nil {
 		return watched
 	}
@@ -118,6 +118,13 @@
 	return watched
 }
 
+// Source returns the name of the voter or observer that proved last that a watched state was current, "" before any
+// has. The process's own voter is not named.
+func (c *Client) Source() string {
+	c.init()
+	return c.proof.Load().source
+}
+
 // RegisterMetrics adds a gauge of how old the proof is that State is current.
 func (c *Client) RegisterMetrics(r prometheus.Registerer) {
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/bamboostep/bamboostep/timeline"
@@ -123,39 +124,41 @@
 			_ = pauseFor(ctx, progressInterval)
 			continue
 		}
-		if _, conn := c.anyVoter(c.voters()); conn != nil {
-			c.watch(ctx, conn)
+		if m, conn := c.anyVoter(c.voters()); conn != nil {
+			reason := c.watch(ctx, m, conn)
+			c.Recorder.Record(timeline.Event{Kind: "ledger_source_left", VM: m.Name, Detail: reason})
 		}
 		_ = pause(ctx)
 	}
 	return ctx.Err()
 }
 
-// watch follows one voter until it fails or lags.
-func (c *Client) watch(ctx context.Context, conn *wire.Conn) {
+// watch follows one voter until it fails or lags, and returns why it was left.
+func (c *Client) watch(ctx context.Context, m Member, conn *wire.Conn) string {
 	for ctx.Err() == nil && !c.hasVoter() {
 		s := c.state.Load()
 		_, revision := s.Set()
 		asked := time.Now()
 		var r watchReply
-		if c.callWatch(ctx, conn, watchCall{s.index, revision, s.content, c.NoSet, true}, &r) != nil {
-			return
+		if err := c.callWatch(ctx, conn, watchCall{s.index, revision, s.content, c.NoSet, true}, &r); err != nil {
+			return err.Error()
 		}
 		if err := r.unpack(); err != nil {
 			c.Recorder.Record(timeline.Event{Kind: "ledger_state_unreadable", Detail: err.Error()})
 			conn.Close()
-			return
+			return err.Error()
 		}
 		age := time.Duration(r.AgeMS) * time.Millisecond
 		if age > maxAge {
-			return
+			return fmt.Sprintf("its state was last proved current %v ago", age)
 		}
 		next := r.apply(s)
 		if next == nil {
-			return
+			return fmt.Sprintf("it is at entry %d, this process at %d", r.Index, s.index)
 		}
-		c.take(next, r, asked.Add(-age))
+		c.take(m.Name, next, r, asked.Add(-age))
 	}
+	return "not needed"
 }
 
 func (c *Client) callWatch(ctx context.Context, conn *wire.Conn, call watchCall, r *watchReply) error {
@@ -164,25 +167,32 @@
 	return conn.Call(ctx, kindWatch, call, r)
 }
 
-func (c *Client) noteProved(at time.Time) {
-	if at.After(*c.current.Load()) {
-		c.current.Store(&at)
+// proof says that the state of a client held all that was committed at a time.
+type proof struct {
+	at     time.Time
+	source string // voter or observer that proved it
+}
+
+func (c *Client) noteProved(p proof) {
+	if p.at.After(c.proof.Load().at) {
+		c.proof.Store(&p)
 	}
 }
 
-// take makes a watched state the client's own.
-func (c *Client) take(s *State, r watchReply, proved time.Time) {
+// take makes a state that was watched at source the client's own.
+func (c *Client) take(source string, s *State, r watchReply, proved time.Time) {
 	c.state.Store(s)
 	// What Applied puts in force must be there before it counts as proved.
-	defer c.noteProved(proved)
+	defer c.noteProved(proof{proved, source})
 	if r.Leader != "" {
 		c.leader.Store(&leadership{r.Leader, r.LeaderTerm})
 	}
 	if !r.Changed {
 		return
 	}
-	_, revision := s.Set()
-	c.Recorder.Record(timeline.Event{Kind: "ledger_state_received", Revision: revision, Term: s.term})
+	newest := s.newest()
+	detail := fmt.Sprintf("proved current %v ago, published at %s", time.Since(proved).Round(time.Millisecond), newest.At.Format(time.RFC3339Nano))
+	c.Recorder.Record(timeline.Event{Kind: "ledger_state_received", VM: source, Revision: newest.Number, Term: s.term, Detail: detail})
 	if c.Applied != nil {
 		c.Applied(s)
 	}
--- a/ledger/lease_test.go
+++ b/ledger/lease_test.go
@@ -32,7 +32,7 @@
 			client := &Client{}
 			client.init()
 			if c.proof >= 0 {
-				client.noteProved(now.Add(-c.proof))
+				client.noteProved(proof{at: now.Add(-c.proof)})
 			}
 			slept := time.Hour
 			l := &Lease{Client: client, For: c.length, suspended: func() time.Duration { return slept }}
@@ -40,7 +40,7 @@
 			slept += c.slept
 			got := l.Valid(now)
 			if c.renewed {
-				client.noteProved(now.Add(time.Second))
+				client.noteProved(proof{at: now.Add(time.Second)})
 				got = l.Valid(now.Add(2 * time.Second))
 			}
 			if got != c.want {
@@ -67,7 +67,7 @@
 			t.Errorf("while the state is put in force: got it proved at %v, want not yet", c.Current())
 		}
 	}
-	c.take(encodedState{}.state(), watchReply{Changed: true}, before)
+	c.take("a", encodedState{}.state(), watchReply{Changed: true}, before)
 	if !applied || !c.Current().Equal(before) {
 		t.Errorf("got applied %v, proved at %v, want it applied and proved at %v", applied, c.Current(), before)
 	}
--- a/ledger/voter.go
+++ b/ledger/voter.go
@@ -277,7 +277,7 @@
 		if err := v.disk.save(a); err != nil {
 			return fmt.Errorf("ledger disk: %w", err)
 		}
-		v.metrics.saved(time.Since(began))
+		v.noteSaved(time.Since(began))
 		v.core.saved(a)
 	}
 	v.peers.send(a.Replies)
@@ -293,6 +293,16 @@
 	return nil
 }
 
+// slowSave is the time of a save from which on it is recorded: followers of this voter may be behind for as long.
+const slowSave = 250 * time.Millisecond
+
+func (v *Voter) noteSaved(took time.Duration) {
+	v.metrics.saved(took)
+	if took > slowSave {
+		v.record("ledger_slow_save", took.Round(time.Millisecond).String())
+	}
+}
+
 func (v *Voter) restore(s *snapshot) error {
 	if s == nil {
 		return nil
--- a/node/entry.go
+++ b/node/entry.go
@@ -99,6 +99,7 @@
 		QuotaLimiter: e.quotas,
 		ServerLimits: e.limits,
 		Releases:     e.releases,
+		Proof:        e.client,
 		KeyLease:     &ledger.Lease{Client: e.client, For: leaseDuration(p.cfg.RevokeTimeout)},
 		Recorder:     p.recorder,
 		Metrics:      gateway.NewMetrics(p.registry),
