Four tests fail: entries are late behind a source that stands still, and old state is proved current

On cores alone: messages that are handled 3 s late prove the state current at that moment; a new leader proves its state before an entry of its term has committed. provenAt names what a voter published before, nothing else changes.

--- a/ledger/replication.go
+++ b/ledger/replication.go
@@ -338,3 +338,11 @@
 // quorumStart returns when the last round that a quorum answered began, and
 // false if c does not lead.
 func (c *core) quorumStart() (time.Duration, bool) { return c.quorumAt, c.role == roleLeader }
+
+// provenAt returns when the state of c was last proved to be the newest, and false if it never was.
+func (c *core) provenAt() (time.Duration, bool) {
+	if at, leads := c.quorumStart(); leads {
+		return at, true
+	}
+	return c.currentAt, c.currentAt > 0
+}
--- a/ledger/voter.go
+++ b/ledger/voter.go
@@ -374,11 +374,8 @@
 
 		coordinates: v.core.coordinates() || leads,
 	}
-	switch {
-	case leads:
-		s.current = s.quorumAt
-	case v.core.currentAt > 0:
-		s.current = v.started.Add(v.core.currentAt)
+	if at, proven := v.core.provenAt(); proven {
+		s.current = v.started.Add(at)
 	}
 	v.status.Store(s)
 	v.metrics.indexes(v.core.log.lastIndex(), v.core.commit, v.machine.state.index)
