A voter's proof that its state is the newest is as old as the leader's word

Cause: a voter took its state for current at the moment at which it handled a message of the leader. Messages that waited on a slow link or in a process that stood still proved old state; so did a leader that had not committed an entry of its term, and one that no quorum had followed for up to 600 ms. Class: a proof dated by its arrival.

--- a/ledger/core.go
+++ b/ledger/core.go
@@ -98,7 +98,9 @@
 	leader      string
 	leaderHeard time.Duration
 	heardOnce   bool          // leaderHeard is set
-	currentAt   time.Duration // when c last had all that the leader had committed; 0 for never
+	currentAt   time.Duration // when c's state was last proved to be the newest, see proof.go; 0 for never
+	answered    answeredRounds
+	awaited     awaitedProof
 
 	votes     map[diskID]bool
 	lostDisks map[diskID]diskID // seats' disks that are lost, as the election under way has shown, and the new ones
@@ -119,6 +121,7 @@
 	seeds       []Member      // voters that the settings name now
 	tellDue     time.Duration // outsiders about the membership
 	handOverDue time.Duration // to a coordinator, if this leader is none
+	proofDue    time.Duration // of this leader, to its followers
 
 	announceDue time.Duration
 	announced   map[string]announcement
@@ -218,6 +221,8 @@
 		c.stepSnapshotReply(m)
 	case messageElectNow:
 		c.stepElectNow(m)
+	case messageProof:
+		c.stepProof(m)
 	}
 }
 
--- a/ledger/message.go
+++ b/ledger/message.go
@@ -66,6 +66,7 @@
 	messageElectNow // the leader stops and wants its receiver elected
 	messageDiskless // answers an announcement: the sender has no disk and never votes
 	messageDiskLost // answers a candidate: the sender's disk is empty, that of its seat is lost
+	messageProof    // Commit was the newest; see proof.go
 )
 
 // isReply reports whether k answers another message.
@@ -88,11 +89,11 @@
 	FromDisk diskID
 	ToDisk   diskID // a receiver with another disk drops the message
 	Term     uint64
-	Index    uint64 // entry before Entries; last entry of a candidate; last matching entry of a reply
+	Index    uint64 // entry before Entries; last entry of a candidate; last matching entry of a reply; age of a proof in ms
 	LogTerm  uint64 // term of the entry at Index
 	Entries  []entry
 	Commit   uint64
-	Round    uint64 // counts the leader's broadcasts; echoed by replies
+	Round    uint64 // counts the leader's broadcasts; echoed by replies, and of a proof the last that its receiver had answered
 	OK       bool   // vote granted, entries appended
 	Chunk    *snapshotChunk
 	Announce *announcement
--- a/ledger/replication.go
+++ b/ledger/replication.go
@@ -106,6 +106,7 @@
 	c.tickHeal()
 	c.tickHandOver()
 	c.broadcast()
+	c.tickProof()
 }
 
 // broadcast begins a round.
@@ -170,6 +171,7 @@
 		return
 	}
 	c.hear(m)
+	c.answered.note(c.term, m.Round, c.now)
 	if m.Index < c.log.baseIndex {
 		// Everything up to baseIndex is committed and so the same here.
 		skip := min(uint64(len(m.Entries)), c.log.baseIndex-m.Index)
@@ -190,9 +192,7 @@
 	c.store(m.Entries)
 	c.leaveUnformed()
 	c.commit = max(c.commit, min(m.Commit, last))
-	if c.commit >= m.Commit {
-		c.currentAt = c.now
-	}
+	c.checkAwaitedProof()
 	c.reply(message{Kind: messageAppendReply, OK: true, Index: last}, m)
 }
 
@@ -338,11 +338,3 @@
 // quorumStart returns when the last round that a quorum answered began, and
 // false if c does not lead.
 func (c *core) quorumStart() (time.Duration, bool) { return c.quorumAt, c.role == roleLeader }
-
-// provenAt returns when the state of c was last proved to be the newest, and false if it never was.
-func (c *core) provenAt() (time.Duration, bool) {
-	if at, leads := c.quorumStart(); leads {
-		return at, true
-	}
-	return c.currentAt, c.currentAt > 0
-}
