Clients of the ledger follow two voters and leave one that is behind well within the bound

What callers saw: 404 for routes that had been acknowledged more than 2 s before. An observer that settings name was followed for the whole life of a process. Class: what must be known within a bound had one source, and constants that do not follow from the bound. Change: sources.go decides, without clock or connection, whom to ask: two voters in different failure domains, begun at random; a voter is left after a quarter of the bound; all are asked once the proof is three quarters of it old. The bound is bounds.config_apply_ms. The age of a proof counts both ways of a call, less what the voter held the answer back. Observers are followed only until the members are known. If nothing is proved for twice the bound, voters that the settings name now are asked too. Links to voters that are gone are closed. Ruled out: following all voters (marks for each), and shorter intervals between marks (four times the calls). Conclusion: an entry is behind only if no voter that it reaches is current.

--- a/ledger/client.go
+++ b/ledger/client.go
@@ -43,6 +43,15 @@
 	// current, and may get the same state from Voter.Applied as well.
 	Applied func(*State)
 
+	// ApplyBound is the time after its acknowledgement within which a change must be in State, while more than half of the
+	// voters run and one of them can be reached. 2 s if 0.
+	ApplyBound time.Duration
+	// Follow is the number of voters followed at a time, each at the cost of a progress mark in half of ApplyBound
+	// and of each change; 1 if 0. With one, a change may take most of ApplyBound while that voter is not well.
+	Follow int
+	// Seeds returns the voters that the settings name now. It must not block. May be nil if these are Members.
+	Seeds func() []Member
+
 	// NoSet leaves the encoded set out of watched states, for processes that learn
 	// of sets another way. Their numbers, authors and times are there as ever.
 	NoSet bool
@@ -51,12 +60,17 @@
 	state   atomic.Pointer[State]
 	learned atomic.Pointer[[]Member] // voters that one of them has told, for as long as there is no state
 	proof   atomic.Pointer[proof]
-	leader  atomic.Pointer[leadership]
+	proofs  watchers                  // woken by each proof
+	wanted  atomic.Pointer[time.Time] // moment as of which AwaitProof wants a proof
+	wake    chan struct{}             // makes follow look again
+
+	unprovable atomic.Bool // voters that were asked have not proved anything for a while
+	leader     atomic.Pointer[leadership]
 
 	mu    sync.Mutex
 	ctx   context.Context
-	links map[string]*wire.Link // by address
-	next  int                   // voter to try next
+	links map[string]*clientLink // by address
+	next  int                    // voter to try next
 
 	avoided    string // address of a voter that failed to answer
 	avoidUntil time.Time
@@ -74,7 +88,9 @@
 		c.state.Store(encodedState{}.state())
 		c.proof.Store(&proof{})
 		c.leader.Store(&leadership{})
-		c.links = make(map[string]*wire.Link)
+		c.wanted.Store(&time.Time{})
+		c.wake = make(chan struct{}, 1)
+		c.links = make(map[string]*clientLink)
 	})
 }
 
@@ -85,9 +101,6 @@
 	c.mu.Lock()
 	c.ctx = ctx
 	c.mu.Unlock()
-	for _, m := range c.voters() {
-		c.link(m)
-	}
 	return c.follow(ctx)
 }
 
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -3,18 +3,22 @@
 import (
 	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/bamboostep/bamboostep/timeline"
 	"github.com/bamboostep/bamboostep/wire"
 )
 
-// How a Client finds voters, and follows the state where there is none of its own.
+// How a Client finds voters, and follows the state where there is none of its own. Whom it asks when is decided in sources.go.
 
 const (
-	watchTimeout = progressInterval + 2*time.Second
-	avoidTime    = 1 * time.Second
-	maxAge       = 2 * time.Second // a voter that heard from no leader for so long is left for another
+	avoidTime         = 1 * time.Second
+	defaultApplyBound = 2 * time.Second
+	lostAfterBounds   = 2 // apply bounds without a proof after which the members that are known may all have been replaced
+	minFollowPause    = 5 * time.Millisecond
 )
 
 // voters returns the members as the client knows them now.
@@ -36,15 +40,31 @@
 func (c *Client) link(m Member) *wire.Link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l := c.links[m.Address]
-	if l == nil && c.ctx != nil {
-		l = &wire.Link{Node: c.Node, Address: m.Address, Handler: wire.HandlerFunc(func(*wire.Message) {})}
-		c.links[m.Address] = l
-		go l.Run(c.ctx)
+	if l := c.links[m.Address]; l != nil {
+		return l.Link
 	}
+	if c.ctx == nil {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(c.ctx)
+	l := &wire.Link{
+		Node:    c.Node,
+		Address: m.Address,
+		Handler: wire.HandlerFunc(func(*wire.Message) {}),
+		Up:      func(*wire.Conn) { c.kick() },
+		Down:    func(*wire.Conn) { c.kick() },
+	}
+	c.links[m.Address] = &clientLink{l, cancel}
+	go l.Run(ctx)
 	return l
 }
 
+// clientLink is a link of a client, and what ends it.
+type clientLink struct {
+	*wire.Link
+	cancel context.CancelFunc
+}
+
 func (c *Client) conn(m Member) *wire.Conn {
 	l := c.link(m)
 	if l == nil {
@@ -114,57 +134,202 @@
 // hasVoter reports whether the process's own voter is current, so that there is
 // nothing to watch.
 func (c *Client) hasVoter() bool {
-	return c.Local != nil && time.Since(c.Local.current()) < maxAge
+	return c.Local != nil && time.Since(c.Local.current()) < c.bound()/4
 }
 
-// follow watches one voter after the other.
+// bound returns ApplyBound or its default.
+func (c *Client) bound() time.Duration {
+	if c.ApplyBound > 0 {
+		return c.ApplyBound
+	}
+	return defaultApplyBound
+}
+
+// follow asks voters as sources wants it, until ctx ends. It alone changes the state of the client.
 func (c *Client) follow(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if c.hasVoter() {
-			_ = pauseFor(ctx, progressInterval)
-			continue
+	began := time.Now()
+	s := newSources(c.bound(), max(c.Follow, 1), rand.IntN(math.MaxInt32), 0)
+	ended := make(chan endedQuestion)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		pause := c.bound() / 4
+		if reachable := c.reachable(); !c.hasVoter() {
+			s.want(c.wanted.Load().Sub(began))
+			asked, left := s.tick(time.Since(began), reachable)
+			c.recordLeft(left)
+			c.askAll(ctx, asked, ended)
+			now := time.Since(began)
+			if len(reachable) > 0 {
+				pause = max(s.due(now)-now, minFollowPause)
+			}
 		}
-		if m, conn := c.anyVoter(c.voters()); conn != nil {
-			reason := c.watch(ctx, m, conn)
-			c.Recorder.Record(timeline.Event{Kind: "ledger_source_left", VM: m.Name, Detail: reason})
+		c.unprovable.Store(s.unprovable())
+		timer.Reset(pause)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+		case <-c.wake:
+		case e := <-ended:
+			asked, left := s.answer(time.Since(began), c.takeAnswer(e, began))
+			c.recordLeft(left)
+			c.askAll(ctx, asked, ended)
 		}
-		_ = pause(ctx)
 	}
-	return ctx.Err()
 }
 
-// watch follows one voter until it fails or lags, and returns why it was left.
-func (c *Client) watch(ctx context.Context, m Member, conn *wire.Conn) string {
-	for ctx.Err() == nil && !c.hasVoter() {
-		s := c.state.Load()
-		_, revision := s.Set()
-		asked := time.Now()
-		var r watchReply
-		if err := c.callWatch(ctx, conn, watchCall{s.index, revision, s.content, c.NoSet, true}, &r); err != nil {
-			return err.Error()
+// endedQuestion is a question, when it was asked and what came of it.
+type endedQuestion struct {
+	question
+	asked time.Time
+	reply watchReply
+	err   error
+}
+
+// askAll asks questions, each in a goroutine that hands its end to ended.
+func (c *Client) askAll(ctx context.Context, asked []question, ended chan<- endedQuestion) {
+	for _, q := range asked {
+		go func() {
+			e := c.ask(ctx, q)
+			select {
+			case ended <- e:
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
+
+func (c *Client) ask(ctx context.Context, q question) endedQuestion {
+	e := endedQuestion{question: q, asked: time.Now()}
+	conn := c.conn(q.to)
+	if conn == nil {
+		e.err = errNoConnection
+		return e
+	}
+	s := c.state.Load()
+	_, revision := s.Set()
+	call := watchCall{
+		Index:    s.index,
+		Revision: revision,
+		Content:  s.content,
+		NoSet:    c.NoSet,
+		Unpacks:  true,
+		AtOnce:   q.wait == 0,
+		WaitMS:   q.wait.Milliseconds(),
+	}
+	ctx, cancel := context.WithTimeout(ctx, q.expiry)
+	defer cancel()
+	if e.err = conn.Call(ctx, kindWatch, call, &e.reply); e.err != nil {
+		return e
+	}
+	if e.err = e.reply.unpack(); e.err != nil {
+		c.Recorder.Record(timeline.Event{Kind: "ledger_state_unreadable", VM: q.to.Name, Detail: e.err.Error()})
+		conn.Close()
+	}
+	return e
+}
+
+// takeAnswer takes the state of an answer, if it is newer, and the proof.
+func (c *Client) takeAnswer(e endedQuestion, began time.Time) answered {
+	if e.err != nil {
+		return answered{question: e.question, failed: e.err.Error()}
+	}
+	at, proven := e.reply.provedAt(e.asked)
+	p := proof{at, e.to.Name}
+	if next := e.reply.apply(c.state.Load()); next != nil {
+		c.take(next, e.reply, p)
+	} else {
+		c.noteProved(p) // a newer state holds all that the older one does
+	}
+	if !proven {
+		return answered{question: e.question, proved: -unprovedAge}
+	}
+	return answered{question: e.question, proved: at.Sub(began)}
+}
+
+func (c *Client) recordLeft(left []departure) {
+	for _, d := range left {
+		c.Recorder.Record(timeline.Event{Kind: "ledger_source_left", VM: d.member.Name, Detail: d.reason})
+	}
+}
+
+// reachable returns the voters to which there is a connection, and keeps connections to those that there are. If
+// none has proved anything for long, those that the settings name count too: all voters that the client knows may have been replaced.
+func (c *Client) reachable() []Member {
+	wanted := c.voters()
+	if time.Since(c.Current()) > lostAfterBounds*c.bound() {
+		for _, m := range c.named() {
+			if !slices.ContainsFunc(wanted, m.sameVoter) {
+				wanted = append(slices.Clone(wanted), m)
+			}
+		}
+	}
+	c.keepLinks(wanted)
+	return slices.DeleteFunc(slices.Clone(wanted), func(m Member) bool { return c.isLocal(m) || c.conn(m) == nil })
+}
+
+// named returns the voters that the settings name now.
+func (c *Client) named() []Member {
+	if c.Seeds != nil {
+		return c.Seeds()
+	}
+	return c.Members
+}
+
+// keepLinks closes the links to all but the voters named.
+func (c *Client) keepLinks(wanted []Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, l := range c.links {
+		if !slices.ContainsFunc(wanted, func(m Member) bool { return m.Address == address }) {
+			l.cancel()
+			delete(c.links, address)
 		}
-		if err := r.unpack(); err != nil {
-			c.Recorder.Record(timeline.Event{Kind: "ledger_state_unreadable", Detail: err.Error()})
-			conn.Close()
-			return err.Error()
+	}
+}
+
+// kick makes follow look again. It does not block.
+func (c *Client) kick() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// AwaitProof returns once State is proved to hold all that was committed before a moment, and reports whether it is. If its proof is older,
+// voters are asked. It gives up when ctx ends, or soon if none of them proves anything.
+func (c *Client) AwaitProof(ctx context.Context, since time.Time) bool {
+	c.init()
+	for {
+		proved := c.proofs.wait()
+		if !c.Current().Before(since) {
+			return true
 		}
-		age := time.Duration(r.AgeMS) * time.Millisecond
-		if age > maxAge {
-			return fmt.Sprintf("its state was last proved current %v ago", age)
+		if c.unprovable.Load() {
+			return false
 		}
-		next := r.apply(s)
-		if next == nil {
-			return fmt.Sprintf("it is at entry %d, this process at %d", r.Index, s.index)
+		c.want(since)
+		select {
+		case <-ctx.Done():
+			return false
+		case <-proved:
 		}
-		c.take(m.Name, next, r, asked.Add(-age))
 	}
-	return "not needed"
 }
 
-func (c *Client) callWatch(ctx context.Context, conn *wire.Conn, call watchCall, r *watchReply) error {
-	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	return conn.Call(ctx, kindWatch, call, r)
+// want asks for a proof as of a moment.
+func (c *Client) want(since time.Time) {
+	for {
+		old := c.wanted.Load()
+		if !since.After(*old) {
+			break
+		}
+		if c.wanted.CompareAndSwap(old, &since) {
+			break
+		}
+	}
+	c.kick()
 }
 
 // proof says that the state of a client held all that was committed at a time.
@@ -177,22 +342,24 @@
 	if p.at.After(c.proof.Load().at) {
 		c.proof.Store(&p)
 	}
+	c.proofs.wake()
 }
 
-// take makes a state that was watched at source the client's own.
-func (c *Client) take(source string, s *State, r watchReply, proved time.Time) {
+// take makes a state that was watched the client's own.
+func (c *Client) take(s *State, r watchReply, p proof) {
+	changed := s.content > c.state.Load().content
 	c.state.Store(s)
 	// What Applied puts in force must be there before it counts as proved.
-	defer c.noteProved(proof{proved, source})
-	if r.Leader != "" {
+	defer c.noteProved(p)
+	if l := c.leader.Load(); r.Leader != "" && r.LeaderTerm >= l.term {
 		c.leader.Store(&leadership{r.Leader, r.LeaderTerm})
 	}
-	if !r.Changed {
+	if !changed {
 		return
 	}
 	newest := s.newest()
-	detail := fmt.Sprintf("proved current %v ago, published at %s", time.Since(proved).Round(time.Millisecond), newest.At.Format(time.RFC3339Nano))
-	c.Recorder.Record(timeline.Event{Kind: "ledger_state_received", VM: source, Revision: newest.Number, Term: s.term, Detail: detail})
+	detail := fmt.Sprintf("proved current %v ago, published at %s", time.Since(p.at).Round(time.Millisecond), newest.At.Format(time.RFC3339Nano))
+	c.Recorder.Record(timeline.Event{Kind: "ledger_state_received", VM: p.source, Revision: newest.Number, Term: s.term, Detail: detail})
 	if c.Applied != nil {
 		c.Applied(s)
 	}
--- a/ledger/lease_test.go
+++ b/ledger/lease_test.go
@@ -67,7 +67,7 @@
 			t.Errorf("while the state is put in force: got it proved at %v, want not yet", c.Current())
 		}
 	}
-	c.take("a", encodedState{}.state(), watchReply{Changed: true}, before)
+	c.take(encodedState{Content: 1}.state(), watchReply{Changed: true}, proof{at: before})
 	if !applied || !c.Current().Equal(before) {
 		t.Errorf("got applied %v, proved at %v, want it applied and proved at %v", applied, c.Current(), before)
 	}
--- a/ledger/membership.go
+++ b/ledger/membership.go
@@ -16,6 +16,14 @@
 	FailureDomain string `msgpack:"failure_domain" toml:"failure_domain" json:"failure_domain"`
 }
 
+// sameVoter reports whether m and other name the same process. Settings name no failure domain, so that may differ.
+func (m Member) sameVoter(other Member) bool { return m.Address == other.Address }
+
+// sameDomain reports whether m and other are known to be in one failure domain.
+func (m Member) sameDomain(other Member) bool {
+	return m.FailureDomain != "" && m.FailureDomain == other.FailureDomain
+}
+
 // seat is a member with the disk that holds its log.
 type seat struct {
 	//lint:ignore U1000 the codec reads its tag
--- a/ledger/wiretype.go
+++ b/ledger/wiretype.go
@@ -57,6 +57,9 @@
 	Content  uint64 `msgpack:"content"`  // index of the last change that the client has
 	NoSet    bool   `msgpack:"no_set"`   // leave the set out
 	Unpacks  bool   `msgpack:"unpacks"`  // the set may be compressed
+
+	AtOnce bool  `msgpack:"at_once,omitempty"` // the answer is wanted now, also if there is no change
+	WaitMS int64 `msgpack:"wait_ms,omitempty"` // for which it may be held back otherwise; 0 for progressInterval
 }
 
 // watchReply is a progress mark: it proves up to which index the client is
@@ -75,6 +78,7 @@
 	Packed     []byte                `msgpack:"packed"`    // in place of Set, compressed
 	Drained    []string              `msgpack:"drained"`
 	Members    []Member              `msgpack:"members"`
+	HeldMS     int64                 `msgpack:"held_ms,omitempty"` // for which the answer was held back
 }
 
 type identityReply struct {
--- a/node/entry.go
+++ b/node/entry.go
@@ -68,7 +68,10 @@
 	e.fleet = &fleet.Fleet{Domain: p.cfg.FailureDomain, Seed: rand.Uint64(), HasService: hasService(&e.table)}
 	e.fleet.RegisterMetrics(p.registry)
 	seeds := p.seedVoters()
-	e.client = &ledger.Client{Node: p.wire, Members: seeds, Recorder: p.recorder, Applied: func(s *ledger.State) { applyRoutes(p, s, &e.table) }}
+	var seedsNow atomic.Pointer[[]ledger.Member]
+	seedsNow.Store(&seeds)
+	e.client = p.ledgerClient(&seedsNow, func(s *ledger.State) { applyRoutes(p, s, &e.table) })
+	e.client.Follow = followedVoters
 	e.client.RegisterMetrics(p.registry)
 	e.links = &fleet.HolderLinks{Node: p.wire, Fleet: e.fleet, Port: p.cfg.FirstPort, Services: func() []string { return e.table.Load().EngineServices() }, Recorder: p.recorder}
 	e.follower = &fleet.ListFollower{
@@ -104,7 +107,7 @@
 		Recorder:     p.recorder,
 		Metrics:      gateway.NewMetrics(p.registry),
 	}
-	return e.run()
+	return e.run(&seedsNow)
 }
 
 // reachableVoters returns the voters to which the entry has a connection.
@@ -157,7 +160,7 @@
 }
 
 // run serves until the process is told to stop and has ended its requests.
-func (e *entry) run() error {
+func (e *entry) run(seeds *atomic.Pointer[[]ledger.Member]) error {
 	callers, err := net.Listen("tcp", e.cfg.CallerAddr)
 	if err != nil {
 		return err
@@ -172,6 +175,7 @@
 	defer cancel()
 	group, runCtx := errgroup.WithContext(runCtx)
 	group.Go(func() error { return e.client.Run(runCtx) })
+	group.Go(func() error { return e.watchSeeds(runCtx, seeds) })
 	group.Go(func() error { return e.follower.Run(runCtx) })
 	group.Go(func() error { return e.links.Run(runCtx) })
 	group.Go(func() error { return e.quotas.Run(runCtx) })
--- a/node/process.go
+++ b/node/process.go
@@ -198,6 +198,21 @@
 	}
 }
 
+// followedVoters is the number of voters that a process follows at a time whose routes callers or other processes depend on.
+const followedVoters = 2
+
+// ledgerClient returns a client of the ledger that starts with the voters in seeds. applied may be nil.
+func (p *process) ledgerClient(seeds *atomic.Pointer[[]ledger.Member], applied func(*ledger.State)) *ledger.Client {
+	return &ledger.Client{
+		Node:       p.wire,
+		Members:    *seeds.Load(),
+		Seeds:      func() []ledger.Member { return *seeds.Load() },
+		ApplyBound: p.cfg.ApplyBound,
+		Recorder:   p.recorder,
+		Applied:    applied,
+	}
+}
+
 // tolerance returns which losses the ledger must bear.
 func (p *process) tolerance() ledger.Tolerance {
 	return ledger.Tolerance{VMs: p.cfg.Lost.VMs, FailureDomains: p.cfg.Lost.Domains()}
--- a/node/voter.go
+++ b/node/voter.go
@@ -62,7 +62,8 @@
 		Registry:  p.registry,
 	}
 	v.Register(mux)
-	client := &ledger.Client{Node: p.wire, Members: seeds, Local: v, Recorder: p.recorder}
+	client := p.ledgerClient(&seedsNow, nil)
+	client.Local = v
 	client.RegisterMetrics(p.registry)
 	var table atomic.Pointer[route.Table]
 	backends := &fleet.Fleet{Domain: p.cfg.FailureDomain, HasService: hasService(&table)}
@@ -132,7 +133,11 @@
 // and does nothing else that voters do.
 func runObserver(p *process) error {
 	p.recordEvent("ledger_without_disk", "")
-	client := &ledger.Client{Node: p.wire, Members: p.seedVoters(), Recorder: p.recorder}
+	seeds := p.seedVoters()
+	var seedsNow atomic.Pointer[[]ledger.Member]
+	seedsNow.Store(&seeds)
+	client := p.ledgerClient(&seedsNow, nil)
+	client.Follow = followedVoters
 	client.RegisterMetrics(p.registry)
 	observer := &ledger.Observer{Name: p.wireAddress(), Client: client}
 	client.Applied = func(*ledger.State) { observer.Changed() }
@@ -143,6 +148,7 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(p.ctx)
+	group.Go(func() error { return p.watchSeeds(ctx, &seedsNow) })
 	group.Go(func() error { return client.Run(ctx) })
 	group.Go(func() error {
 		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux}).Run(ctx)
