--- a/ledger/client.go
+++ b/ledger/client.go
@@ -61,7 +61,7 @@
 	learned atomic.Pointer[[]Member] // voters that one of them has told, for as long as there is no state
 	proof   atomic.Pointer[proof]
 	proofs  watchers                  // woken by each proof
-	wanted  atomic.Pointer[time.Time] // moment as of which AwaitProof wants a proof
+	wanted  atomic.Pointer[time.Time] // moment as of which awaitProof wants a proof
 	wake    chan struct{}             // makes follow look again
 
 	unprovable atomic.Bool // voters that were asked have not proved anything for a while
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -254,21 +254,28 @@
 	}
 }
 
-// reachable returns the voters to which there is a connection, and keeps connections to those that there are. If
-// none has proved anything for long, those that the settings name count too: all voters that the client knows may have been replaced.
+// reachable returns the voters to which there is a connection, and keeps connections to those that there are.
 func (c *Client) reachable() []Member {
-	wanted := c.voters()
-	if time.Since(c.Current()) > lostAfterBounds*c.bound() {
-		for _, m := range c.named() {
-			if !slices.ContainsFunc(wanted, m.sameVoter) {
-				wanted = append(slices.Clone(wanted), m)
-			}
-		}
-	}
+	wanted := c.candidates()
 	c.keepLinks(wanted)
 	return slices.DeleteFunc(slices.Clone(wanted), func(m Member) bool { return c.isLocal(m) || c.conn(m) == nil })
 }
 
+// candidates returns the voters that the client may ask. If none has proved anything for long, those that the settings name count too:
+// all voters that the client knows may have been replaced.
+func (c *Client) candidates() []Member {
+	all := c.voters()
+	if time.Since(c.Current()) <= lostAfterBounds*c.bound() {
+		return all
+	}
+	for _, m := range c.named() {
+		if !slices.ContainsFunc(all, m.sameVoter) {
+			all = append(slices.Clone(all), m)
+		}
+	}
+	return all
+}
+
 // named returns the voters that the settings name now.
 func (c *Client) named() []Member {
 	if c.Seeds != nil {
@@ -297,10 +304,18 @@
 	}
 }
 
-// AwaitProof returns once State is proved to hold all that was committed before a moment, and reports whether it is. If its proof is older,
-// voters are asked. It gives up when ctx ends, or soon if none of them proves anything.
-func (c *Client) AwaitProof(ctx context.Context, since time.Time) bool {
+// ConfirmApplied reports whether State holds every change that must be in force at a time: those that were acknowledged
+// ApplyBound before. If its proof is not so young by far, voters are asked. It blocks for a quarter of ApplyBound at most, and hardly
+// while voters prove nothing anyway.
+func (c *Client) ConfirmApplied(ctx context.Context, at time.Time) bool {
 	c.init()
+	ctx, cancel := context.WithTimeout(ctx, c.bound()/4)
+	defer cancel()
+	return c.awaitProof(ctx, at.Add(-c.bound()/2))
+}
+
+// awaitProof returns once State is proved to hold all that was committed before a moment, and reports whether it is.
+func (c *Client) awaitProof(ctx context.Context, since time.Time) bool {
 	for {
 		proved := c.proofs.wait()
 		if !c.Current().Before(since) {
