Only a table that holds all that must be in force says that a route or key is unknown

What callers saw: 404 for routes (and, by the same code, 401 for keys) that had been acknowledged, from an entry that was behind. Cause: a refusal that is a statement about the newest configuration was made from whatever table there was. Class: an answer about the newest state without a proof. Change: before 404 and 401 the entry needs a proof as of half the bound before the request; if its own is older it asks all voters, once for all requests that wait, for a quarter of the bound at most; a newer table is used, and 503 with Retry-After says that it could not find out. What the table does have is served however old it is: 503 there would turn each failure of the voters into an outage. Ruled out: 503 for every unknown route whose proof is old, without asking, which would cost callers a second try each time that a mark is a little late. Conclusion: an entry that is behind for whatever reason says so; being behind is bounded by ledger/sources.go.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,7 +19,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -128,6 +127,7 @@
 	deadline time.Time
 
 	workspace *route.Workspace // of the caller's key; nil if it has none
+	leased    bool             // the keys in the table could be trusted when it was looked up
 
 	quarantineVerdict quarantine.Verdict
 	serverRun         *fleet.Assignment // of the latest attempt
@@ -169,13 +169,7 @@
 	if x.table = x.waitForRouteTable(); x.table == nil {
 		return x.refuse("no_routes", retryAfterShort)
 	}
-	leased := x.g.KeyLease.Valid(time.Now())
-	x.table = x.g.RouteTable()
-	x.route = x.table.Match(call.Host, call.Path)
-	if x.route == nil {
-		return x.fail(http.StatusNotFound, "no_route", call.Host+call.Path+x.proofDetail())
-	}
-	if !x.authenticate(leased) {
+	if !x.findRoute() {
 		return false
 	}
 	if limit := x.table.Limits.MaxHeaderBytes; limit > 0 && headerBytes(x.r) > limit {
@@ -210,24 +204,6 @@
 	return true
 }
 
-// RouteProof tells since when the routing table is known to be the newest. *ledger.Client is one.
-type RouteProof interface {
-	Current() time.Time // when the table was last proved to be the newest; zero for never
-	Source() string     // process that proved it
-}
-
-// proofDetail formats what the routing table rests on, for the event log.
-func (x *exchange) proofDetail() string {
-	if x.g.Proof == nil {
-		return ""
-	}
-	at := x.g.Proof.Current()
-	if at.IsZero() {
-		return ", routes never proved the newest"
-	}
-	return fmt.Sprintf(", routes proved the newest %s ago by %s", formatMilliseconds(time.Since(at)), x.g.Proof.Source())
-}
-
 // waitForRouteTable returns the current routing table, or nil if there is still none
 // after a short wait. A process that has just started receives its first table as soon as
 // it reaches a voter.
--- a/gateway/workspace.go
+++ b/gateway/workspace.go
@@ -7,23 +7,6 @@
 // the updates. An entry therefore trusts its keys only while its lease on them is valid.
 // After that it neither accepts nor denies a key, but responds with 503.
 
-// authenticate finds the workspace of the caller's key. leased is whether the lease was
-// valid; it must have been checked before x.table was loaded. If the request is rejected,
-// authenticate writes the response and returns false.
-func (x *exchange) authenticate(leased bool) bool {
-	if !x.table.RequiresKeys() {
-		return true
-	}
-	if !leased && !x.route.Public {
-		return x.refuse("keys_not_proved", retryAfterShort)
-	}
-	x.workspace = x.table.Workspace(x.call.Key)
-	if x.workspace == nil && !x.route.Public {
-		return x.fail(http.StatusUnauthorized, "key_unknown", "")
-	}
-	return true
-}
-
 // workspaceName returns the name of the caller's workspace, or "" for none.
 func (x *exchange) workspaceName() string {
 	if x.workspace == nil {
