A list of backend servers is as old as the moment at which it was asked for

What callers could see: requests to backend servers that leave, since a list that waited on a slow link or in an entry that stood still was dated by its arrival, replaced what other voters said, and kept the entry from reading the list itself. Change: the voter says for how long it held the reply back; the entry dates the list by its question. Evidence: TestListLongOnItsWayIsOld failed before (no direct reading in 6 s), passes now. Not mended: reports that holders push are dated by arrival too (fleet/report.go); no question precedes them.

--- a/fleet/list_follower.go
+++ b/fleet/list_follower.go
@@ -96,13 +96,14 @@
 	var have followedList
 	for ctx.Err() == nil && c.Err() == nil {
 		var r ListReply
+		asked := time.Now()
 		if err := callList(ctx, c, have.version, &r); err != nil {
 			c.Close()
 			return
 		}
 		if r.Version != 0 {
 			have.apply(r)
-			f.applyReply(have.list, r, time.Now())
+			f.applyReply(have.list, r, asked)
 		}
 	}
 }
@@ -114,11 +115,11 @@
 	return c.Call(ctx, KindList, ListCall{known}, r)
 }
 
-// applyReply passes a list with the age that r states to Fleet. The number of entries
+// applyReply passes a list to Fleet, dated by the moment at which it was asked for. The number of entries
 // falls by at most a tenth per reply, so that one voter with a lower count does not reduce
 // it at once.
-func (f *ListFollower) applyReply(listings []bamboostep.Listing, r ListReply, now time.Time) {
-	at := now.Add(-time.Duration(r.AgeMS) * time.Millisecond)
+func (f *ListFollower) applyReply(listings []bamboostep.Listing, r ListReply, asked time.Time) {
+	at := r.readAt(asked)
 	f.mu.Lock()
 	f.entries = max(r.Entries, f.entries*9/10)
 	if at.After(f.newestList) {
--- a/fleet/list_follower_test.go
+++ b/fleet/list_follower_test.go
@@ -81,3 +81,35 @@
 		t.Errorf("readings of the list by %d entries beside %d of the voter: got %d, want 0", entries, directory.readings.Load(), got)
 	}
 }
+
+// Guards against a list that was long on its way, or waited in an entry that stood still, and is taken for the newest (issue 44): it would
+// replace what other voters say, and no list would be read directly.
+func TestListLongOnItsWayIsOld(t *testing.T) {
+	const onItsWay = 2900 * time.Millisecond // more than maxListAge, less than longPollTimeout
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	mux := &wire.Mux{}
+	mux.On(KindList, func(m *wire.Message) {
+		r := ListReply{Version: uint64(time.Now().UnixNano()), Full: true, Listings: []bamboostep.Listing{engine(1, "a")}, Entries: 1}
+		time.AfterFunc(onItsWay, func() { _ = m.Reply(r) })
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go (&wire.Listener{Node: newWireNode("voter"), Net: l, Handler: mux}).Run(ctx)
+	var direct slowDirectory
+	follower := &ListFollower{
+		Node:      newWireNode("entry"),
+		Fleet:     newFleet(),
+		Voters:    func() []string { return []string{l.Addr().String()} },
+		Directory: &direct,
+		Recorder:  &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}},
+	}
+	go follower.Run(ctx)
+	time.Sleep(3 * directReadInterval)
+	if direct.readings.Load() == 0 {
+		t.Errorf("got no direct reading, want some while the list of the only voter is %v old", onItsWay)
+	}
+}
--- a/fleet/list_reader.go
+++ b/fleet/list_reader.go
@@ -123,14 +123,17 @@
 	if m.Decode(&call) != nil {
 		return // package wire counts the bad frame
 	}
+	received := time.Now()
 	r.mu.Lock()
-	r.entries[m.Conn().Peer().Name] = time.Now()
+	r.entries[m.Conn().Peer().Name] = received
 	wasRead, newer := r.wasRead, r.history.version != call.KnownVersion && !r.readAt.IsZero()
 	r.mu.Unlock()
 	if !newer && !m.Await(wasRead, longPollWait) {
 		return
 	}
-	m.Reply(r.listReply(call, time.Now()))
+	reply := r.listReply(call, time.Now())
+	reply.HeldMS = time.Since(received).Milliseconds()
+	m.Reply(reply)
 }
 
 // listReply builds the reply to a ListCall and drops entries that have stopped calling.
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/bamboostep/bamboostep"
+import (
+	"time"
+
+	"github.com/bamboostep/bamboostep"
+)
 
 // Messages between entries, voters and holders.
 
@@ -84,8 +88,15 @@
 	AgeMS    int64                `msgpack:"age_ms"` // time since the voter read the list
 	Full     bool                 `msgpack:"whole"`  // Listings is the complete list; else the listings that changed
 	Listings []bamboostep.Listing `msgpack:"listings"`
-	Removed  []ListingKey         `msgpack:"gone"`    // no longer listed
-	Entries  int                  `msgpack:"entries"` // number of entries that follow this voter
+	Removed  []ListingKey         `msgpack:"gone"`              // no longer listed
+	Entries  int                  `msgpack:"entries"`           // number of entries that follow this voter
+	HeldMS   int64                `msgpack:"held_ms,omitempty"` // for which the reply was held back
+}
+
+// readAt returns when the list was read, on the clock of the entry that asked at a time. All that is not known to have passed before
+// the reading counts as its age: the ways of call and reply, and that the entry did not run.
+func (r ListReply) readAt(asked time.Time) time.Time {
+	return asked.Add(time.Duration(r.HeldMS-r.AgeMS) * time.Millisecond)
 }
 
 // DemandUpdate tells a voter about the recent demand at one entry.
