--- a/ledger/bench_test.go
+++ b/ledger/bench_test.go
@@ -53,16 +53,17 @@
 // heartbeats and on clients that watch. All run in this process, so the share of a
 // core is that of voters and clients together.
 func BenchmarkIdle(b *testing.B) {
-	for _, clients := range []int{0, 30} {
-		b.Run(fmt.Sprintf("clients=%d", clients), func(b *testing.B) {
+	for _, load := range []struct{ clients, follow int }{{0, 0}, {30, 1}, {30, 2}, {380, 1}, {380, 2}} {
+		b.Run(fmt.Sprintf("clients=%d/follow=%d", load.clients, load.follow), func(b *testing.B) {
 			c := newCluster(b, "a", "b", "c")
 			c.startAll()
 			mustPublish(b, c.running[c.leader()].client, publication("p", 0))
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			for range clients {
-				c.watch(ctx)
+			for range load.clients {
+				c.watch(ctx, load.follow)
 			}
+			time.Sleep(2 * time.Second) // clients that start all at once ask all voters
 			began, sent, cpu := time.Now(), c.sentBytes(), measure.CPUTime(b)
 			for b.Loop() {
 				time.Sleep(time.Second)
@@ -75,9 +76,9 @@
 }
 
 // watch starts a client that is no voter and waits until it is current.
-func (c *cluster) watch(ctx context.Context) {
+func (c *cluster) watch(ctx context.Context, follow int) {
 	node, recorder := newNode("client")
-	client := &ledger.Client{Node: node, Members: c.members, Recorder: recorder}
+	client := &ledger.Client{Node: node, Members: c.members, Follow: follow, Recorder: recorder}
 	go client.Run(ctx)
 	c.eventually("a current client", func() bool { return !client.Current().IsZero() })
 }
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -49,6 +49,8 @@
 	// Follow is the number of voters followed at a time, each at the cost of a progress mark in half of ApplyBound
 	// and of each change; 1 if 0. With one, a change may take most of ApplyBound while that voter is not well.
 	Follow int
+	// Domain is the failure domain of the process. A voter there is followed first. May be empty.
+	Domain string
 	// Seeds returns the voters that the settings name now. It must not block. May be nil if these are Members.
 	Seeds func() []Member
 
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -148,7 +148,7 @@
 // follow asks voters as sources wants it, until ctx ends. It alone changes the state of the client.
 func (c *Client) follow(ctx context.Context) error {
 	began := time.Now()
-	s := newSources(c.bound(), max(c.Follow, 1), rand.IntN(math.MaxInt32), 0)
+	s := newSources(c.bound(), max(c.Follow, 1), c.Domain, rand.IntN(math.MaxInt32))
 	ended := make(chan endedQuestion)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/ledger/follow_sim_test.go
+++ b/ledger/follow_sim_test.go
@@ -37,6 +37,7 @@
 	simStep    = 10 * time.Millisecond
 	simRecover = 1500 * time.Millisecond // after a fault, until a voter counts as well
 	simRun     = 40 * time.Second
+	simDomains = 4 // failure domains; that of some clients has no voter
 )
 
 // simChange is a change that a leader has taken.
@@ -89,6 +90,7 @@
 type followingClient struct {
 	sim     *followSim
 	name    string
+	domain  string
 	sources *sources
 	index   uint64
 	cut     map[string]bool // voters that it does not reach
@@ -100,12 +102,12 @@
 	for i := range voters {
 		name := names[i : i+1]
 		st := stored{Disk: diskID(name[0]), Ballot: ballot{Term: 2}, Entries: []entry{membershipEntry(1, 1, names)}}
-		n := &followedNode{sim: s, member: Member{Name: name, Address: name}, offset: time.Duration(s.rand.IntN(1000)) * time.Second}
+		n := &followedNode{sim: s, member: Member{Name: name, Address: name, FailureDomain: fmt.Sprint("domain-", i%simDomains)}, offset: time.Duration(s.rand.IntN(1000)) * time.Second}
 		n.core = newCore(name, nil, st, rand.New(rand.NewPCG(seed, uint64(i))))
 		s.voters = append(s.voters, n)
 	}
 	for i := range 6 {
-		c := &followingClient{sim: s, name: fmt.Sprint("client-", i), cut: make(map[string]bool)}
+		c := &followingClient{sim: s, name: fmt.Sprint("client-", i), domain: fmt.Sprint("domain-", i%simDomains), cut: make(map[string]bool)}
 		c.sources = c.newSources()
 		s.clients = append(s.clients, c)
 	}
@@ -117,7 +119,7 @@
 	if c.sim.broken.lateDeparture {
 		bound *= 4 // a quarter of it is the bound
 	}
-	return newSources(bound, c.sim.follow, c.sim.rand.IntN(100), 0)
+	return newSources(bound, c.sim.follow, c.domain, c.sim.rand.IntN(100))
 }
 
 // at runs f at a later time.
--- a/ledger/sources.go
+++ b/ledger/sources.go
@@ -13,7 +13,7 @@
 // A client must know each acknowledged change within a bound, while voters that it asks are slow, stand still,
 // are cut off or hold old messages for current. Nothing that a voter does tells it from a well one for as long as it is silent. So:
 //
-//   - A client follows more than one voter at a time, drawn at random, and takes what the first one tells.
+//   - A client follows more than one voter at a time, in different failure domains, and takes what the first one tells.
 //   - A voter is left as soon as an answer is older than a quarter of the bound or does not come within a quarter
 //     of the bound after it is due, if there is another. A voter that is followed anew must answer at once, to show that it is well.
 //   - Whoever is followed, once the proof that the state is the newest is older than three quarters of the bound, the client
@@ -23,6 +23,7 @@
 type sources struct {
 	bound  time.Duration // within which an acknowledged change must be known
 	count  int           // voters followed at a time
+	domain string        // failure domain of the client; may be empty
 	next   int           // voter to follow next; clients begin with different ones
 	lastID uint64
 
@@ -64,8 +65,9 @@
 	reason string
 }
 
-func newSources(bound time.Duration, count, first int, now time.Duration) *sources {
-	return &sources{bound: bound, count: count, next: first, restUntil: make(map[string]time.Duration), proved: now - bound, checkDelay: bound / 8}
+// newSources returns the sources of a client that starts at time 0.
+func newSources(bound time.Duration, count int, domain string, first int) *sources {
+	return &sources{bound: bound, count: count, domain: domain, next: first, restUntil: make(map[string]time.Duration), proved: -bound, checkDelay: bound / 8}
 }
 
 // answerTime is how long an answer may take from the moment at which it is due.
@@ -106,21 +108,32 @@
 	return append(asked, s.check(now, reachable)...), left
 }
 
-// choose returns the next voter that is neither followed nor at rest, preferably in another failure domain than
-// those that are followed.
+// choose returns the next voter that is neither followed nor at rest: one in another failure domain than those that are
+// followed if there is one, and among these one in the client's own, since traffic between domains costs more.
 func (s *sources) choose(now time.Duration, reachable []Member) (chosen Member, ok bool) {
+	best := 0
 	for range reachable {
 		m := reachable[s.next%len(reachable)]
 		s.next = (s.next + 1) % len(reachable)
 		if now < s.restUntil[m.Address] || s.follows(m.sameVoter) {
 			continue
 		}
-		if !s.follows(m.sameDomain) {
-			return m, true
+		if value := s.preference(m); value > best {
+			best, chosen = value, m
 		}
-		chosen, ok = m, true
 	}
-	return chosen, ok
+	return chosen, best > 0
+}
+
+// preference ranks a voter that may be followed, above 0.
+func (s *sources) preference(m Member) int {
+	switch {
+	case s.follows(m.sameDomain):
+		return 1
+	case m.FailureDomain != s.domain:
+		return 2
+	}
+	return 3
 }
 
 // follows reports whether a voter is followed that matches.
--- a/ledger/wiretype.go
+++ b/ledger/wiretype.go
@@ -63,7 +63,7 @@
 }
 
 // watchReply is a progress mark: it proves up to which index the client is
-// current. It brings what changed since, too.
+// current. It brings what changed since, too; a mark without a change is most of what voters send to clients, so what is empty is left out.
 type watchReply struct {
 	Index      uint64                `msgpack:"index"`
 	Term       uint64                `msgpack:"term"`
@@ -71,13 +71,13 @@
 	Leader     string                `msgpack:"leader"`
 	LeaderTerm uint64                `msgpack:"leader_term"`
 	AgeMS      int64                 `msgpack:"age_ms"` // since the voter had all that a leader had committed
-	Changed    bool                  `msgpack:"changed"`
-	Revisions  []bamboostep.Revision `msgpack:"revisions"` // those after the client's, or all kept if Reset
-	Reset      bool                  `msgpack:"reset"`     // the client was too far behind for a delta
-	Set        []byte                `msgpack:"set"`       // if the revision is newer
-	Packed     []byte                `msgpack:"packed"`    // in place of Set, compressed
-	Drained    []string              `msgpack:"drained"`
-	Members    []Member              `msgpack:"members"`
+	Changed    bool                  `msgpack:"changed,omitempty"`
+	Revisions  []bamboostep.Revision `msgpack:"revisions,omitempty"` // those after the client's, or all kept if Reset
+	Reset      bool                  `msgpack:"reset,omitempty"`     // the client was too far behind for a delta
+	Set        []byte                `msgpack:"set,omitempty"`       // if the revision is newer
+	Packed     []byte                `msgpack:"packed,omitempty"`    // in place of Set, compressed
+	Drained    []string              `msgpack:"drained,omitempty"`
+	Members    []Member              `msgpack:"members,omitempty"`
 	HeldMS     int64                 `msgpack:"held_ms,omitempty"` // for which the answer was held back
 }
 
--- a/node/process.go
+++ b/node/process.go
@@ -208,6 +208,7 @@
 		Members:    *seeds.Load(),
 		Seeds:      func() []ledger.Member { return *seeds.Load() },
 		ApplyBound: p.cfg.ApplyBound,
+		Domain:     p.cfg.FailureDomain,
 		Recorder:   p.recorder,
 		Applied:    applied,
 	}
