Only a continuation goes on with a stream that broke off

Cause: any 2xx that was signed was taken for the continuation, whatever its status, its type and its events: text, JSON, 204, 206, an error that comes as an event, a stream from its beginning. Class: a part is joined to another on the word of its status alone. Change: gateway/continuation.go takes the status and the media type that the stream began with; sse.Order takes events whose IDs increase, and as the first of a continuation only one with an ID. What does not follow on is left out, and another server is tried or the stream breaks off visibly. The same for streams that callers take up, for moved ones and within one answer. The stand-in streamEvents named no type, so that it went on with event streams as text/plain; workers send text/event-stream, and now it does.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
@@ -319,15 +318,16 @@
 // deliverResponse forwards a response to the caller, or rejects it if it is invalid.
 func (x *exchange) deliverResponse(ctx context.Context, run *fleet.Assignment, resp *origin.Response) attemptResult {
 	success := resp.Status >= http.StatusOK && resp.Status < http.StatusMultipleChoices
-	switch {
-	case success && !resp.Mark.Signed:
+	if success && !resp.Mark.Signed {
 		discardBody(resp)
 		return x.rejectResponse(run, "response has no signature")
-	case success && x.route.Kind == route.Streaming:
-		return x.deliverStream(ctx, run, resp)
-	case x.stream.hasStarted():
+	}
+	if err := x.checkContinuation(resp); err != nil {
 		discardBody(resp)
-		return x.rejectResponse(run, "status "+strconv.Itoa(resp.Status)+" when resuming a stream")
+		return x.rejectResponse(run, err.Error())
+	}
+	if success && x.route.Kind == route.Streaming {
+		return x.deliverStream(ctx, run, resp)
 	}
 	return x.deliverBuffered(ctx, run, resp, success)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -71,6 +71,7 @@
 		from := 0
 		fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
 		w.Header().Set("X-Response-Signature", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
 		for n := from + 1; n <= last; n++ {
 			if n == cut {
 				io.WriteString(w, "id: 9")
--- a/gateway/resumption_test.go
+++ b/gateway/resumption_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/release"
 	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/timeline"
@@ -54,33 +55,16 @@
 		t.Run(name, func(t *testing.T) {
 			backend := newFakeBackend(t, true, streamEvents(4, 0))
 			table, known := newTableAndFleet(t, route.Route{Kind: route.Streaming, Attempts: 2, Resumable: true}, backend)
-			tracker := &release.Tracker{Voters: func() ([]release.Voter, int) { return []release.Voter{emptyVoter{}}, 1 }}
-			tracker.Note("a1", c.origin, time.Minute)
-			recorder := &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}
-			g := newGateway(newSingleEntryGuard(recorder), &dispatch.RetryBudget{}, recorder, table, known)
-			g.Releases = tracker
-			s := httptest.NewServer(g)
-			defer s.Close()
-			req, err := http.NewRequest(http.MethodPost, s.URL+"/p/x", strings.NewReader(""))
-			if err != nil {
-				t.Fatal(err)
-			}
-			req.Host = "h.example"
-			req.Header = http.Header{"X-Attempt-Id": {"a2"}, "Last-Event-Id": {"2"}, "Resumes": {"a1"}}
+			s := startGatewayWithOrigin(t, table, known, c.origin)
 			began := time.Now()
-			resp, err := http.DefaultClient.Do(req)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer resp.Body.Close()
-			body, err := io.ReadAll(resp.Body)
-			if err != nil || resp.StatusCode != c.status || !strings.Contains(string(body), c.reason) {
-				t.Errorf("response: got %d %q, %v, want %d %s", resp.StatusCode, body, err, c.status, c.reason)
+			status, body := takeUp(t, s, "2")
+			if status != c.status || !strings.Contains(body, c.reason) {
+				t.Errorf("response: got %d %q, want %d %s", status, body, c.status, c.reason)
 			}
 			if took := time.Since(began); took > time.Second {
 				t.Errorf("response: got it after %v, want within 1s", took)
 			}
-			if want := "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"; c.status == http.StatusOK && string(body) != want {
+			if want := "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"; c.status == http.StatusOK && body != want {
 				t.Errorf("events: got %q, want %q", body, want)
 			}
 			if got := len(backend.recordedRuns()); (got > 0) != (c.status == http.StatusOK) {
@@ -90,6 +74,40 @@
 	}
 }
 
+// startGatewayWithOrigin starts a gateway that knows where the stream of request a1 began.
+func startGatewayWithOrigin(t *testing.T, table *route.Table, known *fleet.Fleet, origin release.Origin) *httptest.Server {
+	t.Helper()
+	tracker := &release.Tracker{Voters: func() ([]release.Voter, int) { return []release.Voter{emptyVoter{}}, 1 }}
+	tracker.Note("a1", origin, time.Minute)
+	recorder := &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}
+	g := newGateway(newSingleEntryGuard(recorder), &dispatch.RetryBudget{}, recorder, table, known)
+	g.Releases = tracker
+	s := httptest.NewServer(g)
+	t.Cleanup(s.Close)
+	return s
+}
+
+// takeUp takes the stream of request a1 up after an event.
+func takeUp(t *testing.T, s *httptest.Server, after string) (status int, body string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, s.URL+"/p/x", strings.NewReader(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header = http.Header{"X-Attempt-Id": {"a2"}, "Last-Event-Id": {after}, "Resumes": {"a1"}}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Errorf("body: got error %v after %q", err, data)
+	}
+	return resp.StatusCode, string(data)
+}
+
 // emptyVoter is a voter that knows no stream.
 type emptyVoter struct{}
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -21,9 +21,12 @@
 
 // streamState is what the caller has received of a stream.
 type streamState struct {
-	started bool   // the response head was sent
-	lastID  string // of the last forwarded event that has an ID
-	events  int    // forwarded writes, each of one or more events
+	started   bool   // the response head was sent
+	status    int    // of that head
+	mediaType string // of that head, "" for none
+
+	lastID string // of the last forwarded event that has an ID
+	events int    // forwarded writes, each of one or more events
 
 	firstEventAfter time.Duration // from the arrival of the request to the first event
 	lastEventAt     time.Time     // when the last events were forwarded
@@ -96,6 +99,7 @@
 func (x *exchange) forwardStream(ctx context.Context, run *fleet.Assignment, resp *origin.Response) error {
 	usage := bufferUsage{total: &x.g.bufferedBytes}
 	defer usage.release()
+	order := sse.NewOrder(x.resumeEventID())
 	var buffered []byte
 	anyEvent := false
 	chunk := make([]byte, streamReadSize)
@@ -104,16 +108,14 @@
 		buffered = append(buffered, chunk[:n]...)
 		if end := sse.LastEnd(buffered); end > 0 {
 			anyEvent = true
-			run.Started()
-			x.noteOrigin(run)
-			if werr := x.forwardEvents(resp, buffered[:end]); werr != nil {
-				return &callerWriteError{werr}
+			if err := x.forwardInOrder(run, resp, order, buffered[:end]); err != nil {
+				return err
 			}
 			buffered = append(buffered[:0], buffered[end:]...)
 		}
 		switch {
 		case err != nil:
-			return x.finishStream(ctx, run, resp, streamEnd{err, buffered, anyEvent})
+			return x.finishStream(ctx, run, resp, order, streamEnd{err, buffered, anyEvent})
 		case len(buffered) > maxEventBytes:
 			return errResponseTooLarge
 		}
@@ -125,18 +127,30 @@
 
 // finishStream ends the caller's stream if that of the backend server is complete, and else
 // returns why it is not.
-func (x *exchange) finishStream(ctx context.Context, run *fleet.Assignment, resp *origin.Response, end streamEnd) error {
+func (x *exchange) finishStream(ctx context.Context, run *fleet.Assignment, resp *origin.Response, order *sse.Order, end streamEnd) error {
 	if err := x.checkStreamEnd(ctx, run, resp, end); err != nil {
 		return err
 	}
-	x.sendStreamHead(resp)
 	if len(end.rest) == 0 {
+		x.sendStreamHead(resp)
 		return nil
 	}
-	run.Started()
-	x.noteOrigin(run)
-	if err := x.forwardEvents(resp, end.rest); err != nil {
-		return &callerWriteError{err}
+	return x.forwardInOrder(run, resp, order, end.rest)
+}
+
+// forwardInOrder forwards events up to the first that does not follow on those before. The error is errEventsOutOfOrder if there is one,
+// and a *callerWriteError if the caller cannot be written to.
+func (x *exchange) forwardInOrder(run *fleet.Assignment, resp *origin.Response, order *sse.Order, events []byte) error {
+	accepted := order.Accept(events)
+	if accepted > 0 {
+		run.Started()
+		x.noteOrigin(run)
+		if err := x.forwardEvents(resp, events[:accepted], order.LastID()); err != nil {
+			return &callerWriteError{err}
+		}
+	}
+	if accepted < len(events) {
+		return errEventsOutOfOrder
 	}
 	return nil
 }
@@ -153,16 +167,15 @@
 	if x.route.LatencyTarget > 0 && after > x.route.LatencyTarget {
 		x.g.Fleet.CountLate(x.modelName())
 	}
+	x.stream.status, x.stream.mediaType = resp.Status, mediaType(resp.Header)
 	copyHeader(x.w.Header(), resp.Header)
 	x.w.WriteHeader(resp.Status)
 }
 
-// forwardEvents sends complete events to the caller and flushes them.
-func (x *exchange) forwardEvents(resp *origin.Response, events []byte) error {
+// forwardEvents sends complete events to the caller and flushes them. lastID is the ID of the last event that has one.
+func (x *exchange) forwardEvents(resp *origin.Response, events []byte, lastID string) error {
 	x.sendStreamHead(resp)
-	if id := sse.LastID(events); id != "" {
-		x.stream.lastID = id
-	}
+	x.stream.lastID = lastID
 	x.stream.countEvents(time.Now())
 	if x.quarantineVerdict.Crashes > 0 && x.stream.position() > x.quarantineVerdict.ClearAfterEvents {
 		x.reportPassed()
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -29,17 +29,6 @@
 
 var idField = []byte("id:")
 
-// LastID returns the ID of the last event that has one, or "".
-func LastID(events []byte) string {
-	id := ""
-	for line := range bytes.Lines(events) {
-		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			id = string(bytes.TrimSpace(rest))
-		}
-	}
-	return id
-}
-
 // longestEnd is the number of bytes by which the end of an event is recognized.
 const longestEnd = len("\r\n\r\n")
 
