A planned stop takes a run time that is not known for long

Cause: an entry that had just started and had seen no run of the service end took the latency target for its run time; a run that still went on counted for nothing. Change: a run of a service of which none has ended here may take until the deadline, and runs that go on count. A run is measured to the end of its response, not to its head. Evidence: two new cases of TestLateRequestsAreRefusedDuringShutdown were served before (status 200, a run that could not finish). Entries, holders and voters share one list of the voters that settings name (seedList); clients that start do not ask all voters at once.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -201,6 +201,10 @@
 	x.permitUsed = true
 	x.recordResumption(run)
 	sent := time.Now()
+	if x.call.Model == "" {
+		ended := x.g.runTimes.begin(x.service.Name, sent)
+		defer func() { ended(time.Now()) }()
+	}
 	resp, err := x.g.Pool.Do(ctx, run.Address, x.call, bamboostep.ForwardOptions{
 		TimeLeft:         left,
 		Instance:         run.Instance,
@@ -216,9 +220,6 @@
 	defer resp.Close()
 	x.recordServerState(run, resp.Mark, sent)
 	x.g.Metrics.observeAttempt(x.route.Kind, resp.Status, time.Since(sent))
-	if x.call.Model == "" {
-		x.g.runTimes.observe(x.service.Name, time.Since(sent), time.Now())
-	}
 	if resp.Mark.NotRun {
 		return x.handleNotRun(run, resp)
 	}
--- a/gateway/late_request_test.go
+++ b/gateway/late_request_test.go
@@ -43,14 +43,19 @@
 		bodyDelay  time.Duration
 		stopAfter  time.Duration // from the start of the request until the process is told to stop
 		held       bool          // the backend server is known from the start
+		known      time.Duration // run time that the process has seen; 0 for none
+		running    time.Duration // for which another run has gone on when the process is told to stop; 0 for none
 		wantStatus int
 		wantRuns   int
 	}{
-		"body in time":                        {100 * time.Millisecond, 0, true, http.StatusOK, 1},
-		"body too late for a run":             {1400 * time.Millisecond, 0, true, http.StatusServiceUnavailable, 0},
-		"body that never ends":                {never, 0, true, http.StatusServiceUnavailable, 0},
-		"body that had begun before the stop": {never, 200 * time.Millisecond, true, http.StatusServiceUnavailable, 0},
-		"no backend server in time":           {0, 0, false, http.StatusServiceUnavailable, 0},
+		"body in time":                        {100 * time.Millisecond, 0, true, runTime, 0, http.StatusOK, 1},
+		"run time not known":                  {0, 0, true, 0, 0, http.StatusServiceUnavailable, 0},
+		"a run that goes on for long":         {0, 0, true, runTime, time.Second, http.StatusServiceUnavailable, 0},
+		"a run that has just begun":           {0, 0, true, runTime, time.Millisecond, http.StatusOK, 1},
+		"body too late for a run":             {1400 * time.Millisecond, 0, true, runTime, 0, http.StatusServiceUnavailable, 0},
+		"body that never ends":                {never, 0, true, runTime, 0, http.StatusServiceUnavailable, 0},
+		"body that had begun before the stop": {never, 200 * time.Millisecond, true, runTime, 0, http.StatusServiceUnavailable, 0},
+		"no backend server in time":           {0, 0, false, runTime, 0, http.StatusServiceUnavailable, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -68,7 +73,12 @@
 			g := newGateway(newSingleEntryGuard(recorder), &dispatch.RetryBudget{}, recorder, table, known)
 			s := httptest.NewServer(g)
 			t.Cleanup(s.Close)
-			g.runTimes.observe("s", runTime, time.Now())
+			if test.known > 0 {
+				g.runTimes.begin("s", time.Now().Add(-test.known))(time.Now())
+			}
+			if test.running > 0 {
+				g.runTimes.begin("s", time.Now().Add(-test.running))
+			}
 			ctx, cancel := context.WithTimeout(t.Context(), 5*grace)
 			defer cancel()
 			plan := ShutdownPlan{Grace: grace, StartedAt: time.Now().Add(test.stopAfter)}
--- a/gateway/run_time.go
+++ b/gateway/run_time.go
@@ -6,10 +6,16 @@
 )
 
 // runTimes estimates how long backend servers of plain services take for a request: the slowest
-// of late, which fades. The zero value knows none.
+// of late, which fades, or one that still goes on. The zero value knows none.
 type runTimes struct {
 	mu        sync.Mutex
-	byService map[string]slowestRun
+	byService map[string]*serviceRuns
+}
+
+// serviceRuns is what is known of the runs of a service.
+type serviceRuns struct {
+	slowest slowestRun
+	running map[*startedRun]bool
 }
 
 type slowestRun struct {
@@ -17,6 +23,9 @@
 	at   time.Time
 }
 
+// startedRun is a run that has not ended.
+type startedRun struct{ at time.Time }
+
 const (
 	runTimeHalfLife = 30 * time.Second // in which the slowest run counts half
 	runTimeMargin   = 2                // factor on the slowest run
@@ -27,21 +36,41 @@
 	return time.Duration(float64(r.took) / (1 + now.Sub(r.at).Seconds()/runTimeHalfLife.Seconds()))
 }
 
-// observe adds a run of a service that ended at now.
-func (t *runTimes) observe(service string, took time.Duration, now time.Time) {
+// begin notes that a run of a service begins, and returns the function that notes its end. That must be called once.
+func (t *runTimes) begin(service string, now time.Time) (end func(now time.Time)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.byService == nil {
-		t.byService = make(map[string]slowestRun)
+		t.byService = make(map[string]*serviceRuns)
 	}
-	if took >= t.byService[service].faded(now) {
-		t.byService[service] = slowestRun{took, now}
+	runs := t.byService[service]
+	if runs == nil {
+		runs = &serviceRuns{running: make(map[*startedRun]bool)}
+		t.byService[service] = runs
+	}
+	run := &startedRun{now}
+	runs.running[run] = true
+	return func(now time.Time) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(runs.running, run)
+		if took := now.Sub(run.at); took >= runs.slowest.faded(now) {
+			runs.slowest = slowestRun{took, now}
+		}
 	}
 }
 
-// expected returns how long a run of a service may take, or 0 if nothing is known.
-func (t *runTimes) expected(service string, now time.Time) time.Duration {
+// expected returns how long a run of a service may take, and false if no run of it has ended here.
+func (t *runTimes) expected(service string, now time.Time) (time.Duration, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return runTimeMargin * t.byService[service].faded(now)
+	runs := t.byService[service]
+	if runs == nil || runs.slowest.at.IsZero() {
+		return 0, false
+	}
+	longest := runs.slowest.faded(now)
+	for run := range runs.running {
+		longest = max(longest, now.Sub(run.at))
+	}
+	return runTimeMargin * longest, true
 }
--- a/gateway/shutdown.go
+++ b/gateway/shutdown.go
@@ -64,7 +64,7 @@
 }
 
 // expectedRunTime returns how long a backend server may take for the request, at most until the
-// deadline. Nothing tells how long a stream of a plain service is.
+// deadline. Nothing tells how long a stream of a plain service is, nor a run of a service of which none has ended here.
 func (x *exchange) expectedRunTime(now time.Time) time.Duration {
 	left := x.deadline.Sub(now)
 	if x.call.Model != "" {
@@ -73,7 +73,11 @@
 	if x.route.Kind == route.Streaming {
 		return left
 	}
-	return min(left, max(x.g.runTimes.expected(x.service.Name, now), x.route.LatencyTarget))
+	expected, known := x.g.runTimes.expected(x.service.Name, now)
+	if !known {
+		return left
+	}
+	return min(left, max(expected, x.route.LatencyTarget))
 }
 
 // ShouldExit reports whether the process exits at the time elapsed after the start of the
--- a/ledger/sources.go
+++ b/ledger/sources.go
@@ -65,9 +65,10 @@
 	reason string
 }
 
-// newSources returns the sources of a client that starts at time 0.
+// newSources returns the sources of a client that starts at time 0. It counts as proved then, so that clients that start all at once do not
+// ask all voters for their state.
 func newSources(bound time.Duration, count int, domain string, first int) *sources {
-	return &sources{bound: bound, count: count, domain: domain, next: first, restUntil: make(map[string]time.Duration), proved: -bound, checkDelay: bound / 8}
+	return &sources{bound: bound, count: count, domain: domain, next: first, restUntil: make(map[string]time.Duration), checkDelay: bound / 8}
 }
 
 // answerTime is how long an answer may take from the moment at which it is due.
--- a/node/entry.go
+++ b/node/entry.go
@@ -67,10 +67,8 @@
 	e := &entry{process: p, startedAt: time.Now(), retryBudgets: make(map[string]*dispatch.RetryBudget)}
 	e.fleet = &fleet.Fleet{Domain: p.cfg.FailureDomain, Seed: rand.Uint64(), HasService: hasService(&e.table)}
 	e.fleet.RegisterMetrics(p.registry)
-	seeds := p.seedVoters()
-	var seedsNow atomic.Pointer[[]ledger.Member]
-	seedsNow.Store(&seeds)
-	e.client = p.ledgerClient(&seedsNow, func(s *ledger.State) { applyRoutes(p, s, &e.table) })
+	seeds := p.newSeedList()
+	e.client = p.ledgerClient(seeds, func(s *ledger.State) { applyRoutes(p, s, &e.table) })
 	e.client.Follow = followedVoters
 	e.client.RegisterMetrics(p.registry)
 	e.links = &fleet.HolderLinks{Node: p.wire, Fleet: e.fleet, Port: p.cfg.FirstPort, Services: func() []string { return e.table.Load().EngineServices() }, Recorder: p.recorder}
@@ -107,7 +105,7 @@
 		Recorder:     p.recorder,
 		Metrics:      gateway.NewMetrics(p.registry),
 	}
-	return e.run(&seedsNow)
+	return e.run(seeds)
 }
 
 // reachableVoters returns the voters to which the entry has a connection.
@@ -160,7 +158,7 @@
 }
 
 // run serves until the process is told to stop and has ended its requests.
-func (e *entry) run(seeds *atomic.Pointer[[]ledger.Member]) error {
+func (e *entry) run(seeds *seedList) error {
 	callers, err := net.Listen("tcp", e.cfg.CallerAddr)
 	if err != nil {
 		return err
--- a/node/holder.go
+++ b/node/holder.go
@@ -20,10 +20,8 @@
 // reports to entries and voters.
 func runHolder(p *process) error {
 	var table atomic.Pointer[route.Table]
-	seeds := p.seedVoters()
-	var seedsNow atomic.Pointer[[]ledger.Member]
-	seedsNow.Store(&seeds)
-	client := p.ledgerClient(&seedsNow, func(s *ledger.State) { applyRoutes(p, s, &table) })
+	seeds := p.newSeedList()
+	client := p.ledgerClient(seeds, func(s *ledger.State) { applyRoutes(p, s, &table) })
 	client.RegisterMetrics(p.registry)
 	h := &holder.Holder{
 		Name:    p.cfg.VMName,
@@ -48,7 +46,7 @@
 	group, ctx := errgroup.WithContext(p.ctx)
 	group.Go(func() error { return h.Run(ctx) })
 	group.Go(func() error { return client.Run(ctx) })
-	group.Go(func() error { return p.watchSeeds(ctx, &seedsNow) })
+	group.Go(func() error { return p.watchSeeds(ctx, seeds) })
 	group.Go(func() error {
 		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Patient: true}).Run(ctx)
 	})
--- a/node/process.go
+++ b/node/process.go
@@ -143,12 +143,9 @@
 	return net.JoinHostPort(p.cfg.IP, strconv.Itoa(p.cfg.FirstPort))
 }
 
-// seedVoters returns the voters that the seeds name. A seed is the operator address of a
+// votersOf returns the voters that seeds name. A seed is the operator address of a
 // voter, which accepts connections from other processes on FirstPort of the same host.
 // Malformed seeds are recorded and skipped. The result is sorted by name.
-func (p *process) seedVoters() []ledger.Member { return p.votersOf(p.cfg.Seeds) }
-
-// votersOf returns the voters that seeds name.
 func (p *process) votersOf(seeds []string) []ledger.Member {
 	var members []ledger.Member
 	for _, seed := range seeds {
@@ -169,7 +166,7 @@
 
 // watchSeeds keeps the voters that the settings file names now in current, until ctx ends. An unreadable
 // file is recorded once and leaves what was read before.
-func (p *process) watchSeeds(ctx context.Context, current *atomic.Pointer[[]ledger.Member]) error {
+func (p *process) watchSeeds(ctx context.Context, current *seedList) error {
 	t := time.NewTicker(seedsInterval)
 	defer t.Stop()
 	named, readable := p.cfg.Seeds, true
@@ -194,19 +191,32 @@
 		named = cfg.Seeds
 		p.recordEvent("seeds_changed", fmt.Sprint(named))
 		voters := p.votersOf(named)
-		current.Store(&voters)
+		current.named.Store(&voters)
 	}
 }
 
 // followedVoters is the number of voters that a process follows at a time whose routes callers or other processes depend on.
 const followedVoters = 2
 
+// seedList is the voters that the settings name now.
+type seedList struct{ named atomic.Pointer[[]ledger.Member] }
+
+// newSeedList returns the voters that the settings named when the process started. See watchSeeds.
+func (p *process) newSeedList() *seedList {
+	named := p.votersOf(p.cfg.Seeds)
+	var l seedList
+	l.named.Store(&named)
+	return &l
+}
+
+func (l *seedList) voters() []ledger.Member { return *l.named.Load() }
+
 // ledgerClient returns a client of the ledger that starts with the voters in seeds. applied may be nil.
-func (p *process) ledgerClient(seeds *atomic.Pointer[[]ledger.Member], applied func(*ledger.State)) *ledger.Client {
+func (p *process) ledgerClient(seeds *seedList, applied func(*ledger.State)) *ledger.Client {
 	return &ledger.Client{
 		Node:       p.wire,
-		Members:    *seeds.Load(),
-		Seeds:      func() []ledger.Member { return *seeds.Load() },
+		Members:    seeds.voters(),
+		Seeds:      seeds.voters,
 		ApplyBound: p.cfg.ApplyBound,
 		Domain:     p.cfg.FailureDomain,
 		Recorder:   p.recorder,
@@ -221,10 +231,10 @@
 
 // coordinatorAddresses returns the addresses of the coordinators among the voters in the ledger's
 // state and of the leader, or of seeds while that state is not known.
-func (p *process) coordinatorAddresses(c *ledger.Client, seeds []ledger.Member) []string {
+func (p *process) coordinatorAddresses(c *ledger.Client, seeds *seedList) []string {
 	voters := c.State().Members()
 	if len(voters) == 0 {
-		voters = seeds
+		voters = seeds.voters()
 	}
 	leader, _ := c.Leader()
 	chosen := p.tolerance().Coordinators(voters)
--- a/node/process_test.go
+++ b/node/process_test.go
@@ -38,7 +38,7 @@
 // and that malformed seeds are skipped.
 func TestVotersFromSeeds(t *testing.T) {
 	p := testProcess(platform.Settings{FirstPort: 7000, Seeds: []string{"10.0.0.2:99", "no port", "10.0.0.1:99"}})
-	got := p.seedVoters()
+	got := p.votersOf(p.cfg.Seeds)
 	if len(got) != 2 || got[0].Address != "10.0.0.1:7000" || got[1].Name != "10.0.0.2:7000" {
 		t.Errorf("voters: got %+v", got)
 	}
--- a/node/voter.go
+++ b/node/voter.go
@@ -43,17 +43,15 @@
 	if p.cfg.DataDir == "" {
 		return runObserver(p)
 	}
-	seeds := p.seedVoters()
-	var seedsNow atomic.Pointer[[]ledger.Member]
-	seedsNow.Store(&seeds)
+	seeds := p.newSeedList()
 	mux := &wire.Mux{}
 	v := &ledger.Voter{
 		Name:      p.wireAddress(),
 		Address:   p.wireAddress(),
 		Domain:    p.cfg.FailureDomain,
 		Tolerance: p.tolerance(),
-		Members:   seeds,
-		Seeds:     func() []ledger.Member { return *seedsNow.Load() },
+		Members:   seeds.voters(),
+		Seeds:     seeds.voters,
 		Dir:       filepath.Join(p.cfg.DataDir, ledgerDirName),
 		Heal:      true,
 		Joining:   !p.cfg.Bootstrap,
@@ -62,7 +60,7 @@
 		Registry:  p.registry,
 	}
 	v.Register(mux)
-	client := p.ledgerClient(&seedsNow, nil)
+	client := p.ledgerClient(seeds, nil)
 	client.Local = v
 	client.RegisterMetrics(p.registry)
 	var table atomic.Pointer[route.Table]
@@ -115,7 +113,7 @@
 	}
 	group, ctx := errgroup.WithContext(p.ctx)
 	group.Go(func() error { return v.Run(ctx) })
-	group.Go(func() error { return p.watchSeeds(ctx, &seedsNow) })
+	group.Go(func() error { return p.watchSeeds(ctx, seeds) })
 	group.Go(func() error { return client.Run(ctx) })
 	group.Go(func() error { return reader.Run(ctx) })
 	group.Go(func() error { return boardFile.Run(ctx) })
@@ -133,10 +131,8 @@
 // and does nothing else that voters do.
 func runObserver(p *process) error {
 	p.recordEvent("ledger_without_disk", "")
-	seeds := p.seedVoters()
-	var seedsNow atomic.Pointer[[]ledger.Member]
-	seedsNow.Store(&seeds)
-	client := p.ledgerClient(&seedsNow, nil)
+	seeds := p.newSeedList()
+	client := p.ledgerClient(seeds, nil)
 	client.Follow = followedVoters
 	client.RegisterMetrics(p.registry)
 	observer := &ledger.Observer{Name: p.wireAddress(), Client: client}
@@ -148,7 +144,7 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(p.ctx)
-	group.Go(func() error { return p.watchSeeds(ctx, &seedsNow) })
+	group.Go(func() error { return p.watchSeeds(ctx, seeds) })
 	group.Go(func() error { return client.Run(ctx) })
 	group.Go(func() error {
 		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux}).Run(ctx)
