--- a/node/process.go
+++ b/node/process.go
@@ -199,7 +199,9 @@
 const followedVoters = 2
 
 // seedList is the voters that the settings name now.
-type seedList struct{ named atomic.Pointer[[]ledger.Member] }
+type seedList struct {
+	named atomic.Pointer[[]ledger.Member]
+}
 
 // newSeedList returns the voters that the settings named when the process started. See watchSeeds.
 func (p *process) newSeedList() *seedList {
