--- a/ledger/client.go
+++ b/ledger/client.go
@@ -43,8 +43,8 @@
 	// current, and may get the same state from Voter.Applied as well.
 	Applied func(*State)
 
-	// ApplyBound is the time after its acknowledgement within which a change must be in State, while more than half of the
-	// voters run and one of them can be reached. 2 s if 0.
+	// ApplyBound is the time after its acknowledgement within which a change must be in State, as long as more than half of the
+	// voters run and the client reaches one of these. 2 s if 0.
 	ApplyBound time.Duration
 	// Follow is the number of voters followed at a time, each at the cost of a progress mark in half of ApplyBound
 	// and of each change; 1 if 0. With one, a change may take most of ApplyBound while that voter is not well.
--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -305,8 +305,8 @@
 }
 
 // ConfirmApplied reports whether State holds every change that must be in force at a time: those that were acknowledged
-// ApplyBound before. If its proof is not so young by far, voters are asked. It blocks for a quarter of ApplyBound at most, and hardly
-// while voters prove nothing anyway.
+// ApplyBound before. It wants a proof as of half of ApplyBound before that time, and asks the voters if there is none. It blocks for a quarter of
+// ApplyBound at most; it returns false at once while no voter can be asked or those that were asked have proved nothing.
 func (c *Client) ConfirmApplied(ctx context.Context, at time.Time) bool {
 	c.init()
 	ctx, cancel := context.WithTimeout(ctx, c.bound()/4)
--- a/ledger/sources.go
+++ b/ledger/sources.go
@@ -10,16 +10,15 @@
 // sources decides which voters a client asks for the state, when, and when it leaves one. It is pure: the time,
 // the voters that can be reached and answers go in, questions come out.
 //
-// A client must know each acknowledged change within a bound, while voters that it asks are slow, stand still,
-// are cut off or hold old messages for current. Nothing that a voter does tells it from a well one for as long as it is silent. So:
+// A client must know each acknowledged change within a bound, also while some voters are slow, stand still or are cut off. The hard
+// point is that a voter that has failed and one that has nothing to tell look the same until an answer is due. So:
 //
 //   - A client follows more than one voter at a time, in different failure domains, and takes what the first one tells.
 //   - A voter is left as soon as an answer is older than a quarter of the bound or does not come within a quarter
 //     of the bound after it is due, if there is another. A voter that is followed anew must answer at once, to show that it is well.
-//   - Whoever is followed, once the proof that the state is the newest is older than three quarters of the bound, the client
-//     asks all voters at once. One well voter that is reached is then enough.
-//
-// The last quarter of the bound is left for that question, its answer and what the client does with it.
+//   - Once the proof that the state is the newest (see proof.go) is older than three quarters of the bound, the client asks all voters
+//     at once. One of them that is current is then enough. The last quarter of the bound is left for the question, its answer and what
+//     the client does with it.
 type sources struct {
 	bound  time.Duration // within which an acknowledged change must be known
 	count  int           // voters followed at a time
