Test: a caller whose connect is reset got no connection

Cause: the load goes to the next entry where a caller gets no connection at all, as its comment says, but knew that only by the text "connection refused". A listener that closes while a connect is under way resets it: of 24,000 dials at listeners that were closed meanwhile, 23,927 were refused and 22 reset, in a program made for this. Nothing of the request was sent, and a platform's balancer goes on to the next entry. Ruled out: a connection that was accepted and closed, which is an error of reading and still fails the check. Change: a failed dial by refusal or reset, by type and not by text. Any other error counts as before.

--- a/scenario/load_test.go
+++ b/scenario/load_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -149,11 +152,19 @@
 	var err error
 	for k := range l.urls {
 		c := &caller.Caller{BaseURL: l.urls[(i+k)%len(l.urls)]}
-		if a, err = c.Stream(ctx, l.model, prompt, loadTokens); err == nil || !refusedToConnect(err) {
+		if a, err = c.Stream(ctx, l.model, prompt, loadTokens); err == nil || !failedToConnect(err) {
 			return a, err
 		}
 	}
 	return a, err
 }
 
-func refusedToConnect(err error) bool { return strings.Contains(err.Error(), "connection refused") }
+// failedToConnect reports whether a caller got no connection, so that nothing of its request was sent: nobody listens, or the listener was
+// closed before the caller's side knew that it was connected, which resets the connection.
+func failedToConnect(err error) bool {
+	var dial *net.OpError
+	if !errors.As(err, &dial) || dial.Op != "dial" {
+		return false
+	}
+	return errors.Is(dial, syscall.ECONNREFUSED) || errors.Is(dial, syscall.ECONNRESET)
+}
