--- a/fleet/list_reader.go
+++ b/fleet/list_reader.go
@@ -131,8 +131,9 @@
 	if !newer && !m.Await(wasRead, longPollWait) {
 		return
 	}
-	reply := r.listReply(call, time.Now())
-	reply.HeldMS = time.Since(received).Milliseconds()
+	now := time.Now() // one reading for both, or the process could stand still between two
+	reply := r.listReply(call, now)
+	reply.HeldMS = now.Sub(received).Milliseconds()
 	m.Reply(reply)
 }
 
--- a/ledger/watch.go
+++ b/ledger/watch.go
@@ -77,8 +77,9 @@
 			return
 		}
 		leader, current := proof()
-		r := w.reply(call, state(), leader, time.Since(current))
-		r.HeldMS = time.Since(received).Milliseconds()
+		now := time.Now() // one reading for both, or the process could stand still between two
+		r := w.reply(call, state(), leader, now.Sub(current))
+		r.HeldMS = now.Sub(received).Milliseconds()
 		m.Reply(r)
 	}()
 }
