A client that is told of voters looks for them at once

Read as a newcomer: a process whose settings name observers alone hears of voters by an announcement, and looked for them up to a quarter of the bound later, since it no longer polls each 20 ms. TestSeedsWithoutDiskLearnVoters passes as before.

--- a/ledger/follow.go
+++ b/ledger/follow.go
@@ -33,7 +33,11 @@
 }
 
 // learnVoters tells the client of voters. It uses them while it has no state that names any.
-func (c *Client) learnVoters(voters []Member) { c.learned.Store(&voters) }
+func (c *Client) learnVoters(voters []Member) {
+	c.init()
+	c.learned.Store(&voters)
+	c.kick()
+}
 
 // link returns the link to a member, which it opens if needed. It returns nil
 // before Run.
