--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -18,6 +18,7 @@
 	Version         string        // of the backend server's software; empty for any
 	Exclude         []string      // addresses of backend servers that already failed this request
 	MaxWait         time.Duration // longest acceptable wait for the first event; 0 for no limit
+	Promise         Promise       // what the route tells its callers
 
 	// Randomize selects a random server with an acceptable wait instead of the best one, so that
 	// requests that are retried at the same time spread out.
--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -19,7 +19,6 @@
 	failureCost         = 4 * time.Second        // at a failure rate of 1; scales with the rate
 	affinityCachedShare = 0.7                    // share of a prompt's shared prefix that its affinity server is assumed to have cached
 	meanPromptTokens    = 1500                   // uncached tokens assumed for each pending request of other entries
-	plainServiceTime    = 30 * time.Millisecond  // assumed service time of a request in a plain service, spread over its slots
 )
 
 // estimate is the expected cost of a request at one backend server.
@@ -71,31 +70,6 @@
 	return max(cached, int(affinityCachedShare*float64(p.shared.Tokens)))
 }
 
-// plainWait estimates the wait at a backend server of a plain service. slots is used if
-// the listing does not give the number of slots.
-func (s *server) plainWait(now time.Time, slots int) time.Duration {
-	if s.listing.Slots > 0 {
-		slots = s.listing.Slots
-	}
-	busy := 0
-	if now.Sub(s.loadAt) < reportMaxAge {
-		busy = s.load.Running + s.load.Waiting
-	}
-	busy = max(busy, len(s.inFlight)) + s.assignedSince(s.loadAt)
-	return time.Duration(float64(plainServiceTime) * float64(busy) / float64(max(1, slots)))
-}
-
-// assignedSince counts this entry's requests in flight that were assigned after t.
-func (s *server) assignedSince(t time.Time) int {
-	n := 0
-	for r := range s.inFlight {
-		if r.assignedAt.After(t) {
-			n++
-		}
-	}
-	return n
-}
-
 // engineWait estimates the wait for the first event at a model engine. uncached is the
 // number of prompt tokens to prefill, including the estimate of unreported ones from other
 // entries.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -176,9 +176,20 @@
 	w.MaxAnswerTokens = x.call.MaxAnswerTokens
 	w.DefaultSlots = x.service.Engine.Slots
 	w.MaxWait = x.deadline.Sub(now)
+	w.Promise = x.promise(now)
 	return w
 }
 
+// promise returns what the route still promises to the request at now. Once a stream has begun, or its target
+// has passed, only the pauses count.
+func (x *exchange) promise(now time.Time) fleet.Promise {
+	p := fleet.Promise{EventGap: x.route.EventGapTarget}
+	if x.route.LatencyTarget > 0 && !x.stream.hasStarted() {
+		p.FirstEvent = max(0, x.arrived.Add(x.route.LatencyTarget).Sub(now))
+	}
+	return p
+}
+
 // attempt sends the request to the backend server of run and forwards its response.
 func (x *exchange) attempt(ctx context.Context, run *fleet.Assignment) attemptResult {
 	x.serverRun = run
