--- a/ledger/core.go
+++ b/ledger/core.go
@@ -401,22 +401,3 @@
 	}
 	return m
 }
-
-// refreshMembers finds the newest membership in the log.
-func (c *core) refreshMembers() {
-	c.setMembers(c.findMembers(c.log.lastIndex()))
-}
-
-// findMembers returns the newest membership up to an entry, and where it is.
-func (c *core) findMembers(last uint64) (membership, uint64) {
-	for i := last; i > max(c.log.baseIndex, c.snap.Index); i-- {
-		e := c.log.at(i)
-		if e.Kind != entryMembership {
-			continue
-		}
-		if m, err := decodeMembership(e.Data); err == nil {
-			return m, i
-		}
-	}
-	return c.snap.Members, c.snap.Index
-}
--- a/ledger/membership.go
+++ b/ledger/membership.go
@@ -139,3 +139,22 @@
 	}
 	return m, nil
 }
+
+// refreshMembers finds the newest membership in the log.
+func (c *core) refreshMembers() {
+	c.setMembers(c.findMembers(c.log.lastIndex()))
+}
+
+// findMembers returns the newest membership up to an entry, and where it is.
+func (c *core) findMembers(last uint64) (membership, uint64) {
+	for i := last; i > max(c.log.baseIndex, c.snap.Index); i-- {
+		e := c.log.at(i)
+		if e.Kind != entryMembership {
+			continue
+		}
+		if m, err := decodeMembership(e.Data); err == nil {
+			return m, i
+		}
+	}
+	return c.snap.Members, c.snap.Index
+}
