A stream of forgotten origin goes on where it can have begun at no other version

Ruled out: notes that were lost with the voters (the refusals come at once, with an empty ID). Change: if the route has had one service, and that one software version, since before the stream can have broken off, for all that this entry knows, the stream goes on there. Tests fail without it (goes on) and guard each condition.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,6 +63,7 @@
 	versionNeeds  map[VersionNeed]bool       // since they were last taken
 	entryCount    int                        // number of entries, 0 if unknown
 	sentRates     map[string]*sentRate       // by service
+	versions      map[string]*versionHistory // software versions, by service
 	rng           *rand.Rand
 }
 
@@ -117,6 +118,7 @@
 	f.demand = make(map[ModelName]*demandCount)
 	f.versionNeeds = make(map[VersionNeed]bool)
 	f.sentRates = make(map[string]*sentRate)
+	f.versions = make(map[string]*versionHistory)
 	f.rng = newRNG(f.Seed)
 }
 
@@ -155,6 +157,7 @@
 			f.recordDeparture(k, s.listing.Leaving, at)
 		}
 	}
+	f.noteVersions(at)
 	f.notifyChanged()
 }
 
@@ -209,6 +212,7 @@
 // remove drops a server from all indexes.
 func (f *Fleet) remove(k serverKey, s *server) {
 	s.removed = true
+	f.noteUnknownVersion(s)
 	delete(f.servers, k)
 	if f.byAddress[s.listing.Address] == s {
 		delete(f.byAddress, s.listing.Address)
--- a/gateway/resumption.go
+++ b/gateway/resumption.go
@@ -14,8 +14,9 @@
 // A stream goes on only at the software version of the service at which it began, within one answer and over a
 // caller's requests. Once the caller has an event, each further attempt is bound to that version. A
 // request that takes up a stream of an earlier one is bound from the start, to what package release knows of
-// the request that it names. If nothing is known, or the version serves no more, the request is refused at
-// once, not run.
+// the request that it names. If nothing is known, the stream goes on only where it cannot have begun at another version: its route
+// has had one service, and that one version, since before the stream broke off. Else, or if the version serves no more, the
+// request is refused at once, not run.
 
 // Reasons for refusing a stream that goes on.
 const (
@@ -26,6 +27,7 @@
 const (
 	unlimitedKeep = time.Minute     // for which the origin of a stream is kept if its caller names no deadline
 	keepMargin    = 2 * time.Second // beyond the deadline
+	breakMargin   = 2 * time.Second // for the lag of the list of backend servers
 )
 
 var errVersionUnknown = errors.New("the software version of the engine is unknown")
@@ -42,6 +44,9 @@
 		return true
 	}
 	o, known := x.g.Releases.Find(x.r.Context(), x.call.Resumes)
+	if !known {
+		o, known = x.onlyOrigin()
+	}
 	if !known {
 		return x.refuseWithDetail(reasonVersionUnknown, fmt.Sprintf("begun by request %q", x.call.Resumes), retryAfterShort)
 	}
@@ -52,6 +57,28 @@
 	return true
 }
 
+// onlyOrigin returns the only origin that the stream that the request takes up can have, for all that this entry has seen since the
+// stream broke off.
+func (x *exchange) onlyOrigin() (release.Origin, bool) {
+	since := x.arrived.Add(-x.longestBreak())
+	service := x.table.SoleServiceSince(x.route, since)
+	if service == "" {
+		return release.Origin{}, false
+	}
+	version, sole := x.g.Fleet.SoleVersion(service, since)
+	if !sole {
+		return release.Origin{}, false
+	}
+	x.recordEvent("stream_origin_inferred", "", fmt.Sprintf("begun by request %q, service %s and software version %s alone for %s or longer", x.call.Resumes, service, version, formatMilliseconds(x.longestBreak())))
+	return release.Origin{Service: service, Version: version}, true
+}
+
+// longestBreak returns how long ago the stream may have broken off that the request takes up: its caller has used up that much of
+// the time that the route allows.
+func (x *exchange) longestBreak() time.Duration {
+	return max(0, x.route.Timeout-x.call.TimeLimit) + breakMargin
+}
+
 // selectService returns the service of the stream that the request takes up, else one of its route at random.
 func (x *exchange) selectService() *route.Service {
 	name := x.origin.Service
--- a/gateway/resumption_test.go
+++ b/gateway/resumption_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/dispatch"
 	"github.com/bamboostep/bamboostep/fleet"
@@ -74,6 +75,43 @@
 	}
 }
 
+// Guards against streams that are refused after an entry or a voter has forgotten where they began, or whose callers do not name
+// the request that began them, though there is one service and one version where they can have begun.
+func TestStreamOfForgottenOriginGoesOnAtTheOnlyVersion(t *testing.T) {
+	long, short := time.Now().Add(-time.Minute), time.Now().Add(-time.Second)
+	for name, c := range map[string]struct {
+		routed, listed time.Time // since when the entry has known the table and the backend servers
+		another        bool      // a backend server of another version was listed meanwhile
+		status         int
+	}{
+		"known for long":       {long, long, false, http.StatusOK},
+		"table is new":         {short, long, false, http.StatusServiceUnavailable},
+		"list is new":          {long, short, false, http.StatusServiceUnavailable},
+		"two versions of late": {long, long, true, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			backend := newFakeBackend(t, true, streamEvents(4, 0))
+			table, _ := newTableAndFleet(t, route.Route{Kind: route.Streaming, Attempts: 2, Resumable: true}, backend)
+			l := bamboostep.Listing{Instance: "i0", StartedMS: 1, Service: "s", Address: strings.TrimPrefix(backend.URL, "http://"), Domain: "a", Slots: 8, SoftwareVersion: `"v1"`}
+			known := &fleet.Fleet{Domain: "a"}
+			known.ApplyList([]bamboostep.Listing{l}, c.listed)
+			if c.another {
+				old := bamboostep.Listing{Instance: "i1", StartedMS: 1, Service: "s", Address: "10.0.0.1:1", Domain: "a", SoftwareVersion: `"v0"`}
+				known.ApplyList([]bamboostep.Listing{l, old}, time.Now().Add(-2*time.Second))
+			}
+			known.ApplyList([]bamboostep.Listing{l}, time.Now())
+			s := startGatewayWithOrigin(t, table.WithHistory(nil, c.routed), known, release.Origin{})
+			status, body := takeUp(t, s, "2")
+			if status != c.status {
+				t.Errorf("status: got %d %q, want %d", status, body, c.status)
+			}
+			if want := "id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n"; c.status == http.StatusOK && body != want {
+				t.Errorf("events: got %q, want %q", body, want)
+			}
+		})
+	}
+}
+
 // startGatewayWithOrigin starts a gateway that knows where the stream of request a1 began.
 func startGatewayWithOrigin(t *testing.T, table *route.Table, known *fleet.Fleet, origin release.Origin) *httptest.Server {
 	t.Helper()
--- a/node/routes.go
+++ b/node/routes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/platform"
@@ -29,7 +30,7 @@
 		p.recorder.Record(timeline.Event{Kind: "routes_invalid", Revision: version, Detail: err.Error()})
 		return
 	}
-	table.Store(frozen)
+	table.Store(frozen.WithHistory(current, time.Now()))
 	p.recorder.Record(timeline.Event{Kind: "routes_in_force", Revision: version, Detail: fmt.Sprintf("%d routes", len(decoded.Routes))})
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -148,6 +148,8 @@
 	byKey    map[bamboostep.KeyDigest]*Workspace
 
 	workspaces map[string]*Workspace
+
+	soleSince map[hostPrefix]time.Time // since when a route has sent all of its requests to the service that it sends them to now
 }
 
 // hostPrefix is the lookup key of a route.
