bamboostep check takes a file of routes: errors, warnings, and what differs from the version in force

Cause: operators learn only from a refusal that a configuration is wrong, and never that it cannot do what they meant. Ruled out: checks of its own for errors (they would drift from what Freeze refuses; Freeze now collects all of its issues and returns the first); warnings from the number of engines or the load (not in the configuration); a burst below the largest prompt (no declaration says how large). Conclusion: golden script of every kind of finding, none on a sound configuration.

--- a/bamboostep/check.go
+++ b/bamboostep/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -20,12 +21,21 @@
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
-		Name:         "check",
-		Usage:        "find every mistake in the objects of a folder",
-		ArgsUsage:    "DIR",
-		Flags:        []cli.Flag{outputFlag()},
+		Name:      "check",
+		Usage:     "find every mistake in the objects of a folder, or in a file of routes (.json)",
+		ArgsUsage: "DIR|FILE",
+		Flags: []cli.Flag{
+			outputFlag(),
+			&cli.StringFlag{Name: "against", Usage: "`FILE` of routes to compare with"},
+			&cli.StringFlag{Name: "voter", Usage: "`URL` of a voter whose routes in force to compare with", Validator: checkVoter},
+		},
 		OnUsageError: usageError,
-		Action:       action(check, writeCheck),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			if strings.HasSuffix(cmd.Args().First(), routesSuffix) {
+				return checkRoutes(ctx, cmd)
+			}
+			return action(check, writeCheck)(ctx, cmd)
+		},
 	}
 }
 
--- a/bamboostep/exit.go
+++ b/bamboostep/exit.go
@@ -39,10 +39,11 @@
 func exitStatus(err error) int {
 	var usage *usageProblem
 	var unreachable *operator.UnreachableError
+	var voter *voterError
 	switch {
 	case errors.As(err, &usage):
 		return exitUsage
-	case errors.As(err, &unreachable):
+	case errors.As(err, &unreachable), errors.As(err, &voter):
 		return exitUnreachable
 	}
 	return exitProblem
--- a/bamboostep/script_test.go
+++ b/bamboostep/script_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -20,6 +21,7 @@
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/catalog"
 	"github.com/bamboostep/bamboostep/operator"
+	"github.com/bamboostep/bamboostep/platform"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -27,11 +29,13 @@
 	testscript.Main(m, map[string]func(){"bamboostep": main})
 }
 
-// The scripts have three commands of their own:
+// The scripts have four commands of their own:
 //
 //	entry [lose|refuse]   starts an entry with an empty ledger and points
 //	                      BAMBOOSTEP_ENTRY at it; with an argument, the running
 //	                      one loses the next answer or refuses all commands
+//	voter FILE            starts a voter with these routes in force and points
+//	                      VOTER at it; without a file, one that has none
 //	exits STATUS COMMAND  runs a command that must end with this status
 //	mistakes DIR          checks that the mistakes of a folder are just those
 //	                      that its files announce with "#! MISTAKE" behind a line
@@ -45,6 +49,7 @@
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"entry":    startOrBreakEntry,
+			"voter":    startVoter,
 			"exits":    checkExit,
 			"mistakes": checkMistakes,
 		},
@@ -169,6 +174,20 @@
 	ts.Value(ledgerKey).(*ledgerSlot).ledger = l
 }
 
+func startVoter(ts *testscript.TestScript, neg bool, args []string) {
+	mux := http.NewServeMux()
+	mux.HandleFunc(platform.PatternReadRoutes, func(w http.ResponseWriter, r *http.Request) {
+		if len(args) == 0 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		http.ServeFile(w, r, ts.MkAbs(args[0]))
+	})
+	s := httptest.NewServer(mux)
+	ts.Defer(s.Close)
+	ts.Setenv("VOTER", s.URL)
+}
+
 func checkExit(ts *testscript.TestScript, neg bool, args []string) {
 	want, err := strconv.Atoi(args[0])
 	ts.Check(err)
--- a/route/check.go
+++ b/route/check.go
@@ -19,17 +19,8 @@
 	return fmt.Sprintf("route %q: %s", e.Route, e.Issue)
 }
 
-// validate validates r against the services and against the routes that were indexed
-// before it.
-func (t *Table) validate(r *Route) error {
-	issue := t.findIssue(r)
-	if issue == "" {
-		return nil
-	}
-	return &ValidationError{Route: r.Name, Issue: issue}
-}
-
-// findIssue describes the first problem found in r, or returns "" if r is valid.
+// findIssue describes the first problem found in r, given the services and the routes that were
+// indexed before it, or returns "" if r is valid.
 func (t *Table) findIssue(r *Route) string {
 	switch {
 	case r.Host == "":
--- a/route/route.go
+++ b/route/route.go
@@ -166,24 +166,34 @@
 }
 
 // Freeze validates t and returns a copy with its lookup indexes built. The copy shares the
-// slices of t. The error is a *CheckError.
+// slices of t. The error is the first *ValidationError.
 func (t Table) Freeze() (*Table, error) {
+	if issues := t.index(); len(issues) > 0 {
+		return nil, issues[0]
+	}
+	return &t, nil
+}
+
+// Issues returns everything for which Freeze refuses t, in the order of its checks.
+func (t Table) Issues() []*ValidationError { return t.index() }
+
+// index builds the lookup indexes of t and returns what is invalid.
+func (t *Table) index() []*ValidationError {
 	t.services = make(map[string]*Service, len(t.Services))
 	for i := range t.Services {
 		t.services[t.Services[i].Name] = &t.Services[i]
 	}
+	var issues []*ValidationError
 	t.byPrefix = make(map[hostPrefix]*Route, len(t.Routes))
 	for i := range t.Routes {
 		r := &t.Routes[i]
-		if err := t.validate(r); err != nil {
-			return nil, err
+		if issue := t.findIssue(r); issue != "" {
+			issues = append(issues, &ValidationError{Route: r.Name, Issue: issue})
+			continue
 		}
 		t.byPrefix[r.key()] = r
 	}
-	if err := t.freezeWorkspaces(); err != nil {
-		return nil, err
-	}
-	return &t, nil
+	return append(issues, t.indexWorkspaces()...)
 }
 
 // Service returns the service with the given name, or nil.
--- a/route/workspace.go
+++ b/route/workspace.go
@@ -55,20 +55,22 @@
 	return w.Quota, true
 }
 
-// freezeWorkspaces builds the indexes by key and by name. It fails if two workspaces have
-// the same key.
-func (t *Table) freezeWorkspaces() error {
+// indexWorkspaces builds the indexes by key and by name. Two workspaces that have the same key are
+// invalid.
+func (t *Table) indexWorkspaces() []*ValidationError {
 	t.byKey = make(map[bamboostep.KeyDigest]*Workspace)
 	t.workspaces = make(map[string]*Workspace, len(t.Workspaces))
+	var issues []*ValidationError
 	for i := range t.Workspaces {
 		w := &t.Workspaces[i]
 		t.workspaces[w.Name] = w
 		for _, k := range w.Keys {
 			if other := t.byKey[k]; other != nil && other != w {
-				return &ValidationError{Issue: fmt.Sprintf("workspaces %q and %q have the same API key", other.Name, w.Name)}
+				issues = append(issues, &ValidationError{Issue: fmt.Sprintf("workspaces %q and %q have the same API key", other.Name, w.Name)})
+				continue
 			}
 			t.byKey[k] = w
 		}
 	}
-	return nil
+	return issues
 }
