--- a/route/changes.go
+++ b/route/changes.go
@@ -153,7 +153,7 @@
 			field{"cache_tokens", fmt.Sprint(e.CacheTokens)},
 			field{"weights_mb", fmt.Sprint(e.WeightsMB)},
 			field{"adapter_slots", fmt.Sprint(e.AdapterSlots)},
-			field{"loads_per_second", fmt.Sprint(e.LoadsPerSecond)},
+			field{"store_rate", fmt.Sprint(e.LoadsPerSecond)},
 			field{"max_event_waiters", fmt.Sprint(e.MaxEventWaiters)},
 		)
 	}
