--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -188,14 +188,14 @@
 	if !x.findOrigin() {
 		return false
 	}
-	if !x.admitByQuota() {
-		return false
-	}
 	x.setDeadline()
 	x.service = x.selectService()
 	if !x.isModelDeclared() {
 		return x.refuse("model_not_declared", retryAfterModelLoad)
 	}
+	if !x.admitByQuota() {
+		return false
+	}
 	x.g.RetryBudget(x.service.Name).AddRequest(x.arrived)
 	x.prompt = fleet.NewPrompt(x.modelName(), call.Prompt)
 	if call.Model != "" {
--- a/node/entry.go
+++ b/node/entry.go
@@ -81,10 +81,11 @@
 	}
 	e.pool = &origin.Pool{Dialect: platform.HTTPDialect{}, Metrics: origin.NewMetrics(p.registry)}
 	guard := e.newGuard()
-	e.quotas = &quota.Limiter{Voters: e.reachableVoters, EntryCount: e.follower.Entries, Recorder: p.recorder, Metrics: quota.NewMetrics(p.registry)}
+	e.quotas = &quota.Limiter{Voters: e.reachableVoters, EntryCount: e.follower.Entries, Name: p.cfg.VMName, Span: p.cfg.QuotaWindow, Recorder: p.recorder, Metrics: quota.NewMetrics(p.registry)}
 	e.limits = &quota.ServerLimiter{Voters: e.limitVoters, EntryCount: e.follower.Entries, Recorder: p.recorder, Metrics: quota.NewServerLimitMetrics(p.registry)}
 	e.releases = &release.Tracker{Voters: e.releaseVoters, Metrics: release.NewMetrics(p.registry)}
 	e.follower.OnConnect = func(ctx context.Context, c *wire.Conn) {
+		e.quotas.Report(ctx)
 		e.releases.Resend(c)
 		go e.limits.Watch(ctx, c)
 		e.suspects.Watch(ctx, c)
--- a/node/voter.go
+++ b/node/voter.go
@@ -69,7 +69,7 @@
 	v.Applied = func(s *ledger.State) { applyRoutes(p, s, &table) }
 	reader := &fleet.ListReader{Directory: p.directory(), Fleet: backends, Active: v.Coordinates, Recorder: p.recorder}
 	reader.Register(mux)
-	counter := &quota.BucketServer{StartFull: p.cfg.Bootstrap, Quota: func(workspace string) (route.Quota, bool) { return table.Load().Quota(workspace) }}
+	counter := &quota.BucketServer{StartFull: p.cfg.Bootstrap, Span: p.cfg.QuotaWindow, Quota: func(workspace string) (route.Quota, bool) { return table.Load().Quota(workspace) }}
 	counter.Register(mux)
 	limits := &quota.ServerLimitCoordinator{}
 	limits.Register(mux)
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -28,12 +29,17 @@
 type Limiter struct {
 	Voters     func() []Voter // open connections to voters
 	EntryCount func() int     // number of entries; 0 if it is not known yet
+	Name       string         // of the entry, as voters know it
+	Span       time.Duration  // in which quotas are bounded; 0 for a default
 	Recorder   *timeline.Recorder
 	Metrics    *Metrics // may be nil
 
 	mu           sync.Mutex
 	accounts     map[Voter]*voterAccount // of the connections that Voters returned last
-	standalone   map[string]*bucket      // by workspace; used while no voter can be asked
+	standalone   map[string]*ownBucket   // by workspace; used while no voter can be asked
+	shared       map[string]sharedUse    // by workspace, as voters last told
+	admitted     *history                // what this entry admitted; nil before the first use
+	mostEntries  bucket                  // level: the largest number of entries of the last span
 	disconnected bool                    // no voter was connected at the last report
 	startedAt    time.Time               // when Run was called
 	lastReached  time.Time               // when a voter was last available to ask
@@ -45,6 +51,8 @@
 	levels     map[string]bucket  // as last reported by the voter, by workspace
 	avoidUntil time.Time          // the voter is not asked until then, after a failed call
 	lastReply  time.Time
+	past       *usageReport // what was admitted before the connection, until the voter has been told
+	pastAt     time.Time    // when past was taken
 }
 
 // Decision says whether a request is admitted.
@@ -90,11 +98,14 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	accounts := m.syncAccounts()
-	for _, a := range accounts {
+	now := time.Now()
+	heard := false
+	for _, a := range m.syncAccounts() {
 		a.pending[w.Name] -= cost
+		heard = heard || now.Sub(a.lastReply) < voterMaxSilence
 	}
-	if b := m.standalone[w.Name]; b != nil && len(accounts) == 0 {
+	m.history(now).add(now, w.Name, -cost)
+	if b := m.standalone[w.Name]; b != nil && !heard {
 		b.level += cost
 	}
 }
@@ -109,12 +120,37 @@
 	maps.DeleteFunc(m.accounts, func(c Voter, _ *voterAccount) bool { return !slices.Contains(conns, c) })
 	for _, c := range conns {
 		if m.accounts[c] == nil {
-			m.accounts[c] = &voterAccount{pending: make(map[string]float64), levels: make(map[string]bucket)}
+			now := time.Now()
+			a := &voterAccount{pending: make(map[string]float64), levels: make(map[string]bucket), pastAt: now}
+			past := m.history(now).snapshot(now)
+			a.past = &past
+			m.accounts[c] = a
 		}
 	}
 	return m.accounts
 }
 
+// history returns what the entry admitted. mu is held.
+func (m *Limiter) history(now time.Time) *history {
+	if m.admitted == nil {
+		if !m.startedAt.IsZero() {
+			now = m.startedAt
+		}
+		m.admitted = newHistory(m.Span, now)
+	}
+	return m.admitted
+}
+
+// charge counts what was admitted, to be reported to all voters but except. mu is held.
+func (m *Limiter) charge(now time.Time, workspace string, cost float64, except Voter) {
+	for c, a := range m.syncAccounts() {
+		if c != except {
+			a.pending[workspace] += cost
+		}
+	}
+	m.history(now).add(now, workspace, cost)
+}
+
 // admitLocally admits a request without asking a voter if, at every voter, the estimated level
 // of the bucket stays at or above localAdmitShare of the burst. If no voter has replied
 // within voterMaxSilence, it admits nothing, since reports may not reach the voters.
@@ -131,9 +167,7 @@
 	if !recent || level-cost < localAdmitShare*w.Quota.Burst {
 		return false
 	}
-	for _, a := range accounts {
-		a.pending[w.Name] += cost
-	}
+	m.charge(now, w.Name, cost, nil)
 	return true
 }
 
@@ -223,40 +257,13 @@
 func (m *Limiter) applyTakeReply(c Voter, workspace string, cost float64, r takeReply, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for other, a := range m.syncAccounts() {
-		switch {
-		case other == c:
-			a.levels[workspace], a.lastReply = bucket{r.Level, now}, now
-		case r.Taken:
-			a.pending[workspace] += cost
-		}
-	}
-}
-
-// admitStandalone admits requests within this entry's share of the rate, assuming that all
-// entries receive the same load.
-func (m *Limiter) admitStandalone(now time.Time, w *route.Workspace, cost float64) Decision {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	entries := float64(max(1, m.EntryCount()))
-	perSecond, burst := w.Quota.PerSecond/entries, standaloneBurstShare*w.Quota.Burst/entries
-	b := m.standalone[w.Name]
-	if b == nil {
-		b = &bucket{updatedAt: m.startedAt} // starts empty, so that a restart grants no extra burst
-		if m.standalone == nil {
-			m.standalone = make(map[string]*bucket)
-		}
-		m.standalone[w.Name] = b
-	}
-	b.refill(now, perSecond, max(burst, cost))
-	if wait := b.timeUntil(cost, perSecond); wait > 0 {
-		return Decision{RetryAfter: wait}
+	if a := m.syncAccounts()[c]; a != nil {
+		a.levels[workspace], a.lastReply = bucket{r.Level, now}, now
 	}
-	b.level -= cost
-	for _, a := range m.syncAccounts() {
-		a.pending[w.Name] += cost
+	m.noteLevel(now, workspace, r.Level)
+	if r.Taken {
+		m.charge(now, workspace, cost, c)
 	}
-	return Decision{Admitted: true}
 }
 
 // Run reports to the voters every reportInterval until ctx ends.
@@ -268,7 +275,7 @@
 	t := time.NewTicker(reportInterval)
 	defer t.Stop()
 	for {
-		m.reportAll(ctx)
+		m.Report(ctx)
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -277,11 +284,18 @@
 	}
 }
 
-// reportAll sends each voter what has not been reported to it. It does not wait for replies.
-func (m *Limiter) reportAll(ctx context.Context) {
+// Report sends each voter what has not been reported to it. It does not wait for replies. Run
+// calls it every reportInterval; call it besides when a voter has just been connected.
+func (m *Limiter) Report(ctx context.Context) {
 	m.mu.Lock()
+	now := time.Now()
 	calls := make(map[Voter]map[string]float64)
+	pasts := make(map[Voter]usageReport)
 	for c, a := range m.syncAccounts() {
+		if a.past != nil {
+			pasts[c] = m.pastOf(now, a)
+			a.past = nil
+		}
 		if len(a.pending) > 0 {
 			calls[c] = a.pending
 			a.pending = make(map[string]float64)
@@ -289,11 +303,54 @@
 	}
 	m.recordMode(len(m.accounts) == 0)
 	m.mu.Unlock()
+	for c, past := range pasts {
+		go m.reportPast(ctx, c, past, now)
+	}
 	for c, used := range calls {
 		go m.report(ctx, c, used)
 	}
 }
 
+// pastOf completes the report of what was admitted before a connection. mu is held.
+func (m *Limiter) pastOf(now time.Time, a *voterAccount) usageReport {
+	r := *a.past
+	r.Entry, r.Entries = m.Name, m.knownEntries(now)
+	r.AgeMS += float64(now.Sub(a.pastAt)) / float64(time.Millisecond)
+	return r
+}
+
+// knownEntries returns the largest number of entries of the last span. After a restart of
+// voters, these know of few entries at first. mu is held.
+func (m *Limiter) knownEntries(now time.Time) int {
+	if n := float64(m.EntryCount()); n >= m.mostEntries.level || now.Sub(m.mostEntries.updatedAt) > m.history(now).span() {
+		m.mostEntries = bucket{n, now}
+	}
+	return int(m.mostEntries.level)
+}
+
+// reportPast tells a voter what was admitted before the connection. If that fails, the next
+// Report does it again.
+func (m *Limiter) reportPast(ctx context.Context, c Voter, past usageReport, sentAt time.Time) {
+	err := callWithTimeout(ctx, c, reportTimeout, kindUsage, past, &usageReply{})
+	m.Recorder.Record(pastEvent(c.Peer().Name, past, err))
+	if err == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a := m.accounts[c]; a != nil {
+		a.past, a.pastAt = &past, sentAt
+	}
+}
+
+func pastEvent(voter string, past usageReport, err error) timeline.Event {
+	e := timeline.Event{Kind: "quota_usage_told", VM: voter, Detail: fmt.Sprintf("%d workspaces, %.0f ms, %d entries", len(past.Used), past.KnownMS, past.Entries)}
+	if err != nil {
+		e.Kind, e.Detail = "quota_usage_not_told", err.Error()
+	}
+	return e
+}
+
 // recordMode records an event when the last voter connection is lost, and when the first one
 // is open again. mu is held.
 func (m *Limiter) recordMode(lost bool) {
@@ -326,6 +383,10 @@
 	a.lastReply = now
 	for workspace, level := range reply.Levels {
 		a.levels[workspace] = bucket{level, now}
+		m.noteLevel(now, workspace, level)
+	}
+	for workspace, recent := range reply.Recent {
+		m.noteRecent(now, workspace, recent)
 	}
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -85,6 +85,8 @@
 	switch call := v.(type) {
 	case reportRequest:
 		*reply.(*reportReply) = counter.report(time.Now(), call)
+	case usageReport:
+		counter.addPast(time.Now(), call)
 	case takeRequest:
 		*reply.(*takeReply) = counter.take(time.Now(), call)
 	}
