Quotas: Retry-After as before; levels that were low are asked again; tests of hard load

A level that was low within a span is asked again instead of taken for full: each of 29 entries admitted a request against a bucket at -0.9 of its burst.

--- a/quota/bucket_server.go
+++ b/quota/bucket_server.go
@@ -12,10 +12,6 @@
 	kindReport = "quota.report" // entry to voter: a reportRequest, answered by a reportReply
 	kindTake   = "quota.take"   // entry to voter: a takeRequest, answered by a takeReply
 	kindUsage  = "quota.usage"  // entry to voter: a usageReport, answered by an empty reply
-
-	// maxReturnWait is the longest wait that a refused request is told, beyond the time in
-	// which its own cost is there: about a third of the time that callers have.
-	maxReturnWait = 1500 * time.Millisecond
 )
 
 // reportRequest holds what an entry has admitted since its last report, by workspace. An
@@ -50,9 +46,8 @@
 // voterBucket is the bucket of a workspace on a voter.
 type voterBucket struct {
 	bucket
-	credit  float64 // level at the start of the voter as last worked out, which is part of the level
-	told    int     // reports that credit takes into account
-	backlog bucket  // negative: what was refused and has been told to come back later
+	credit float64 // level at the start of the voter as last worked out, which is part of the level
+	told   int     // reports that credit takes into account
 }
 
 // BucketServer keeps the buckets of all workspaces on a voter. Set the exported fields before
@@ -154,23 +149,12 @@
 	b := c.refilledBucket(now, call.Workspace, q)
 	b.level -= call.Used
 	c.history().add(now, call.Workspace, call.Used)
-	if b.level <= 0 {
-		wait := b.timeUntil(min(call.Cost, q.Burst), q.PerSecond) + b.queue(now, call.Cost, q)
-		return takeReply{Level: b.level, WaitMS: wait.Milliseconds()}
+	taken := b.level > 0
+	if taken {
+		b.level -= call.Cost
+		c.history().add(now, call.Workspace, call.Cost)
 	}
-	b.level -= call.Cost
-	c.history().add(now, call.Workspace, call.Cost)
-	return takeReply{Taken: true, Level: b.level, WaitMS: b.timeUntil(min(call.Cost, q.Burst), q.PerSecond).Milliseconds()}
-}
-
-// queue returns how long the requests that were refused before, and come back when they were
-// told to, take up the rate, at most maxReturnWait; and counts another one. Callers
-// that come back thus find room, one after the other.
-func (b *voterBucket) queue(now time.Time, cost float64, q route.Quota) time.Duration {
-	b.backlog.refill(now, q.PerSecond, 0)
-	wait := b.backlog.timeUntil(0, q.PerSecond)
-	b.backlog.level = max(b.backlog.level-cost, -q.PerSecond*maxReturnWait.Seconds())
-	return wait
+	return takeReply{Taken: taken, Level: b.level, WaitMS: b.timeUntil(min(call.Cost, q.Burst), q.PerSecond).Milliseconds()}
 }
 
 // history returns what entries used since the start of the voter. mu is held.
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -161,7 +161,7 @@
 	recent := false
 	level := w.Quota.Burst
 	for _, a := range accounts {
-		level = min(level, a.level(now, w))
+		level = min(level, a.level(now, w, m.history(now).span()))
 		recent = recent || now.Sub(a.lastReply) < voterMaxSilence
 	}
 	if !recent || level-cost < localAdmitShare*w.Quota.Burst {
@@ -173,13 +173,17 @@
 
 // level returns the estimated level of the bucket of a workspace at a voter: the level that
 // it last reported, refilled to now, minus what has not been reported to it. A bucket
-// without a recent level is assumed to be full.
-func (a *voterAccount) level(now time.Time, w *route.Workspace) float64 {
+// without a recent level is assumed to be full, unless its last level was low and within a
+// span: each of many entries would admit a request against a full bucket that is empty.
+func (a *voterAccount) level(now time.Time, w *route.Workspace, span time.Duration) float64 {
 	b, known := a.levels[w.Name]
-	if !known || now.Sub(b.updatedAt) > levelMaxAge {
-		return w.Quota.Burst - a.pending[w.Name]
+	age := now.Sub(b.updatedAt)
+	switch {
+	case known && age <= levelMaxAge:
+		b.refill(now, w.Quota.PerSecond, w.Quota.Burst)
+	case !known || age > span || b.level >= localAdmitShare*w.Quota.Burst:
+		b.level = w.Quota.Burst
 	}
-	b.refill(now, w.Quota.PerSecond, w.Quota.Burst)
 	return b.level - a.pending[w.Name]
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -44,7 +44,7 @@
 func (v *fakeVoter) restart(quota func(string) (route.Quota, bool)) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.counter = &BucketServer{Quota: quota, startedAt: time.Now()}
+	v.counter = &BucketServer{Quota: quota, Span: checkedWindow, startedAt: time.Now()}
 }
 
 // togglePartition partitions the voter from all entries, or ends its partition.
@@ -67,7 +67,10 @@
 }
 
 // fakeConn is an entry's connection to a voter.
-type fakeConn struct{ *fakeVoter }
+type fakeConn struct {
+	*fakeVoter
+	id *byte // differs between connections
+}
 
 func (l fakeConn) Peer() wire.Hello { return wire.Hello{Name: l.name} }
 
@@ -115,7 +118,7 @@
 func newTestCluster(t *testing.T, rng *rand.Rand, voters, entries int, q route.Quota) *testCluster {
 	s := &testCluster{t: t, rng: rng, ws: &route.Workspace{Name: "one", Quota: q}}
 	for i := range voters {
-		s.voters = append(s.voters, newFakeVoter(fmt.Sprint("voter-", i), &BucketServer{Quota: s.quota, StartFull: true}))
+		s.voters = append(s.voters, newFakeVoter(fmt.Sprint("voter-", i), &BucketServer{Quota: s.quota, StartFull: true, Span: checkedWindow}))
 	}
 	s.entries, s.stops = make([]*Limiter, entries), make([]context.CancelFunc, entries)
 	for i := range entries {
@@ -139,10 +142,10 @@
 	}
 	var conns []Voter
 	for _, v := range s.voters {
-		conns = append(conns, fakeConn{v})
+		conns = append(conns, fakeConn{v, nil})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s.entries[i] = &Limiter{Voters: func() []Voter { return conns }, EntryCount: func() int { return len(s.entries) },
+	s.entries[i] = &Limiter{Voters: func() []Voter { return conns }, EntryCount: func() int { return len(s.entries) }, Name: fmt.Sprint("entry-", i), Span: checkedWindow,
 		Recorder: &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}}
 	s.stops[i] = cancel
 	go s.entries[i].Run(ctx)
@@ -164,14 +167,34 @@
 	s.refused++
 }
 
+// sendTo sends one request to an entry, and does not wait for the decision.
+func (s *testCluster) sendTo(i int, cost float64, admitted func()) {
+	m, w := s.entries[i], s.workspace()
+	go func() {
+		if !m.Admit(s.t.Context(), w, cost).Admitted {
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.admitted = append(s.admitted, admission{time.Now(), cost})
+		admitted()
+	}()
+}
+
 // maxAdmitted returns the largest total cost admitted in any period of a length.
 func (s *testCluster) maxAdmitted(length time.Duration) float64 {
+	return maxInWindow(s.admitted, length)
+}
+
+// maxInWindow returns the largest total cost in any period of a length. list is in order of
+// time.
+func maxInWindow(list []admission, length time.Duration) float64 {
 	var highest, sum float64
 	first := 0
-	for _, u := range s.admitted {
+	for _, u := range list {
 		sum += u.cost
-		for u.at.Sub(s.admitted[first].at) >= length {
-			sum -= s.admitted[first].cost
+		for u.at.Sub(list[first].at) >= length {
+			sum -= list[first].cost
 			first++
 		}
 		highest = max(highest, sum)
