--- a/quota/frames_test.go
+++ b/quota/frames_test.go
@@ -25,9 +25,17 @@
 	"limit_watch_reply": limitWatchReply{},
 }
 
+// Types of what entries tell of their usage, which came later still.
+var usageTypes = map[string]any{
+	"report_reply_recent": reportReply{},
+	"usage_reply":         usageReply{},
+	"usage_report":        usageReport{},
+}
+
 // TestFramesOfEarlierBuild guards against a message or stored record that an earlier build
 // can't read, or whose bytes this build can't read.
 func TestFramesOfEarlierBuild(t *testing.T) {
 	frames.Check(t, "testdata/frames-34f6cf6.txt", framedTypes)
 	frames.Check(t, "testdata/frames-server-limits.txt", serverLimitTypes)
+	frames.Check(t, "testdata/frames-usage.txt", usageTypes)
 }
--- a/quota/history.go
+++ b/quota/history.go
@@ -88,15 +88,18 @@
 // snapshot returns a report of all that is known at now, and forgets workspaces of which
 // nothing was used.
 func (h *history) snapshot(now time.Time) usageReport {
-	r := usageReport{SlotMS: float64(h.slot) / float64(time.Millisecond), Used: make(map[string][]float64, len(h.used))}
+	r := usageReport{SlotMS: float64(h.slot) / float64(time.Millisecond), Used: make(map[string][]float32, len(h.used))}
 	r.KnownMS = float64(min(h.span(), now.Sub(h.since))) / float64(time.Millisecond)
 	maps.DeleteFunc(h.used, func(_ string, s *slots) bool {
 		s.advance(h.number(now))
 		return s.amounts == [slotsPerSpan]float64{}
 	})
 	for workspace, s := range h.used {
-		amounts := s.amounts
-		r.Used[workspace] = amounts[:]
+		amounts := make([]float32, slotsPerSpan)
+		for i, amount := range s.amounts {
+			amounts[i] = float32(amount)
+		}
+		r.Used[workspace] = amounts
 	}
 	return r
 }
@@ -109,7 +112,7 @@
 	KnownMS float64              `msgpack:"known_ms"` // how far back the entry knows what it admitted, at most a span
 	AgeMS   float64              `msgpack:"age_ms"`   // since the amounts were taken
 	SlotMS  float64              `msgpack:"slot_ms"`
-	Used    map[string][]float64 `msgpack:"used"` // amounts by workspace, in slots, newest first
+	Used    map[string][]float32 `msgpack:"used"` // amounts by workspace, in slots, newest first
 }
 
 // age returns the least age of what was used in a slot: the newest slot may have begun when
@@ -140,7 +143,7 @@
 	p.entries = max(p.entries, r.Entries, len(p.told))
 	for workspace, amounts := range r.Used {
 		for i, amount := range amounts {
-			p.addAmount(workspace, r.age(i)-sinceStart, amount, late)
+			p.addAmount(workspace, r.age(i)-sinceStart, float64(amount), late)
 		}
 	}
 }
--- a/quota/history_test.go
+++ b/quota/history_test.go
@@ -306,6 +306,8 @@
 		time.Sleep(step)
 	}
 	time.Sleep(time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	slices.SortFunc(s.admitted, func(a, b admission) int { return a.at.Compare(b.at) })
 	sum := 0.0
 	for _, d := range differences {
