Announcements of prompts between entries and holders, and the work that a choice makes

Cause: entries choose by reports that lack what others have sent for some tenths of a second; the random draw assumes even entries.

--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -18,6 +18,9 @@
 		return
 	}
 	r.firstEventSeen = true
+	if r.server.inFlight[r] {
+		r.fleet.addPending(r.server, -r.uncachedTokens)
+	}
 	r.fleet.recordPrefill(r)
 	r.server.unreachableCount = 0
 }
@@ -136,6 +139,9 @@
 		return
 	}
 	delete(s.inFlight, r)
+	if !r.firstEventSeen {
+		f.addPending(s, -r.uncachedTokens)
+	}
 	switch e {
 	case EndedOK:
 		s.recordOutcome(now, 0)
--- /dev/null
+++ b/fleet/balance.go
@@ -0,0 +1,26 @@
+package fleet
+
+import "time"
+
+// The work that a choice makes. An engine with a short queue that has to prefill the shared
+// prefix of a prompt serves that prompt no later than one with a longer queue that has the
+// prefix cached, but whoever comes after it waits for that prefill. If entries weigh only their
+// own request, they move prompts to idle engines, which then prefill prefixes again and
+// again: load evens out while it grows. The choice therefore counts a prefill twice, for
+// the request itself and for the one behind it.
+
+// followersDelayed is the number of requests that are taken to wait behind a request's prefill.
+const followersDelayed = 1
+
+// balancedEstimate returns the estimate of a request at s, with the cost to the requests
+// behind it.
+func (f *Fleet) balancedEstimate(now time.Time, req Requirements, s *server, affinity *server) estimate {
+	e := f.estimate(now, req, s, affinity)
+	e.cost += followersDelayed * prefillTime(e.uncachedTokens)
+	return e
+}
+
+// prefillTime returns how long an engine prefills a number of tokens.
+func prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / prefillTokensPerMS * float64(time.Millisecond))
+}
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -108,9 +108,9 @@
 		f.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 		candidates = f.firstWithinMaxWait(now, req, candidates, affinity)
 	}
-	best := f.estimate(now, req, candidates[0], affinity)
+	best := f.balancedEstimate(now, req, candidates[0], affinity)
 	for _, s := range candidates[1:] {
-		if e := f.estimate(now, req, s, affinity); e.cost < best.cost {
+		if e := f.balancedEstimate(now, req, s, affinity); e.cost < best.cost {
 			best = e
 		}
 	}
@@ -231,6 +231,7 @@
 	if req.ModelName.Model != "" {
 		f.demandFor(req.ModelName).tokens += e.uncachedTokens + req.MaxAnswerTokens
 		f.recordSent(req.Service, e.uncachedTokens, now)
+		f.addPending(e.server, e.uncachedTokens)
 	}
 	return r
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,16 +54,20 @@
 	servers       map[serverKey]*server
 	byAddress     map[string]*server
 	byService     map[string][]*server
-	listAt        time.Time                  // time as of which the newest list was read; zero if there is none
-	departed      map[serverKey]departure    // servers removed recently
-	changed       chan struct{}              // closed and replaced on each change; see Changed
-	urgentDemand  chan struct{}              // capacity 1; demand should be sent at once
-	prefixesReady chan struct{}              // capacity 1; a server has newPrefixes
-	demand        map[ModelName]*demandCount // since it was last taken
-	versionNeeds  map[VersionNeed]bool       // since they were last taken
-	entryCount    int                        // number of entries, 0 if unknown
-	sentRates     map[string]*sentRate       // by service
-	rng           *rand.Rand
+	listAt        time.Time               // time as of which the newest list was read; zero if there is none
+	departed      map[serverKey]departure // servers removed recently
+	changed       chan struct{}           // closed and replaced on each change; see Changed
+	urgentDemand  chan struct{}           // capacity 1; demand should be sent at once
+	prefixesReady chan struct{}           // capacity 1; a server has newPrefixes
+
+	announcementsReady chan struct{}    // capacity 1; unannounced is not empty
+	unannounced        map[*server]bool // servers whose holder should be told of pending prompts
+
+	demand       map[ModelName]*demandCount // since it was last taken
+	versionNeeds map[VersionNeed]bool       // since they were last taken
+	entryCount   int                        // number of entries, 0 if unknown
+	sentRates    map[string]*sentRate       // by service
+	rng          *rand.Rand
 }
 
 // server is the state of one start of a backend server.
@@ -82,6 +86,7 @@
 	usedAdapters     map[AdapterRef]bool  // adapters used by requests since these were last taken
 	prefixes         prefixCache          // estimate of its prefix cache
 	newPrefixes      []PromptPrefix       // prefixes read here that have not been sent to its holder
+	announcement     announcement         // exchange with its holder on prompts that wait for their first event
 	prefillShare     prefillShare         // share of time that it recently spent on prefill
 	departsAt        time.Time            // when it shuts down, as its holder reports; zero if unknown
 	avoidUntil       time.Time            // after a failed connection or a missing model; used only if there is no other server
@@ -114,6 +119,8 @@
 	f.changed = make(chan struct{})
 	f.urgentDemand = make(chan struct{}, 1)
 	f.prefixesReady = make(chan struct{}, 1)
+	f.announcementsReady = make(chan struct{}, 1)
+	f.unannounced = make(map[*server]bool)
 	f.demand = make(map[ModelName]*demandCount)
 	f.versionNeeds = make(map[VersionNeed]bool)
 	f.sentRates = make(map[string]*sentRate)
--- a/fleet/holder_links.go
+++ b/fleet/holder_links.go
@@ -24,6 +24,7 @@
 	Fleet    *Fleet
 	Port     int             // listening port of all holders; each runs on its engine's VM
 	Services func() []string // services that run on engines
+	Sent     bool            // exchange the prompt tokens that wait at engines; see SentUpdate
 	Recorder *timeline.Recorder
 
 	mu    sync.Mutex
@@ -89,7 +90,10 @@
 		Address: net.JoinHostPort(host, strconv.Itoa(l.Port)),
 		Handler: wire.HandlerFunc(func(m *wire.Message) { l.handle(address, m) }),
 		Up:      func(c *wire.Conn) { go l.subscribe(ctx, address, c) },
-		Down:    func(*wire.Conn) { l.Recorder.Record(timeline.Event{Kind: "holder_lost", VM: address}) },
+		Down: func(*wire.Conn) {
+			l.Fleet.ResetSent(address)
+			l.Recorder.Record(timeline.Event{Kind: "holder_lost", VM: address})
+		},
 	}
 	l.links[address] = &peerLink{link, cancel}
 	go link.Run(ctx)
@@ -100,8 +104,9 @@
 func (l *HolderLinks) subscribe(ctx context.Context, address string, c *wire.Conn) {
 	ctx, cancel := context.WithTimeout(ctx, subscribeTimeout)
 	defer cancel()
+	l.Fleet.ResetSent(address)
 	var r Report
-	if err := c.Call(ctx, KindSubscribe, struct{}{}, &r); err != nil {
+	if err := c.Call(ctx, KindSubscribe, SubscribeCall{Sent: l.Sent}, &r); err != nil {
 		l.Recorder.Record(timeline.Event{Kind: "holder_not_subscribed", VM: address, Detail: err.Error()})
 		c.Close()
 		return
@@ -126,6 +131,11 @@
 		if err = m.Decode(&n); err == nil {
 			l.Fleet.ApplyLoad(address, n, time.Now())
 		}
+	case KindSent:
+		var n SentUpdate
+		if err = m.Decode(&n); err == nil {
+			l.Fleet.ApplySent(address, n)
+		}
 	case KindPrefixes:
 		var n PrefixUpdate
 		if err = m.Decode(&n); err == nil {
@@ -208,6 +218,13 @@
 	}
 }
 
+// SendSent tells the holder of an engine how many prompt tokens of this entry wait there.
+func (l *HolderLinks) SendSent(address string, u SentUpdate) {
+	if c := l.conn(address); c != nil {
+		_ = c.Send(KindSent, u) // if lost, the next one or the end of the connection makes it good
+	}
+}
+
 // SendAdapterUse tells the holder of an engine which adapters requests have used there.
 func (l *HolderLinks) SendAdapterUse(address string, used []AdapterRef) {
 	if c := l.conn(address); c != nil {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -16,6 +16,7 @@
 	KindAdapter    = "fleet.adapter"   // entry to holder: AdapterRef, answered by OrderReply once the adapter is usable
 	KindAdapterUse = "fleet.used"      // entry to holder: AdapterUse; no answer
 	KindPrefixes   = "fleet.kept"      // entry to holder, and holder to subscriber: PrefixUpdate; no answer
+	KindSent       = "fleet.sent"      // entry to holder, and holder to subscriber: SentUpdate; no answer
 	KindOrder      = "fleet.order"     // leader to holder: OrderCall, answered by OrderReply
 	KindList       = "fleet.list"      // entry to voter: ListCall, answered by ListReply
 	KindDemand     = "fleet.demand"    // entry to voter: DemandUpdate; no answer
@@ -50,6 +51,20 @@
 	Prefixes []PromptPrefix `msgpack:"parts"`
 }
 
+// SubscribeCall is the payload of KindSubscribe.
+type SubscribeCall struct {
+	Sent bool `msgpack:"sent,omitempty"` // the subscriber is to be sent each SentUpdate
+}
+
+// SentUpdate states how many prompt tokens wait for their first event at an engine: to its
+// holder those of the sender, from the holder those of all entries but the receiver.
+type SentUpdate struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Tokens int
+}
+
 // OrderCall is the leader's order to load or unload a model.
 type OrderCall struct {
 	Term  uint64 `msgpack:"term"` // of the leader; a holder refuses lower terms than it has seen
--- a/fleet/unreported.go
+++ b/fleet/unreported.go
@@ -6,11 +6,15 @@
 	"time"
 )
 
-// Estimate of the prompts that other entries have sent to an engine since its last report.
-// All entries choose by the same reports, so without it they would all send their prompts
-// to the least loaded engine until the next report, and its streams would stall during the
-// prefills. Each entry adds a random share of the estimate, so that engines with a similar
-// load share the requests between two reports.
+// Estimate of the prompts that other entries have sent to an engine and that its last report
+// does not show. All entries choose by the same reports, so without it they would all send
+// their prompts to the least loaded engine until the next report, and its streams would stall
+// during the prefills.
+//
+// What entries announce is known to some milliseconds. While a holder tells nothing, because it
+// is away or of an earlier build, each entry instead adds a random share of what the others
+// are expected to have sent, so that engines with a similar load share the requests between two
+// reports.
 
 const (
 	sentDecay        = time.Second            // time constant with which the sent tokens decay (to 1/e)
@@ -46,10 +50,20 @@
 	f.entryCount = n
 }
 
-// unreportedTokens draws the number of prompt tokens that other entries have sent to s
+// unreportedTokens estimates the prompt tokens that other entries have at s beyond those of
+// the prompts in its last report.
+func (f *Fleet) unreportedTokens(now time.Time, s *server) int {
+	if !s.announcement.usable(now, s) {
+		return f.drawUnreported(now, s)
+	}
+	reported := max(0, s.pendingPrefills(now)-s.ownBacklog().waiting)
+	return max(0, s.announcement.others-reported*meanPromptTokens)
+}
+
+// drawUnreported draws the number of prompt tokens that other entries have sent to s
 // since its last report: uniformly between 0 and twice the expected number, assuming that
 // all entries send at this entry's rate and spread evenly over the servers.
-func (f *Fleet) unreportedTokens(now time.Time, s *server) int {
+func (f *Fleet) drawUnreported(now time.Time, s *server) int {
 	sent := f.sentRates[s.listing.Service]
 	if sent == nil || f.entryCount < 2 || !s.hasFreshReport(now) {
 		return 0
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -79,6 +79,10 @@
 	nextReport     chan struct{}        // closed and replaced when a report is applied
 	sizes          map[string]modelSize // of models that are or may be on the engine, as far as known
 	prefixes       prefixLog            // prompt prefixes that the engine has read
+
+	announced announcements[*wire.Conn] // prompts that wait for their first event
+	tellDue   bool                      // a call of tell is scheduled
+	toldAt    time.Time                 // of the last call of tell
 }
 
 // inDoubtOrder is an order that got no answer and may still be carried out.
@@ -100,6 +104,7 @@
 	mux.On(fleet.KindAdapter, func(m *wire.Message) { go h.handleAdapter(m) })
 	mux.On(fleet.KindAdapterUse, h.handleAdapterUse)
 	mux.On(fleet.KindPrefixes, h.handlePrefixes)
+	mux.On(fleet.KindSent, h.handleSent)
 	mux.On(fleet.KindOrder, func(m *wire.Message) { go h.handleOrder(m) })
 }
 
@@ -153,6 +158,7 @@
 		clear(h.sizes)
 		h.instance = ""
 		h.prefixes = prefixLog{}
+		h.announced.restart()
 	}
 	if h.instance == "" && !h.identifying && h.Spec() != nil {
 		h.identifying = true
@@ -280,7 +286,7 @@
 }
 
 // push sends the report to all subscribers if it has changed or maxPushInterval has
-// passed, and prefixes that they have not been sent yet.
+// passed, and prefixes and announced prompts that they have not been sent yet.
 func (h *Holder) push(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -293,6 +299,7 @@
 	case !sameState(r, h.lastPushed):
 		h.lastPushed, h.lastPushedAt = r, now
 		h.broadcast(fleet.KindReport, r)
+		h.announced.retell()
 	case sinceLast >= maxPushInterval || !similarLoad(r, h.lastPushed):
 		h.lastPushed, h.lastPushedAt = r, now
 		h.broadcast(fleet.KindLoad, fleet.LoadUpdate{Waiting: r.Waiting, Running: r.Running, Prefilling: r.Prefilling, CacheUsed: r.CacheUsed, AgeMS: r.AgeMS})
@@ -300,6 +307,7 @@
 	if unsent := h.prefixes.takeUnsent(); len(unsent) > 0 {
 		h.broadcast(fleet.KindPrefixes, fleet.PrefixUpdate{Prefixes: unsent})
 	}
+	h.tell(now)
 }
 
 // broadcast sends a message to all subscribers and drops those that cannot be reached.
@@ -332,8 +340,15 @@
 
 // handleSubscribe adds the sender to the subscribers and replies with the current report.
 func (h *Holder) handleSubscribe(m *wire.Message) {
+	var call fleet.SubscribeCall
+	if m.Decode(&call) != nil {
+		return // package wire counts the bad frame
+	}
 	h.mu.Lock()
 	h.subscribers[m.Conn()] = true
+	if call.Sent {
+		h.announced.subscribe(m.Conn())
+	}
 	r := h.fleetReport(time.Now())
 	r.CachedPrefixes = h.prefixes.all()
 	h.mu.Unlock()
--- a/node/entry.go
+++ b/node/entry.go
@@ -71,7 +71,7 @@
 	e.client = p.ledgerClient(seeds, func(s *ledger.State) { applyRoutes(p, s, &e.table) })
 	e.client.Follow = followedVoters
 	e.client.RegisterMetrics(p.registry)
-	e.links = &fleet.HolderLinks{Node: p.wire, Fleet: e.fleet, Port: p.cfg.FirstPort, Services: func() []string { return e.table.Load().EngineServices() }, Recorder: p.recorder}
+	e.links = &fleet.HolderLinks{Node: p.wire, Fleet: e.fleet, Port: p.cfg.FirstPort, Services: func() []string { return e.table.Load().EngineServices() }, Sent: true, Recorder: p.recorder}
 	e.follower = &fleet.ListFollower{
 		Node:      p.wire,
 		Fleet:     e.fleet,
@@ -326,7 +326,7 @@
 }
 
 // runPeriodicTasks runs until ctx ends. It sends kept prompt prefixes as soon as there are
-// any, and demand at once if it is urgent, otherwise every periodicInterval. On the same
+// any, announces prompts when that is due, and sends demand at once if it is urgent, otherwise every periodicInterval. On the same
 // interval it closes idle connections, updates retry budgets and reports the adapters in use.
 func (e *entry) runPeriodicTasks(ctx context.Context) error {
 	t := time.NewTicker(periodicInterval)
@@ -338,6 +338,11 @@
 		case <-e.fleet.PrefixesReady():
 			e.sendKeptPrefixes()
 			continue
+		case <-e.fleet.AnnouncementsReady():
+			for address, u := range e.fleet.TakeAnnouncements() {
+				e.links.SendSent(address, u)
+			}
+			continue
 		case <-e.fleet.UrgentDemand():
 		case now := <-t.C:
 			e.pool.CloseExpired(now)
