Plain services: slowness of a server's VM and the service's own time of a run

Cause: the fourth figure of the load header was dropped and a run counted as a constant 30 ms. Servers are weighed by the expected completion now; what an answer says fades, since an entry hears from a server every second or so. Random choice among equal costs was tried and taken back: tests of the gateway rely on the order of the list for servers of which nothing is known.

--- a/call.go
+++ b/call.go
@@ -156,6 +156,10 @@
 	Running int // requests being processed
 	Waiting int // requests in the queue
 	Slots   int // requests that it can process concurrently
+
+	// Slowness is how long work takes on its VM at this moment, relative to the usual: 1 as usual, 2 for twice
+	// as long; 0 if unknown.
+	Slowness float64
 }
 
 // Dialect maps between HTTP headers and the values Call, ForwardOptions and AnswerInfo.
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -33,7 +33,11 @@
 	defer f.mu.Unlock()
 	s.silence.answered(now)
 	if m.LoadKnown {
-		s.load, s.loadAt = m.Load, now
+		f.observeLoad(s, m.Load, now)
+	}
+	if r.expectedFactor > 0 && !m.NotRun && m.RetryAfter == 0 {
+		f.observeRun(r, now.Sub(r.assignedAt))
+		r.expectedFactor = 0
 	}
 	if m.RetryAfter > 0 {
 		s.rest(now.Add(m.RetryAfter))
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -73,6 +73,7 @@
 	uncachedTokens int // prompt tokens still to be prefilled, until the first event
 	cacheTokens    int // KV cache that the request may use, tokens
 	assignedAt     time.Time
+	expectedFactor float64 // see plainFactor; 0 for a model engine, and once the run is recorded
 	firstEventSeen bool
 	departureKnown chan struct{} // closed once it is known when the server shuts down
 }
@@ -223,6 +224,9 @@
 	if !e.server.departsAt.IsZero() {
 		close(r.departureKnown)
 	}
+	if req.ModelName.Model == "" {
+		r.expectedFactor = f.plainFactor(now, e.server, req.DefaultSlots)
+	}
 	e.server.inFlight[r] = true
 	e.server.silence.assigned(now)
 	if req.ModelName.Adapter != "" && e.adapterReady {
--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -36,7 +36,7 @@
 func (f *Fleet) estimate(now time.Time, req Requirements, s *server, affinity *server) estimate {
 	e := estimate{server: s, adapterReady: true}
 	if req.ModelName.Model == "" {
-		e.wait = s.plainWait(now, req.DefaultSlots)
+		e.wait = f.plainWait(now, s, req.DefaultSlots)
 	} else {
 		e.uncachedTokens = req.PromptTokens - s.cachedTokens(req.Prompt, s == affinity)
 		e.wait = s.engineWait(now, req, e.uncachedTokens+f.unreportedTokens(now, s))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,11 +63,12 @@
 	announcementsReady chan struct{}    // capacity 1; unannounced is not empty
 	unannounced        map[*server]bool // servers whose holder should be told of pending prompts
 
-	demand       map[ModelName]*demandCount // since it was last taken
-	versionNeeds map[VersionNeed]bool       // since they were last taken
-	entryCount   int                        // number of entries, 0 if unknown
-	sentRates    map[string]*sentRate       // by service
-	rng          *rand.Rand
+	demand        map[ModelName]*demandCount // since it was last taken
+	versionNeeds  map[VersionNeed]bool       // since they were last taken
+	entryCount    int                        // number of entries, 0 if unknown
+	sentRates     map[string]*sentRate       // by service
+	plainServices map[string]*plainService   // by name
+	rng           *rand.Rand
 }
 
 // server is the state of one start of a backend server.
@@ -77,9 +78,12 @@
 	models   map[string]*heldModel // models that it holds, by name
 
 	report   Report
-	reportAt time.Time       // time as of which report was true; zero if there is none
-	load     bamboostep.Load // from the headers of its last answer
-	loadAt   time.Time
+	reportAt time.Time // time as of which report was true; zero if there is none
+
+	taken     fadingValue // share of its slots that are taken, by the headers of its answers
+	slowness  fadingValue // of its VM, by the headers of its answers
+	loadSlots int         // slots, by the last of them
+	loadAt    time.Time   // of the last of them
 
 	inFlight         map[*Assignment]bool // this entry's requests
 	silence          silence              // whether it answers this entry's requests
@@ -124,6 +128,7 @@
 	f.demand = make(map[ModelName]*demandCount)
 	f.versionNeeds = make(map[VersionNeed]bool)
 	f.sentRates = make(map[string]*sentRate)
+	f.plainServices = make(map[string]*plainService)
 	f.rng = newRNG(f.Seed)
 }
 
