--- a/holder/announced.go
+++ b/holder/announced.go
@@ -13,7 +13,7 @@
 
 const (
 	tellInterval    = 25 * time.Millisecond
-	announcedMaxAge = 3 * time.Second // an entry that has stated nothing for longer counts as having nothing there
+	announcedMaxAge = time.Second // an entry that has stated nothing for longer counts as having nothing there
 )
 
 // announcements holds what entries have announced. C identifies the connection of an entry.
