--- a/fleet/announced.go
+++ b/fleet/announced.go
@@ -31,6 +31,14 @@
 	return a.known && !s.reportAt.IsZero() && now.Sub(s.reportAt) <= announcedMaxAge
 }
 
+// othersTokens returns the pending tokens of the other entries, or -1 if they are unknown.
+func (a *announcement) othersTokens(now time.Time, s *server) int {
+	if !a.usable(now, s) {
+		return -1
+	}
+	return a.others
+}
+
 // due reports whether the holder should be told of pending.
 func (a *announcement) due() bool {
 	change := max(a.pending-a.told, a.told-a.pending)
--- a/fleet/balance.go
+++ b/fleet/balance.go
@@ -24,3 +24,14 @@
 func prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / prefillTokensPerMS * float64(time.Millisecond))
 }
+
+// affinityAnywhere reports whether all entries should send prompts with the shared prefix of req to
+// the same server, in whatever failure domain: prefilling the prefix in each domain takes an engine longer than sending
+// the prompt to another domain.
+func affinityAnywhere(req Requirements) bool {
+	crossing := crossDomainCost + crossDomainCost*time.Duration(req.BodyBytes/crossDomainBytes)
+	return affinityCachedShare*float64(prefillTime(req.Prompt.shared.Tokens)) > minAffinityGain*float64(crossing)
+}
+
+// minAffinityGain is the time that a cached prefix must save, relative to that of crossing to another failure domain.
+const minAffinityGain = 2
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -67,6 +67,10 @@
 	Running   int // running requests, by that report
 	Waiting   int // requests that were queued or in prefill, by that report
 
+	// OthersTokens is the number of prompt tokens that other entries had waiting there, as its holder told; negative if
+	// unknown.
+	OthersTokens int
+
 	fleet          *Fleet
 	server         *server
 	prompt         Prompt
@@ -104,7 +108,7 @@
 
 // cheapest returns the estimate of the candidate with the lowest cost.
 func (f *Fleet) cheapest(now time.Time, req Requirements, candidates []*server) estimate {
-	affinity := f.affinityServer(candidates, req.Prompt)
+	affinity := f.affinityServer(candidates, req)
 	if req.Randomize {
 		f.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 		candidates = f.firstWithinMaxWait(now, req, candidates, affinity)
@@ -182,15 +186,17 @@
 // affinityServer returns the candidate to which prompts with the same shared prefix (all
 // parts but the last) are sent, so that its prefix cache serves them. Rendezvous hashing
 // makes the entries of a failure domain agree on it without communication. Candidates in
-// the own failure domain are preferred. It returns nil if the prompt has no shared prefix.
-func (f *Fleet) affinityServer(candidates []*server, p Prompt) *server {
+// the own failure domain are preferred, unless affinityAnywhere holds. It returns nil if the prompt has no shared prefix.
+func (f *Fleet) affinityServer(candidates []*server, req Requirements) *server {
+	p := req.Prompt
 	if p.shared == (PromptPrefix{}) {
 		return nil
 	}
 	var affinity *server
 	var highest uint64
+	anywhere := affinityAnywhere(req)
 	for _, s := range candidates {
-		local, bestLocal := s.listing.Domain == f.Domain, affinity != nil && affinity.listing.Domain == f.Domain
+		local, bestLocal := anywhere || s.listing.Domain == f.Domain, anywhere || affinity != nil && affinity.listing.Domain == f.Domain
 		r := rendezvousWeight(p.shared.Hash, s.listing.Instance)
 		if affinity == nil || local && !bestLocal || local == bestLocal && r > highest {
 			affinity, highest = s, r
@@ -213,6 +219,7 @@
 		ReportAge:      e.server.reportAge(now),
 		Running:        e.server.report.Running,
 		Waiting:        e.server.pendingPrefills(now),
+		OthersTokens:   e.server.announcement.othersTokens(now, e.server),
 		fleet:          f,
 		server:         e.server,
 		prompt:         req.Prompt,
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -20,6 +20,7 @@
 	gauge("oldest_report_age_seconds", "Age of the oldest of the last reports of engines; -1 without any.", func(s summary) float64 { return seconds(s.reportAge) })
 	gauge("stale_reports", "Engines whose last report is too old to be believed.", func(s summary) float64 { return float64(s.stale) })
 	gauge("waiting", "Requests that wait at engines, by their last reports.", func(s summary) float64 { return float64(s.waiting) })
+	gauge("announced_engines", "Engines whose holder tells which prompts other entries have there.", func(s summary) float64 { return float64(s.announced) })
 	gauge("most_waiting", "Requests that wait at the engine with the longest queue.", func(s summary) float64 { return float64(s.mostWaiting) })
 }
 
@@ -28,6 +29,7 @@
 	servers     int
 	stale       int           // servers whose last report is older than reportMaxAge
 	waiting     int           // queued requests, over all fresh reports
+	announced   int           // servers whose holder tells the prompts of other entries
 	mostWaiting int           // queued requests at the server with the longest queue
 	listAge     time.Duration // -1 if there is no list
 	reportAge   time.Duration // age of the oldest last report; -1 if there is none
@@ -55,6 +57,9 @@
 			out.stale++
 			continue
 		}
+		if s.announcement.usable(now, s) {
+			out.announced++
+		}
 		out.waiting += s.report.Waiting
 		out.mostWaiting = max(out.mostWaiting, s.report.Waiting)
 	}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -190,6 +190,9 @@
 	if x.serverRun.ReportAge >= 0 {
 		basis = fmt.Sprintf("a report %s old, %d running, %d waiting", formatMilliseconds(x.serverRun.ReportAge), x.serverRun.Running, x.serverRun.Waiting)
 	}
+	if x.serverRun.OthersTokens >= 0 {
+		basis += fmt.Sprintf(", %d prompt tokens of other entries", x.serverRun.OthersTokens)
+	}
 	return "expected " + formatMilliseconds(x.serverRun.EstimatedWait) + ", from " + basis
 }
 
--- a/holder/announced.go
+++ b/holder/announced.go
@@ -68,9 +68,8 @@
 	}
 }
 
-// takeUpdates returns the tokens of the others for each subscriber for which they have
-// changed, and counts them as told.
-func (a *announcements[C]) takeUpdates(now time.Time) map[C]int {
+// total returns the tokens of all entries, and forgets those of entries that have stated nothing for too long.
+func (a *announcements[C]) total(now time.Time) int {
 	total := 0
 	for c, s := range a.entries {
 		if now.Sub(s.at) > announcedMaxAge {
@@ -79,6 +78,13 @@
 		}
 		total += s.tokens
 	}
+	return total
+}
+
+// takeUpdates returns the tokens of the others for each subscriber for which they have
+// changed, and counts them as told.
+func (a *announcements[C]) takeUpdates(now time.Time) map[C]int {
+	total := a.total(now)
 	updates := make(map[C]int)
 	for c, told := range a.told {
 		if others := total - a.entries[c].tokens; others != told {
@@ -108,6 +114,13 @@
 	})
 }
 
+// announcedTokens returns the prompt tokens that entries have announced.
+func (h *Holder) announcedTokens() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.announced.total(time.Now())
+}
+
 // tell sends the subscribers what has changed of the others' prompts. h.mu is held.
 func (h *Holder) tell(now time.Time) {
 	h.tellDue, h.toldAt = false, now
