--- a/fleet/announced.go
+++ b/fleet/announced.go
@@ -49,7 +49,7 @@
 // announcement if one is due. f.mu is held.
 func (f *Fleet) addPending(s *server, tokens int) {
 	s.announcement.pending += tokens
-	if !s.announcement.due() {
+	if s.removed || !s.announcement.due() {
 		return
 	}
 	f.unannounced[s] = true
@@ -76,7 +76,7 @@
 	f.init()
 	updates := make(map[string]SentUpdate, len(f.unannounced))
 	for s := range f.unannounced {
-		if s.announcement.due() && !s.removed {
+		if s.announcement.due() {
 			s.announcement.told = s.announcement.pending
 			updates[s.listing.Address] = SentUpdate{Tokens: s.announcement.told}
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -222,6 +222,7 @@
 func (f *Fleet) remove(k serverKey, s *server) {
 	s.removed = true
 	delete(f.servers, k)
+	delete(f.unannounced, s)
 	if f.byAddress[s.listing.Address] == s {
 		delete(f.byAddress, s.listing.Address)
 	}
--- a/fleet/unreported.go
+++ b/fleet/unreported.go
@@ -56,6 +56,9 @@
 	if !s.announcement.usable(now, s) {
 		return f.drawUnreported(now, s)
 	}
+	if s.announcement.others == 0 {
+		return 0
+	}
 	reported := max(0, s.pendingPrefills(now)-s.ownBacklog().waiting)
 	return max(0, s.announcement.others-reported*meanPromptTokens)
 }
