--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -18,6 +18,9 @@
 		return
 	}
 	r.firstEventSeen = true
+	if r.server.inFlight[r] {
+		r.fleet.addPending(r.server, -r.uncachedTokens)
+	}
 	r.fleet.recordPrefill(r)
 	r.server.unreachableCount = 0
 }
@@ -30,7 +33,11 @@
 	defer f.mu.Unlock()
 	s.silence.answered(now)
 	if m.LoadKnown {
-		s.load, s.loadAt = m.Load, now
+		f.observeLoad(s, m.Load, now)
+	}
+	if r.expectedFactor > 0 && !m.NotRun && m.RetryAfter == 0 {
+		f.observeRun(r, now.Sub(r.assignedAt))
+		r.expectedFactor = 0
 	}
 	if m.RetryAfter > 0 {
 		s.rest(now.Add(m.RetryAfter))
@@ -136,6 +143,9 @@
 		return
 	}
 	delete(s.inFlight, r)
+	if !r.firstEventSeen {
+		f.addPending(s, -r.uncachedTokens)
+	}
 	switch e {
 	case EndedOK:
 		s.recordOutcome(now, 0)
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -67,12 +67,17 @@
 	Running   int // running requests, by that report
 	Waiting   int // requests that were queued or in prefill, by that report
 
+	// OthersTokens is the number of prompt tokens that other entries had waiting there, as its holder told; negative if
+	// unknown.
+	OthersTokens int
+
 	fleet          *Fleet
 	server         *server
 	prompt         Prompt
 	uncachedTokens int // prompt tokens still to be prefilled, until the first event
 	cacheTokens    int // KV cache that the request may use, tokens
 	assignedAt     time.Time
+	expectedFactor float64 // see plainFactor; 0 for a model engine, and once the run is recorded
 	firstEventSeen bool
 	departureKnown chan struct{} // closed once it is known when the server shuts down
 }
@@ -103,14 +108,14 @@
 
 // cheapest returns the estimate of the candidate with the lowest cost.
 func (f *Fleet) cheapest(now time.Time, req Requirements, candidates []*server) estimate {
-	affinity := f.affinityServer(candidates, req.Prompt)
+	affinity := f.affinityServer(candidates, req)
 	if req.Randomize {
 		f.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 		candidates = f.firstWithinMaxWait(now, req, candidates, affinity)
 	}
-	best := f.estimate(now, req, candidates[0], affinity)
+	best := f.balancedEstimate(now, req, candidates[0], affinity)
 	for _, s := range candidates[1:] {
-		if e := f.estimate(now, req, s, affinity); e.cost < best.cost {
+		if e := f.balancedEstimate(now, req, s, affinity); e.cost < best.cost {
 			best = e
 		}
 	}
@@ -181,15 +186,17 @@
 // affinityServer returns the candidate to which prompts with the same shared prefix (all
 // parts but the last) are sent, so that its prefix cache serves them. Rendezvous hashing
 // makes the entries of a failure domain agree on it without communication. Candidates in
-// the own failure domain are preferred. It returns nil if the prompt has no shared prefix.
-func (f *Fleet) affinityServer(candidates []*server, p Prompt) *server {
+// the own failure domain are preferred, unless affinityAnywhere holds. It returns nil if the prompt has no shared prefix.
+func (f *Fleet) affinityServer(candidates []*server, req Requirements) *server {
+	p := req.Prompt
 	if p.shared == (PromptPrefix{}) {
 		return nil
 	}
 	var affinity *server
 	var highest uint64
+	anywhere := affinityAnywhere(req)
 	for _, s := range candidates {
-		local, bestLocal := s.listing.Domain == f.Domain, affinity != nil && affinity.listing.Domain == f.Domain
+		local, bestLocal := anywhere || s.listing.Domain == f.Domain, anywhere || affinity != nil && affinity.listing.Domain == f.Domain
 		r := rendezvousWeight(p.shared.Hash, s.listing.Instance)
 		if affinity == nil || local && !bestLocal || local == bestLocal && r > highest {
 			affinity, highest = s, r
@@ -212,6 +219,7 @@
 		ReportAge:      e.server.reportAge(now),
 		Running:        e.server.report.Running,
 		Waiting:        e.server.pendingPrefills(now),
+		OthersTokens:   e.server.announcement.othersTokens(now, e.server),
 		fleet:          f,
 		server:         e.server,
 		prompt:         req.Prompt,
@@ -223,6 +231,9 @@
 	if !e.server.departsAt.IsZero() {
 		close(r.departureKnown)
 	}
+	if req.ModelName.Model == "" {
+		r.expectedFactor = f.plainFactor(now, e.server, req.DefaultSlots)
+	}
 	e.server.inFlight[r] = true
 	e.server.silence.assigned(now)
 	if req.ModelName.Adapter != "" && e.adapterReady {
@@ -231,6 +242,7 @@
 	if req.ModelName.Model != "" {
 		f.demandFor(req.ModelName).tokens += e.uncachedTokens + req.MaxAnswerTokens
 		f.recordSent(req.Service, e.uncachedTokens, now)
+		f.addPending(e.server, e.uncachedTokens)
 	}
 	return r
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,16 +54,21 @@
 	servers       map[serverKey]*server
 	byAddress     map[string]*server
 	byService     map[string][]*server
-	listAt        time.Time                  // time as of which the newest list was read; zero if there is none
-	departed      map[serverKey]departure    // servers removed recently
-	changed       chan struct{}              // closed and replaced on each change; see Changed
-	urgentDemand  chan struct{}              // capacity 1; demand should be sent at once
-	prefixesReady chan struct{}              // capacity 1; a server has newPrefixes
+	listAt        time.Time               // time as of which the newest list was read; zero if there is none
+	departed      map[serverKey]departure // servers removed recently
+	changed       chan struct{}           // closed and replaced on each change; see Changed
+	urgentDemand  chan struct{}           // capacity 1; demand should be sent at once
+	prefixesReady chan struct{}           // capacity 1; a server has newPrefixes
+
+	announcementsReady chan struct{}    // capacity 1; unannounced is not empty
+	unannounced        map[*server]bool // servers whose holder should be told of pending prompts
+
 	demand        map[ModelName]*demandCount // since it was last taken
 	versionNeeds  map[VersionNeed]bool       // since they were last taken
 	entryCount    int                        // number of entries, 0 if unknown
 	sentRates     map[string]*sentRate       // by service
 	versions      map[string]*versionHistory // software versions, by service
+	plainServices map[string]*plainService   // by name
 	rng           *rand.Rand
 }
 
@@ -74,15 +79,19 @@
 	models   map[string]*heldModel // models that it holds, by name
 
 	report   Report
-	reportAt time.Time       // time as of which report was true; zero if there is none
-	load     bamboostep.Load // from the headers of its last answer
-	loadAt   time.Time
+	reportAt time.Time // time as of which report was true; zero if there is none
+
+	taken     fadingValue // share of its slots that are taken, by the headers of its answers
+	slowness  fadingValue // of its VM, by the headers of its answers
+	loadSlots int         // slots, by the last of them
+	loadAt    time.Time   // of the last of them
 
 	inFlight         map[*Assignment]bool // this entry's requests
 	silence          silence              // whether it answers this entry's requests
 	usedAdapters     map[AdapterRef]bool  // adapters used by requests since these were last taken
 	prefixes         prefixCache          // estimate of its prefix cache
 	newPrefixes      []PromptPrefix       // prefixes read here that have not been sent to its holder
+	announcement     announcement         // exchange with its holder on prompts that wait for their first event
 	prefillShare     prefillShare         // share of time that it recently spent on prefill
 	departsAt        time.Time            // when it shuts down, as its holder reports; zero if unknown
 	avoidUntil       time.Time            // after a failed connection or a missing model; used only if there is no other server
@@ -115,10 +124,13 @@
 	f.changed = make(chan struct{})
 	f.urgentDemand = make(chan struct{}, 1)
 	f.prefixesReady = make(chan struct{}, 1)
+	f.announcementsReady = make(chan struct{}, 1)
+	f.unannounced = make(map[*server]bool)
 	f.demand = make(map[ModelName]*demandCount)
 	f.versionNeeds = make(map[VersionNeed]bool)
 	f.sentRates = make(map[string]*sentRate)
 	f.versions = make(map[string]*versionHistory)
+	f.plainServices = make(map[string]*plainService)
 	f.rng = newRNG(f.Seed)
 }
 
@@ -214,6 +226,7 @@
 	s.removed = true
 	f.noteUnknownVersion(s)
 	delete(f.servers, k)
+	delete(f.unannounced, s)
 	if f.byAddress[s.listing.Address] == s {
 		delete(f.byAddress, s.listing.Address)
 	}
