Admission by promise: a queue at the entry, and engines that say when they have room

Cause: Fleet.Choose was asked with the whole time to the deadline, so nothing waited at an entry, nothing was refused early and Retry-After was a constant. Change: package admission orders what waits (priority, start-time fair queueing between workspaces, deadline; ageing; bounds); fleet says ReasonPaced only while every candidate has a fresh report and a backlog; gateway/waiting.go waits for its turn. Refusals for load only where half of the places are taken or prompts wait at every candidate; Retry-After is the expected room.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -19,6 +19,11 @@
 	Exclude         []string      // addresses of backend servers that already failed this request
 	MaxWait         time.Duration // longest acceptable wait for the first event; 0 for no limit
 	Promise         Promise       // what the route tells its callers
+	Priority        int           // 0 is the highest
+
+	// MayWait lets Choose return ReasonPaced instead of a server that would not begin the request
+	// soon, see pacing.go.
+	MayWait bool
 
 	// Randomize selects a random server with an acceptable wait instead of the best one, so that
 	// requests that are retried at the same time spread out.
@@ -29,7 +34,9 @@
 type NoServerError struct {
 	Service       string
 	Reason        Reason
-	EstimatedWait time.Duration // shortest estimated wait of any candidate; set for ReasonBusy and ReasonLimited
+	EstimatedWait time.Duration // shortest estimated wait of any candidate; set for ReasonBusy, ReasonLimited and ReasonPaced
+	Room          time.Duration // until a server is expected to begin another request; 0 if unknown
+	Loaded        bool          // at least half of the places of the candidates are taken, or prompts wait at all of them
 }
 
 // Reason says why no backend server was chosen.
@@ -42,6 +49,7 @@
 	ReasonNoModel   Reason = "model_not_held"     // no server of the service holds the model
 	ReasonBusy      Reason = "all_busy"           // every candidate's estimated wait exceeds the request's limit
 	ReasonBackoff   Reason = "all_resting"        // the remaining servers asked this entry to retry later
+	ReasonPaced     Reason = "paced"              // waiting here costs the request nothing, see Requirements.MayWait
 	ReasonLimited   Reason = "all_at_limit"       // the remaining servers get as many requests as the limits allow that they name
 )
 
@@ -59,6 +67,8 @@
 	Domain        string
 	AdapterReady  bool          // the adapter is already loaded, or the request needs none
 	EstimatedWait time.Duration // estimated time until the first event
+	KeepsPromise  bool          // the estimates keep the Promise of the request
+	ExpectedPause time.Duration // longest pause that its streams are expected to have; 0 if unknown
 	LimitWait     time.Duration // time until the server's limit is expected to allow a request; 0 if it is not known to be used up
 
 	// ReportAge is the age of the server's last report when the request was assigned; negative
@@ -85,22 +95,55 @@
 	f.init()
 	candidates, limited, reason := f.candidates(now, req)
 	if len(candidates) == 0 {
-		return nil, &NoServerError{Service: req.Service, Reason: reason}
+		return nil, &NoServerError{Service: req.Service, Reason: reason, Room: f.backoffLeft(now, req, reason)}
 	}
 	best := f.cheapest(now, req, candidates)
 	if req.MaxWait > 0 && best.wait > req.MaxWait && len(limited) > 0 {
 		best = f.cheapest(now, req, append(limited, best.server))
 	}
-	if req.MaxWait > 0 && best.wait > req.MaxWait {
-		reason := ReasonBusy
-		if best.limitWait > 0 {
-			reason = ReasonLimited
-		}
-		return nil, &NoServerError{Service: req.Service, Reason: reason, EstimatedWait: best.wait}
+	if err := f.refuse(now, req, candidates, best); err != nil {
+		return nil, err
 	}
 	return f.assign(now, req, best), nil
 }
 
+// refuse returns why a request is not sent to the best of the candidates, or nil if it is. One that
+// cannot have its first event in time is not, unless there are free places and no prompt waits: then the estimate may be wrong.
+func (f *Fleet) refuse(now time.Time, req Requirements, candidates []*server, best estimate) error {
+	late := req.MaxWait > 0 && best.wait > req.MaxWait
+	if !late && !(req.MayWait && best.wait > roomAhead && !best.keepsPromise(req) && allReported(now, candidates)) {
+		return nil
+	}
+	p := f.pacingOf(now, req, candidates, best)
+	err := &NoServerError{Service: req.Service, EstimatedWait: best.wait, Room: p.room, Loaded: p.taken}
+	switch {
+	case late && best.limitWait > 0:
+		err.Reason = ReasonLimited
+	case late && (p.taken || best.prefill() > req.MaxWait):
+		err.Reason = ReasonBusy
+	case !late && req.holdsBack(best, p):
+		err.Reason = ReasonPaced
+	default:
+		return nil
+	}
+	return err
+}
+
+// backoffLeft returns the time until the first server takes requests again that has asked this entry to
+// retry later, if that is the reason why there is none.
+func (f *Fleet) backoffLeft(now time.Time, req Requirements, reason Reason) time.Duration {
+	left := time.Duration(0)
+	if reason != ReasonBackoff {
+		return 0
+	}
+	for _, s := range f.byService[req.Service] {
+		if wait := s.backoffUntil.Sub(now); wait > 0 && (left == 0 || wait < left) {
+			left = wait
+		}
+	}
+	return left
+}
+
 // cheapest returns the estimate of the candidate with the lowest cost.
 func (f *Fleet) cheapest(now time.Time, req Requirements, candidates []*server) estimate {
 	affinity := f.affinityServer(candidates, req.Prompt)
@@ -208,6 +251,7 @@
 		Domain:         l.Domain,
 		AdapterReady:   e.adapterReady,
 		EstimatedWait:  e.wait,
+		KeepsPromise:   req.Promise.FirstEvent == 0 || e.wait <= req.Promise.FirstEvent,
 		LimitWait:      e.limitWait,
 		ReportAge:      e.server.reportAge(now),
 		Running:        e.server.report.Running,
@@ -231,6 +275,7 @@
 	if req.ModelName.Model != "" {
 		f.demandFor(req.ModelName).tokens += e.uncachedTokens + req.MaxAnswerTokens
 		f.recordSent(req.Service, e.uncachedTokens, now)
+		f.recordPriority(req, e.uncachedTokens, now)
 	}
 	return r
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,7 +13,10 @@
 	"github.com/bamboostep/bamboostep/route"
 )
 
-var errRetryBudgetEmpty = errors.New("retry budget exhausted")
+var (
+	errRetryBudgetEmpty = errors.New("retry budget exhausted")
+	errTooLate          = errors.New("would not finish before the process exits")
+)
 
 const (
 	maxUnreachable      = 4                       // failed connections or adapter loads per request
@@ -25,8 +28,10 @@
 	minAttemptTime      = 20 * time.Millisecond   // remaining time below which no attempt is sent
 )
 
-// reasonStopping is why a request is refused that would not finish before the process exits.
-const reasonStopping = "stopping"
+const (
+	reasonStopping  = "stopping"   // the request would not finish before the process exits
+	reasonQueueFull = "queue_full" // requests that are worth more wait
+)
 
 // attemptResult says whether an attempt has finished its request.
 type attemptResult int
@@ -95,11 +100,12 @@
 			return nil, x.giveUp(reasonStopping)
 		}
 		changed := x.g.Fleet.Changed()
-		now := time.Now()
-		criteria := x.serverCriteria(now)
-		criteria.Version = x.requiredVersion()
-		criteria.Exclude = slices.Concat(criteria.Exclude, limits.full)
-		run, err := x.g.Fleet.Choose(now, criteria)
+		run, err := x.chooseInTurn(ctx, func(now time.Time) fleet.Requirements {
+			criteria := x.serverCriteria(now)
+			criteria.Version = x.requiredVersion()
+			criteria.Exclude = slices.Concat(criteria.Exclude, limits.full)
+			return criteria
+		})
 		if err == nil {
 			if x.takePermit(ctx, run, &limits) {
 				return run, true
@@ -112,7 +118,7 @@
 		}
 		var noServer *fleet.NoServerError
 		if !errors.As(err, &noServer) {
-			return nil, x.giveUp("no_backend_server")
+			return nil, x.endHeld(ctx, err)
 		}
 		if x.retryFailedServers(noServer) {
 			continue
@@ -122,8 +128,9 @@
 			absenceNoted = true
 			x.countMissing()
 		}
-		if now.Sub(began) >= x.maxServerWait(reason) {
+		if time.Since(began) >= x.maxServerWait(reason) {
 			x.limitWait = limits.shortestWait
+			x.expectedRoom = noServer.Room
 			return nil, x.giveUp(string(reason))
 		}
 		if !waitForFleetChange(ctx, changed) {
@@ -133,6 +140,18 @@
 	}
 }
 
+// endHeld ends a request that has waited in vain, for err. It returns false.
+func (x *exchange) endHeld(ctx context.Context, err error) bool {
+	switch {
+	case ctx.Err() != nil:
+		x.handleTimeout()
+		return false
+	case errors.Is(err, errTooLate):
+		return x.giveUp(reasonStopping)
+	}
+	return x.giveUp(reasonQueueFull)
+}
+
 // maxServerWait returns how long a request waits for a backend server that is
 // missing for reason r. It leaves part of the time until the deadline for the run itself.
 func (x *exchange) maxServerWait(r fleet.Reason) time.Duration {
@@ -177,6 +196,7 @@
 	w.DefaultSlots = x.service.Engine.Slots
 	w.MaxWait = x.deadline.Sub(now)
 	w.Promise = x.promise(now)
+	w.Priority = x.priority()
 	return w
 }
 
@@ -237,6 +257,7 @@
 	x.provablyNotRun = false
 	x.possibleRuns++
 	x.framing = resp.Framing
+	defer x.g.waiting.room() // once the run has ended
 	return x.deliverResponse(ctx, run, resp)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -66,12 +66,17 @@
 	Recorder     *timeline.Recorder
 	Metrics      *Metrics
 
+	// MaxWaitingBytes bounds the bodies of the requests that wait for engines to get through their backlog, see
+	// waiting.go. 0 selects a default.
+	MaxWaitingBytes int64
+
 	shutdown       atomic.Pointer[ShutdownPlan] // nil until Stop is called
 	activeRequests atomic.Int64
 	runTimes       runTimes
 	bodyOnce       sync.Once
 	bodyReads      context.Context // ends when the bodies of requests are no longer read; see bodyReadContext
 	endBodyReads   context.CancelFunc
+	waiting        waitingRequests
 	bufferedBytes  atomic.Int64 // in incomplete responses and events, see bufferUsage
 }
 
@@ -144,6 +149,8 @@
 	permit            quota.Permit   // of the latest attempt
 	permitUsed        bool           // its request was sent
 	limitWait         time.Duration  // shortest wait for a permit, if backend servers at their limits are why none was chosen
+	expectedRoom      time.Duration  // until a backend server is expected to begin another request, if that is why none was chosen; 0 if unknown
+	heldUntil         time.Time      // when the request no longer waits for its turn; zero if it has not waited
 	pendingMove       *streamMove    // completed move that the next attempt continues; nil for none
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,6 +18,7 @@
 	firstEvent   prometheus.Histogram
 	longestPause prometheus.Histogram
 	retryBudget  *prometheus.GaugeVec
+	holds        *prometheus.HistogramVec
 }
 
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .2, .4, .8, 1.5, 3, 6, 12}
@@ -54,7 +55,11 @@
 			Help: "Retries that this entry may make now, by service.",
 		}, []string{"service"}),
 	}
-	r.MustRegister(m.requests, m.failures, m.attempts, m.duration, m.firstEvent, m.longestPause, m.retryBudget)
+	m.holds = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: "bamboostep", Subsystem: "gateway", Name: "held_seconds",
+		Help: "Time for which requests waited at this entry while all engines had a backlog, by outcome.", Buckets: latencyBuckets,
+	}, []string{"outcome"})
+	r.MustRegister(m.requests, m.failures, m.attempts, m.duration, m.firstEvent, m.longestPause, m.retryBudget, m.holds)
 	return m
 }
 
@@ -97,5 +102,12 @@
 	}
 }
 
+// observeHold records a wait that has ended.
+func (m *Metrics) observeHold(outcome string, waited time.Duration) {
+	if m != nil {
+		m.holds.WithLabelValues(outcome).Observe(waited.Seconds())
+	}
+}
+
 // statusClass returns "2xx" for 200, and so on, to keep the number of label values small.
 func statusClass(status int) string { return strconv.Itoa(status/100) + "xx" }
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -21,6 +21,7 @@
 	retryAfterShort     = 300 * time.Millisecond // for conditions that clear within a moment
 	retryAfterBusy      = 700 * time.Millisecond
 	retryAfterModelLoad = 1500 * time.Millisecond // about the load time of a model
+	maxRetryAfter       = 30 * time.Second        // of what is estimated
 )
 
 // connectionHeaders are hop-by-hop headers of a backend server's response, and
@@ -128,6 +129,9 @@
 		return x.fail(http.StatusBadGateway, reason, x.versionDetail())
 	}
 	after := retryAfterBusy
+	if x.expectedRoom > 0 {
+		after = min(max(retryAfterShort, x.expectedRoom), maxRetryAfter)
+	}
 	switch reason {
 	case string(fleet.ReasonNoModel), string(fleet.ReasonNoVersion):
 		after = retryAfterModelLoad
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -144,6 +144,7 @@
 	accepted := order.Accept(events)
 	if accepted > 0 {
 		run.Started()
+		x.g.waiting.room()
 		x.noteOrigin(run)
 		if err := x.forwardEvents(resp, events[:accepted], order.LastID()); err != nil {
 			return &callerWriteError{err}
--- a/node/entry.go
+++ b/node/entry.go
@@ -37,8 +37,9 @@
 
 	pollInterval = 20 * time.Millisecond // of awaitRoutes and awaitShutdown
 
-	minRetryBurst    = 1.0 // retries; the least that a budget may save up
-	retryBudgetShare = 0.8 // share of the retry budget in use; the rest allows for entries that count differently
+	waitingShare     = 0.05 // of the memory limit, for bodies of requests that wait for engines
+	minRetryBurst    = 1.0  // retries; the least that a budget may save up
+	retryBudgetShare = 0.8  // share of the retry budget in use; the rest allows for entries that count differently
 )
 
 // entry is the process that serves callers' requests.
@@ -104,6 +105,8 @@
 		KeyLease:     &ledger.Lease{Client: e.client, For: leaseDuration(p.cfg.RevokeTimeout)},
 		Recorder:     p.recorder,
 		Metrics:      gateway.NewMetrics(p.registry),
+
+		MaxWaitingBytes: int64(waitingShare * float64(p.cfg.MemoryLimitMB) * (1 << 20)),
 	}
 	return e.run(seeds)
 }
--- a/route/workspace.go
+++ b/route/workspace.go
@@ -14,6 +14,17 @@
 	Priority    int  // priority of its requests; 0 is the highest
 	HasPriority bool // Rank is set and overrides the route's Rank
 	Quota       Quota
+
+	weight float64 // see Weight; set by Freeze
+}
+
+// Weight returns the share of the workspace in engines that are full, relative to 1 for a mean workspace: its rate against
+// the mean of those whose quota counts the same. It is 1 without a quota. w may be nil.
+func (w *Workspace) Weight() float64 {
+	if w == nil || w.weight <= 0 {
+		return 1
+	}
+	return w.weight
 }
 
 // Quota is the rate limit of a workspace, across all entries.
@@ -70,5 +81,23 @@
 			t.byKey[k] = w
 		}
 	}
+	t.weighWorkspaces(true)
+	t.weighWorkspaces(false)
 	return nil
 }
+
+// weighWorkspaces sets the weights of the workspaces whose quota counts tokens, or of those whose quota counts requests.
+func (t *Table) weighWorkspaces(tokens bool) {
+	sum, n := 0.0, 0
+	for _, w := range t.workspaces {
+		if w.Quota.PerSecond > 0 && w.Quota.CountsTokens == tokens {
+			sum += w.Quota.PerSecond
+			n++
+		}
+	}
+	for _, w := range t.workspaces {
+		if w.Quota.PerSecond > 0 && w.Quota.CountsTokens == tokens {
+			w.weight = w.Quota.PerSecond * float64(n) / sum
+		}
+	}
+}
