Hold back for half of the promised time at most, rounds of turns at least 5 ms apart

By own events there was a round of turns every 2 ms. Only requests that were really paced are in the log.

--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -20,18 +20,21 @@
 // does not take the lock.
 
 const (
-	maxHeldShare        = 4                     // a request waits for at most one part in so many of its time
-	roomPollInterval    = 20 * time.Millisecond // while requests wait, if no request of this entry ends earlier
+	heldShareOfTime     = 4                     // a request waits for at most one part in so many of the time to its deadline
+	heldShareOfTarget   = 2                     // and of the time in which its route promises the first event
+	minRoomInterval     = 5 * time.Millisecond  // between two rounds of turns
+	roomPollInterval    = 20 * time.Millisecond // the same, if no request of this entry ends earlier
 	defaultWaitRequests = 256
 	defaultWaitBytes    = 8 << 20
 )
 
 // waitingRequests is the requests that wait at this entry. The zero value is ready for use.
 type waitingRequests struct {
-	mu    sync.Mutex
-	queue admission.Queue
-	poll  *time.Timer
-	count atomic.Int64 // queue.Len()
+	mu     sync.Mutex
+	queue  admission.Queue
+	poll   *time.Timer  // begins the next round; nil before the first request
+	roomAt time.Time    // when the last round began
+	count  atomic.Int64 // queue.Len()
 }
 
 // hasGroup reports whether requests of a group wait.
@@ -56,15 +59,22 @@
 	q.update()
 }
 
-// room gives the turn to the first request if there may be room.
+// room begins a round of turns, since there may be room. If the last one began just now, it puts the round off.
 func (q *waitingRequests) room() {
 	if q.count.Load() == 0 {
 		return
 	}
+	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	notify(q.queue.Room(time.Now()))
+	if wait := minRoomInterval - now.Sub(q.roomAt); wait > 0 {
+		q.poll.Reset(wait)
+		return
+	}
+	q.roomAt = now
+	notify(q.queue.Room(now))
 	q.update()
+	q.poll.Reset(roomPollInterval)
 }
 
 // missed passes the turn of r on, which has found no room.
@@ -89,16 +99,16 @@
 	}
 }
 
-// update publishes the count, and runs the timer while requests wait. q.mu is held.
+// update publishes the count, and starts the timer when requests begin to wait. q.mu is held.
 func (q *waitingRequests) update() {
 	n := q.queue.Len()
-	q.count.Store(int64(n))
+	began := n > 0 && q.count.Swap(int64(n)) == 0
 	switch {
-	case n == 0 && q.poll != nil:
-		q.poll.Stop()
-	case n > 0 && q.poll == nil:
+	case n == 0:
+		q.count.Store(0)
+	case q.poll == nil:
 		q.poll = time.AfterFunc(roomPollInterval, q.room)
-	case n > 0:
+	case began:
 		q.poll.Reset(roomPollInterval)
 	}
 }
@@ -133,7 +143,9 @@
 	}
 	run, err := x.lookInTurn(ctx, h, criteria)
 	x.g.waiting.leave(h.request, err == nil)
-	x.recordHold(h, run, err)
+	if h.last != nil {
+		x.recordHold(h, run, err)
+	}
 	return run, err
 }
 
@@ -199,7 +211,7 @@
 func (x *exchange) beginHold(h *hold) {
 	now := time.Now()
 	if x.heldUntil.IsZero() {
-		x.heldUntil = now.Add(x.deadline.Sub(now) / maxHeldShare)
+		x.heldUntil = now.Add(min(x.deadline.Sub(now)/heldShareOfTime, x.route.LatencyTarget/heldShareOfTarget))
 	}
 	h.request = &admission.Request{
 		Priority: x.priority(),
@@ -223,10 +235,7 @@
 	detail := outcome + " after " + formatMilliseconds(waited) + " and " + strconv.Itoa(h.looks) + " looks, priority " + strconv.Itoa(h.request.Priority)
 	if run != nil {
 		address = run.Address
-		detail += fmt.Sprintf(", now expected %s, from a report %s old", formatMilliseconds(run.EstimatedWait), formatMilliseconds(run.ReportAge))
-	}
-	if h.last != nil {
-		detail += fmt.Sprintf(", at the last look expected %s, room in %s", formatMilliseconds(h.last.EstimatedWait), formatMilliseconds(h.last.Room))
+		detail += fmt.Sprintf(", now expected %s from a report %s old", formatMilliseconds(run.EstimatedWait), formatMilliseconds(run.ReportAge))
 	}
 	x.g.Metrics.observeHold(outcome, waited)
 	x.recordEvent("request_held", address, detail)
