--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -111,7 +111,7 @@
 // cannot have its first event in time is not, unless there are free places and no prompt waits: then the estimate may be wrong.
 func (f *Fleet) refuse(now time.Time, req Requirements, candidates []*server, best estimate) error {
 	late := req.MaxWait > 0 && best.wait > req.MaxWait
-	if !late && !(req.MayWait && best.wait > roomAhead && !best.keepsPromise(req) && allReported(now, candidates)) {
+	if !late && !(req.MayWait && best.wait > roomAhead && !req.keptBy(best) && allReported(now, candidates)) {
 		return nil
 	}
 	p := f.pacingOf(now, req, candidates, best)
@@ -119,7 +119,7 @@
 	switch {
 	case late && best.limitWait > 0:
 		err.Reason = ReasonLimited
-	case late && (p.taken || best.prefill() > req.MaxWait):
+	case late && (p.taken || f.prefill(best) > req.MaxWait):
 		err.Reason = ReasonBusy
 	case !late && req.holdsBack(best, p):
 		err.Reason = ReasonPaced
@@ -251,7 +251,7 @@
 		Domain:         l.Domain,
 		AdapterReady:   e.adapterReady,
 		EstimatedWait:  e.wait,
-		KeepsPromise:   req.Promise.FirstEvent == 0 || e.wait <= req.Promise.FirstEvent,
+		KeepsPromise:   e.keepsPromise(),
 		LimitWait:      e.limitWait,
 		ReportAge:      e.server.reportAge(now),
 		Running:        e.server.report.Running,
--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -29,8 +29,12 @@
 	cost           time.Duration // wait plus the penalties for failures, slowed streams and distance; the lowest is chosen
 	uncachedTokens int           // prompt tokens that must be prefilled
 	adapterReady   bool          // the adapter is loaded, or none is needed
+	late           bool          // the first event comes later than promised
 }
 
+// keepsPromise reports whether no promise is expected to be broken.
+func (e estimate) keepsPromise() bool { return !e.late }
+
 // estimate computes the expected wait and cost of a request at s. affinity is the server
 // that affinityServer chose for the prompt, or nil.
 func (f *Fleet) estimate(now time.Time, req Requirements, s *server, affinity *server) estimate {
@@ -50,6 +54,7 @@
 	}
 	e.limitWait = max(0, s.limitedUntil.Sub(now))
 	e.wait += e.limitWait
+	e.late = req.Promise.FirstEvent > 0 && e.wait > req.Promise.FirstEvent
 	e.cost = e.wait + time.Duration(s.failureRate(now)*float64(failureCost))
 	if req.ModelName.Model != "" {
 		e.cost += s.interferenceCost(now, req, e.uncachedTokens)
--- a/fleet/pacing.go
+++ b/fleet/pacing.go
@@ -9,7 +9,7 @@
 
 // roomAhead is the work left at an engine at which it is sent the next prompt, so that it does not run out of work
 // before the entry hears from it again.
-const roomAhead = maxUnreportedAge
+const roomAhead = 150 * time.Millisecond
 
 // pacing is what the candidates say about a request that may wait.
 type pacing struct {
@@ -20,13 +20,13 @@
 // pacingOf returns when one of the candidates begins a request, given the
 // estimate of the best of them.
 func (f *Fleet) pacingOf(now time.Time, req Requirements, candidates []*server, best estimate) pacing {
-	p := pacing{room: max(0, best.wait-best.prefill())}
+	p := pacing{room: max(0, best.wait-f.prefill(best))}
 	used, places, backlogged := 0, 0, true
 	affinity := f.affinityServer(candidates, req.Prompt)
 	for _, s := range candidates {
 		own := s.ownBacklog()
 		e := f.estimate(now, req, s, affinity)
-		p.room = min(p.room, max(0, e.wait-e.prefill()))
+		p.room = min(p.room, max(0, e.wait-f.prefill(e)))
 		used += max(s.report.Running+s.report.Waiting, own.running+own.waiting)
 		if s.listing.Slots > 0 {
 			places += s.listing.Slots
@@ -41,7 +41,7 @@
 }
 
 // prefill returns how long the request's own prompt takes.
-func (e estimate) prefill() time.Duration {
+func (f *Fleet) prefill(e estimate) time.Duration {
 	return time.Duration(float64(e.uncachedTokens) / prefillTokensPerMS * float64(time.Millisecond))
 }
 
@@ -49,16 +49,16 @@
 // breaks the promise and has prompts to read for longer than roomAhead before it, and if the wait cannot be what
 // breaks the promise of the first event.
 func (req Requirements) holdsBack(best estimate, p pacing) bool {
-	if !req.MayWait || p.room <= roomAhead || best.keepsPromise(req) {
+	if p.room <= roomAhead || req.keptBy(best) {
 		return false
 	}
 	lost := best.wait > req.Promise.FirstEvent
 	return lost || best.wait+roomAhead <= req.Promise.FirstEvent
 }
 
-// keepsPromise reports whether the first event comes in time. Once that is too late, no promise is kept.
-func (e estimate) keepsPromise(req Requirements) bool {
-	return req.Promise.FirstEvent > 0 && e.wait <= req.Promise.FirstEvent
+// keptBy reports whether the promise of the request is kept at e. Once its target has passed, it no longer is.
+func (req Requirements) keptBy(e estimate) bool {
+	return req.Promise.FirstEvent > 0 && e.keepsPromise()
 }
 
 // allReported reports whether each candidate has a fresh report.
