--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -36,6 +36,7 @@
 	Reason        Reason
 	EstimatedWait time.Duration // shortest estimated wait of any candidate; set for ReasonBusy, ReasonLimited and ReasonPaced
 	Room          time.Duration // until a server is expected to begin another request; 0 if unknown
+	ReportAge     time.Duration // of the report that EstimatedWait rests on; negative if there was none
 	Loaded        bool          // at least half of the places of the candidates are taken, or prompts wait at all of them
 }
 
@@ -115,7 +116,7 @@
 		return nil
 	}
 	p := f.pacingOf(now, req, candidates, best)
-	err := &NoServerError{Service: req.Service, EstimatedWait: best.wait, Room: p.room, Loaded: p.taken}
+	err := &NoServerError{Service: req.Service, EstimatedWait: best.wait, Room: p.room, ReportAge: best.server.reportAge(now), Loaded: p.taken}
 	switch {
 	case late && best.limitWait > 0:
 		err.Reason = ReasonLimited
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -130,7 +130,7 @@
 		}
 		if time.Since(began) >= x.maxServerWait(reason) {
 			x.limitWait = limits.shortestWait
-			x.expectedRoom = noServer.Room
+			x.noRoom = noServer
 			return nil, x.giveUp(string(reason))
 		}
 		if !waitForFleetChange(ctx, changed) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,14 +144,14 @@
 	chargedAttempts   int               // value of sentAttempts when the retry budget was last charged
 	provablyNotRun    bool              // no backend server has run the request or will
 	stream            *streamState
-	origin            release.Origin // of the stream, once the caller has an event of it; its version is empty if unknown
-	retriedFailed     bool           // failedAddresses was cleared once, since no other backend server has the version
-	permit            quota.Permit   // of the latest attempt
-	permitUsed        bool           // its request was sent
-	limitWait         time.Duration  // shortest wait for a permit, if backend servers at their limits are why none was chosen
-	expectedRoom      time.Duration  // until a backend server is expected to begin another request, if that is why none was chosen; 0 if unknown
-	heldUntil         time.Time      // when the request no longer waits for its turn; zero if it has not waited
-	pendingMove       *streamMove    // completed move that the next attempt continues; nil for none
+	origin            release.Origin       // of the stream, once the caller has an event of it; its version is empty if unknown
+	retriedFailed     bool                 // failedAddresses was cleared once, since no other backend server has the version
+	permit            quota.Permit         // of the latest attempt
+	permitUsed        bool                 // its request was sent
+	limitWait         time.Duration        // shortest wait for a permit, if backend servers at their limits are why none was chosen
+	noRoom            *fleet.NoServerError // why none of the backend servers was chosen, if it is known when there is room; else nil
+	heldUntil         time.Time            // when the request no longer waits for its turn; zero if it has not waited
+	pendingMove       *streamMove          // completed move that the next attempt continues; nil for none
 }
 
 func (x *exchange) serve() {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -129,8 +129,8 @@
 		return x.fail(http.StatusBadGateway, reason, x.versionDetail())
 	}
 	after := retryAfterBusy
-	if x.expectedRoom > 0 {
-		after = min(max(retryAfterShort, x.expectedRoom), maxRetryAfter)
+	if x.noRoom != nil && x.noRoom.Room > 0 {
+		after = min(max(retryAfterShort, x.noRoom.Room), maxRetryAfter)
 	}
 	switch reason {
 	case string(fleet.ReasonNoModel), string(fleet.ReasonNoVersion):
@@ -142,7 +142,7 @@
 	case string(fleet.ReasonLimited):
 		after = max(retryAfterShort, x.limitWait)
 	}
-	return x.refuseWithDetail(reason, x.versionDetail(), after)
+	return x.refuseWithDetail(reason, x.versionDetail()+roomDetail(x.noRoom), after)
 }
 
 // handleTimeout ends a request whose context has ended: its deadline has passed or its
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -20,12 +20,13 @@
 // does not take the lock.
 
 const (
-	heldShareOfTime     = 4                     // a request waits for at most one part in so many of the time to its deadline
-	heldShareOfTarget   = 2                     // and of the time in which its route promises the first event
-	minRoomInterval     = 5 * time.Millisecond  // between two rounds of turns
-	roomPollInterval    = 20 * time.Millisecond // the same, if no request of this entry ends earlier
-	defaultWaitRequests = 256
-	defaultWaitBytes    = 8 << 20
+	heldShareOfTime   = 4                      // a request waits for at most one part in so many of the time to its deadline
+	heldShareOfTarget = 2                      // and of the time in which its route promises the first event
+	minRoomInterval   = 5 * time.Millisecond   // between two rounds of turns
+	lookInterval      = 500 * time.Microsecond // the same, for each request that waits, so that their looks take little of a core
+	roomPollInterval  = 20 * time.Millisecond  // the same, if no request of this entry ends earlier
+	maxWaitRequests   = 64
+	defaultWaitBytes  = 8 << 20
 )
 
 // waitingRequests is the requests that wait at this entry. The zero value is ready for use.
@@ -51,7 +52,7 @@
 func (q *waitingRequests) enter(r *admission.Request, maxBytes int64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.queue.MaxRequests = defaultWaitRequests
+	q.queue.MaxRequests = maxWaitRequests
 	q.queue.MaxBytes = cmp.Or(maxBytes, defaultWaitBytes)
 	for _, o := range q.queue.Enter(r.Since, r) {
 		o.Turn <- admission.Evicted
@@ -67,14 +68,15 @@
 	now := time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if wait := minRoomInterval - now.Sub(q.roomAt); wait > 0 {
+	interval := max(minRoomInterval, time.Duration(q.queue.Len())*lookInterval)
+	if wait := interval - now.Sub(q.roomAt); wait > 0 {
 		q.poll.Reset(wait)
 		return
 	}
 	q.roomAt = now
 	notify(q.queue.Room(now))
 	q.update()
-	q.poll.Reset(roomPollInterval)
+	q.poll.Reset(max(interval, roomPollInterval))
 }
 
 // missed passes the turn of r on, which has found no room.
@@ -193,7 +195,7 @@
 	if h.last == nil || !h.last.Loaded {
 		return x.choose(criteria, false)
 	}
-	x.expectedRoom = h.last.Room
+	x.noRoom = h.last
 	return nil, errEvicted
 }
 
@@ -241,6 +243,18 @@
 	x.recordEvent("request_held", address, detail)
 }
 
+// roomDetail formats what was known when no backend server had room, for the event log. err may be nil.
+func roomDetail(err *fleet.NoServerError) string {
+	if err == nil || err.Room == 0 {
+		return ""
+	}
+	detail := ", room expected in " + formatMilliseconds(err.Room)
+	if err.EstimatedWait > 0 {
+		detail += fmt.Sprintf(", first event in %s by a report %s old", formatMilliseconds(err.EstimatedWait), formatMilliseconds(err.ReportAge))
+	}
+	return detail
+}
+
 // holdOutcome names how a wait ended, for the event log and the metrics.
 func holdOutcome(err error) string {
 	var noServer *fleet.NoServerError
