--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -50,21 +50,21 @@
 	// server at the same address. Nil counts all services as published.
 	HasService func(name string) bool
 
-	mu             sync.Mutex
-	servers        map[serverKey]*server
-	byAddress      map[string]*server
-	byService      map[string][]*server
-	listAt         time.Time                  // time as of which the newest list was read; zero if there is none
-	departed       map[serverKey]departure    // servers removed recently
-	changed        chan struct{}              // closed and replaced on each change; see Changed
-	urgentDemand   chan struct{}              // capacity 1; demand should be sent at once
-	prefixesReady  chan struct{}              // capacity 1; a server has newPrefixes
-	demand         map[ModelName]*demandCount // since it was last taken
-	versionNeeds   map[VersionNeed]bool       // since they were last taken
-	entryCount     int                        // number of entries, 0 if unknown
-	sentRates      map[string]*sentRate       // by service
-	sentPriorities map[string]priorityRates   // by service
-	rng            *rand.Rand
+	mu            sync.Mutex
+	servers       map[serverKey]*server
+	byAddress     map[string]*server
+	byService     map[string][]*server
+	listAt        time.Time                  // time as of which the newest list was read; zero if there is none
+	departed      map[serverKey]departure    // servers removed recently
+	changed       chan struct{}              // closed and replaced on each change; see Changed
+	urgentDemand  chan struct{}              // capacity 1; demand should be sent at once
+	prefixesReady chan struct{}              // capacity 1; a server has newPrefixes
+	demand        map[ModelName]*demandCount // since it was last taken
+	versionNeeds  map[VersionNeed]bool       // since they were last taken
+	entryCount    int                        // number of entries, 0 if unknown
+	sentRates     map[string]*sentRate       // by service
+	prioritySent  map[string]priorityRates   // by service
+	rng           *rand.Rand
 }
 
 // server is the state of one start of a backend server.
@@ -118,7 +118,7 @@
 	f.demand = make(map[ModelName]*demandCount)
 	f.versionNeeds = make(map[VersionNeed]bool)
 	f.sentRates = make(map[string]*sentRate)
-	f.sentPriorities = make(map[string]priorityRates)
+	f.prioritySent = make(map[string]priorityRates)
 	f.rng = newRNG(f.Seed)
 }
 
--- a/fleet/pacing.go
+++ b/fleet/pacing.go
@@ -76,10 +76,10 @@
 
 // recordPriority adds uncached prompt tokens that this entry sends.
 func (f *Fleet) recordPriority(req Requirements, tokens int, now time.Time) {
-	rates := f.sentPriorities[req.Service]
+	rates := f.prioritySent[req.Service]
 	if rates == nil {
 		rates = make(priorityRates)
-		f.sentPriorities[req.Service] = rates
+		f.prioritySent[req.Service] = rates
 	}
 	r := rates[req.Priority]
 	if r == nil {
@@ -93,7 +93,7 @@
 // a higher one. The other entries' mix of priorities is taken to be like this one's.
 func (f *Fleet) shareAhead(req Requirements, now time.Time) float64 {
 	all, ahead := 0.0, 0.0
-	for priority, r := range f.sentPriorities[req.Service] {
+	for priority, r := range f.prioritySent[req.Service] {
 		tokens := r.value(now)
 		all += tokens
 		if priority <= req.Priority {
--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -234,7 +233,7 @@
 func (x *exchange) recordHold(h *hold, run *fleet.Assignment, err error) {
 	waited := time.Since(h.request.Since)
 	outcome, address := holdOutcome(err), ""
-	detail := outcome + " after " + formatMilliseconds(waited) + " and " + strconv.Itoa(h.looks) + " looks, priority " + strconv.Itoa(h.request.Priority)
+	detail := fmt.Sprintf("%s after %s and %d looks, priority %d", outcome, formatMilliseconds(waited), h.looks, h.request.Priority) + roomDetail(h.last)
 	if run != nil {
 		address = run.Address
 		detail += fmt.Sprintf(", now expected %s from a report %s old", formatMilliseconds(run.EstimatedWait), formatMilliseconds(run.ReportAge))
