--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -144,7 +144,9 @@
 	accepted := order.Accept(events)
 	if accepted > 0 {
 		run.Started()
-		x.g.waiting.room()
+		if x.stream.events == 0 {
+			x.g.waiting.room() // its prompt has been prefilled
+		}
 		x.noteOrigin(run)
 		if err := x.forwardEvents(resp, events[:accepted], order.LastID()); err != nil {
 			return &callerWriteError{err}
