--- a/fleet/pacing_test.go
+++ b/fleet/pacing_test.go
@@ -52,7 +52,7 @@
 		"no engine is left, it has been waited": {reason: ReasonNoServer, mayNotWait: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := fleetWithBacklogs(c.waiting, 96, c.reportedAt)
+			f := fleetWithBacklogs(c.waiting, 1000, c.reportedAt)
 			req := want("m")
 			if c.lowerSent {
 				lower := req
