Requests are held back only where workspaces are declared

Without workspaces a request yields only to other entries' requests, and engines order priorities by themselves.

--- a/gateway/waiting.go
+++ b/gateway/waiting.go
@@ -199,9 +199,10 @@
 }
 
 // mayWait reports whether the request may wait here. Its route must promise a time for the first event: nothing tells how long others
-// can wait.
+// can wait. And there must be workspaces whose turns are to be shared: engines order priorities themselves, and a request that yields
+// to nobody would only get later.
 func (x *exchange) mayWait(now time.Time) bool {
-	return x.call.Model != "" && x.service.Engine != nil && x.route.LatencyTarget > 0 && !x.stream.hasStarted() &&
+	return x.call.Model != "" && x.service.Engine != nil && x.table.RequiresKeys() && x.route.LatencyTarget > 0 && !x.stream.hasStarted() &&
 		!x.quarantineVerdict.Isolated && (x.heldUntil.IsZero() || now.Before(x.heldUntil))
 }
 
