--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -69,6 +69,7 @@
 	sentRates     map[string]*sentRate       // by service
 	versions      map[string]*versionHistory // software versions, by service
 	plainServices map[string]*plainService   // by name
+	prioritySent  map[string]priorityRates   // by service
 	rng           *rand.Rand
 }
 
@@ -131,6 +132,7 @@
 	f.sentRates = make(map[string]*sentRate)
 	f.versions = make(map[string]*versionHistory)
 	f.plainServices = make(map[string]*plainService)
+	f.prioritySent = make(map[string]priorityRates)
 	f.rng = newRNG(f.Seed)
 }
 
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -21,6 +21,7 @@
 	retryAfterShort     = 300 * time.Millisecond // for conditions that clear within a moment
 	retryAfterBusy      = 700 * time.Millisecond
 	retryAfterModelLoad = 1500 * time.Millisecond // about the load time of a model
+	maxRetryAfter       = 30 * time.Second        // of what is estimated
 )
 
 // connectionHeaders are hop-by-hop headers of a backend server's response, and
@@ -128,6 +129,9 @@
 		return x.fail(http.StatusBadGateway, reason, x.versionDetail())
 	}
 	after := retryAfterBusy
+	if x.noRoom != nil && x.noRoom.Room > 0 {
+		after = min(max(retryAfterShort, x.noRoom.Room), maxRetryAfter)
+	}
 	switch reason {
 	case string(fleet.ReasonNoModel), string(fleet.ReasonNoVersion):
 		after = retryAfterModelLoad
@@ -138,7 +142,7 @@
 	case string(fleet.ReasonLimited):
 		after = max(retryAfterShort, x.limitWait)
 	}
-	return x.refuseWithDetail(reason, x.versionDetail(), after)
+	return x.refuseWithDetail(reason, x.versionDetail()+roomDetail(x.noRoom), after)
 }
 
 // handleTimeout ends a request whose context has ended: its deadline has passed or its
