--- a/engine_controller.go
+++ b/engine_controller.go
@@ -28,6 +28,7 @@
 	Waiting             int           // requests in the queue
 	Running             int           // requests in the batch
 	Prefilling          int           // running requests that are still in prefill
+	Runs                []EngineRun   // running requests that have emitted an event, as far as they could be read
 	CacheUsedTokens     int           // KV cache in use that cannot be evicted, tokens
 	CacheCapacityTokens int           // KV cache capacity, tokens
 	NextPromptTokens    int           // prompt length of the first waiting request, tokens
@@ -37,6 +38,12 @@
 	OnDisk              []string // models whose weights are kept on the VM's disk
 }
 
+// EngineRun is the progress of a request that a model engine runs.
+type EngineRun struct {
+	ID     string // of the request at the engine
+	Events int    // events emitted
+}
+
 // LoadedModel is a model that an engine has loaded, with its loaded adapters.
 type LoadedModel struct {
 	Name     string   `msgpack:"name"`
--- a/fleet/assignment.go
+++ b/fleet/assignment.go
@@ -11,15 +11,19 @@
 
 // Started records the first event of a stream, or the response header of a plain answer.
 // The prompt has then been prefilled.
-func (r *Assignment) Started() {
+func (r *Assignment) Started() { r.markStarted() }
+
+// markStarted is Started, and reports whether this is the first call.
+func (r *Assignment) markStarted() bool {
 	r.fleet.mu.Lock()
 	defer r.fleet.mu.Unlock()
 	if r.firstEventSeen {
-		return
+		return false
 	}
 	r.firstEventSeen = true
 	r.fleet.recordPrefill(r)
 	r.server.unreachableCount = 0
+	return true
 }
 
 // ObserveHeader applies what the response header says about the server, whatever its status. It
@@ -139,6 +143,7 @@
 	switch e {
 	case EndedOK:
 		s.recordOutcome(now, 0)
+		f.recordRunTime(r, now)
 	case EndedFailed:
 		s.recordOutcome(now, 1)
 	case EndedUnreachable:
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/bamboostep/bamboostep/pace"
 )
 
 // Requirements states what a request needs from a backend server.
@@ -59,6 +61,8 @@
 	Domain        string
 	AdapterReady  bool          // the adapter is already loaded, or the request needs none
 	EstimatedWait time.Duration // estimated time until the first event
+	KeepsPromise  bool          // no promise was expected to be broken, neither of its own route nor to streams that run there
+	ExpectedPause time.Duration // longest time between two of its events
 	LimitWait     time.Duration // time until the server's limit is expected to allow a request; 0 if it is not known to be used up
 
 	// ReportAge is the age of the server's last report when the request was assigned; negative
@@ -67,11 +71,17 @@
 	Running   int // running requests, by that report
 	Waiting   int // requests that were queued or in prefill, by that report
 
+	Pace    pace.Pace     // of the engine, as the estimate counted with; zero for a plain service
+	PaceAge time.Duration // since its holder told it; negative if that of its peers stood for it
+
 	fleet          *Fleet
 	server         *server
 	prompt         Prompt
-	uncachedTokens int // prompt tokens still to be prefilled, until the first event
-	cacheTokens    int // KV cache that the request may use, tokens
+	uncachedTokens int       // prompt tokens still to be prefilled, until the first event
+	cacheTokens    int       // KV cache that the request may use, tokens
+	answerTokens   int       // limit on the length of the answer
+	alone          bool      // nothing else was waiting or being prefilled there
+	firstEventAt   time.Time // zero before
 	assignedAt     time.Time
 	firstEventSeen bool
 	departureKnown chan struct{} // closed once it is known when the server shuts down
@@ -101,7 +111,7 @@
 	return f.assign(now, req, best), nil
 }
 
-// cheapest returns the estimate of the candidate with the lowest cost.
+// cheapest returns the best estimate of the candidates; see better.
 func (f *Fleet) cheapest(now time.Time, req Requirements, candidates []*server) estimate {
 	affinity := f.affinityServer(candidates, req.Prompt)
 	if req.Randomize {
@@ -110,7 +120,7 @@
 	}
 	best := f.estimate(now, req, candidates[0], affinity)
 	for _, s := range candidates[1:] {
-		if e := f.estimate(now, req, s, affinity); e.cost < best.cost {
+		if e := f.estimate(now, req, s, affinity); better(e, best) {
 			best = e
 		}
 	}
@@ -208,22 +218,27 @@
 		Domain:         l.Domain,
 		AdapterReady:   e.adapterReady,
 		EstimatedWait:  e.wait,
+		KeepsPromise:   e.keepsPromise(),
+		ExpectedPause:  e.pause,
 		LimitWait:      e.limitWait,
 		ReportAge:      e.server.reportAge(now),
 		Running:        e.server.report.Running,
 		Waiting:        e.server.pendingPrefills(now),
+		PaceAge:        e.server.paceAge(now),
 		fleet:          f,
 		server:         e.server,
 		prompt:         req.Prompt,
 		uncachedTokens: e.uncachedTokens,
 		cacheTokens:    req.PromptTokens + req.MaxAnswerTokens,
+		answerTokens:   req.MaxAnswerTokens,
+		alone:          e.alone,
 		assignedAt:     now,
 		departureKnown: make(chan struct{}),
 	}
 	if !e.server.departsAt.IsZero() {
 		close(r.departureKnown)
 	}
-	e.server.inFlight[r] = true
+	e.server.inFlight[r], e.server.lastAssigned = true, r
 	e.server.silence.assigned(now)
 	if req.ModelName.Adapter != "" && e.adapterReady {
 		e.server.recordAdapterUse(AdapterRef(req.ModelName))
@@ -231,6 +246,10 @@
 	if req.ModelName.Model != "" {
 		f.demandFor(req.ModelName).tokens += e.uncachedTokens + req.MaxAnswerTokens
 		f.recordSent(req.Service, e.uncachedTokens, now)
+		r.Pace = f.paceOf(e.server, now)
+		u := f.usageOf(req.Service)
+		u.promptTokens = average(u.promptTokens, float64(e.uncachedTokens))
+		u.answerTokens = average(u.answerTokens, float64(req.MaxAnswerTokens))
 	}
 	return r
 }
--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -1,24 +1,28 @@
 package fleet
 
-import "time"
+import (
+	"time"
 
-// Estimates of the time until a request's first event at a backend server. An engine
-// prefills prompts one after another between the decode steps of running requests, so the
+	"github.com/bamboostep/bamboostep/pace"
+)
+
+// Estimates of what a request would meet at a backend server: the time until its first event, the pauses of its stream, and the promises
+// to other streams that its prompt would break.
+//
+// An engine prefills prompts one after another between the decode steps of running requests, so the
 // dominant terms are the prompt tokens queued ahead of a request and the part of its own
-// prompt that is not cached.
+// prompt that is not cached, at the pace of that engine (pace.go). Where no promise is at stake the soonest first
+// event wins; a server that breaks fewer promises goes before it.
 
 // Terms of the estimated wait and cost of a request at a backend server.
 const (
-	prefillTokensPerMS  = 38.0                   // prompt tokens that an engine reads per millisecond
-	stepCostMS          = 0.35                   // milliseconds added by each running request
-	noCapacityCost      = 400 * time.Millisecond // no free slot or too little free KV cache
 	crossDomainCost     = 2 * time.Millisecond   // for a server in another failure domain, plus the same per crossDomainBytes
 	crossDomainBytes    = 1 << 10                // bytes of the request body
 	adapterLoadCost     = 8 * time.Millisecond   // the adapter must be loaded first
 	modelLoadCost       = 500 * time.Millisecond // an adapter load must wait for a model load in progress
 	failureCost         = 4 * time.Second        // at a failure rate of 1; scales with the rate
 	affinityCachedShare = 0.7                    // share of a prompt's shared prefix that its affinity server is assumed to have cached
-	meanPromptTokens    = 1500                   // uncached tokens assumed for each pending request of other entries
+	meanPartLeft        = 0.5                    // of a prompt that is being prefilled, and of an answer that is being generated
 )
 
 // estimate is the expected cost of a request at one backend server.
@@ -26,40 +30,64 @@
 	server         *server
 	wait           time.Duration // until the first event
 	limitWait      time.Duration // part of wait: until the server's limit allows a request
-	cost           time.Duration // wait plus the penalties for failures, slowed streams and distance; the lowest is chosen
+	pause          time.Duration // longest time between two of its events
+	broken         float64       // expected number of promises that are broken, its own and those to streams that run there
+	cost           time.Duration // wait plus the penalties for failures, slowed streams and distance
 	uncachedTokens int           // prompt tokens that must be prefilled
 	adapterReady   bool          // the adapter is loaded, or none is needed
+	alone          bool          // nothing else waits or is prefilled there, as far as is known
 }
 
-// estimate computes the expected wait and cost of a request at s. affinity is the server
+// better reports whether a is to be chosen before b.
+func better(a, b estimate) bool { return a.cost < b.cost }
+
+// keepsPromise reports whether no promise is expected to be broken.
+func (e estimate) keepsPromise() bool { return e.broken < 0.5 }
+
+// estimate computes what a request is expected to meet at s. affinity is the server
 // that affinityServer chose for the prompt, or nil.
 func (f *Fleet) estimate(now time.Time, req Requirements, s *server, affinity *server) estimate {
 	e := estimate{server: s, adapterReady: true}
+	e.limitWait = max(0, s.limitedUntil.Sub(now))
 	if req.ModelName.Model == "" {
-		e.wait = s.plainWait(now, req.DefaultSlots)
+		e.wait = s.plainWait(now, req.DefaultSlots) + e.limitWait
 	} else {
-		e.uncachedTokens = req.PromptTokens - s.cachedTokens(req.Prompt, s == affinity)
-		e.wait = s.engineWait(now, req, e.uncachedTokens+f.unreportedTokens(now, s))
-		if req.ModelName.Adapter != "" && !s.models[req.ModelName.Model].adapters[req.ModelName.Adapter] {
-			e.adapterReady = false
-			e.wait += adapterLoadCost
-			if s.report.Busy {
-				e.wait += modelLoadCost
-			}
-		}
+		f.estimateEngine(&e, now, req, affinity)
 	}
-	e.limitWait = max(0, s.limitedUntil.Sub(now))
-	e.wait += e.limitWait
-	e.cost = e.wait + time.Duration(s.failureRate(now)*float64(failureCost))
-	if req.ModelName.Model != "" {
-		e.cost += s.interferenceCost(now, req, e.uncachedTokens)
+	if req.Promise.FirstEvent > 0 {
+		e.broken += missChance(e.wait, req.Promise.FirstEvent)
 	}
+	e.cost += e.wait + time.Duration(s.failureRate(now)*float64(failureCost)) + time.Duration(e.broken*float64(req.Promise.EventGap))
 	if s.listing.Domain != f.Domain {
 		e.cost += crossDomainCost + crossDomainCost*time.Duration(req.BodyBytes/crossDomainBytes)
 	}
 	return e
 }
 
+// estimateEngine fills in what depends on a model engine.
+func (f *Fleet) estimateEngine(e *estimate, now time.Time, req Requirements, affinity *server) {
+	s, own := e.server, e.server.ownBacklog()
+	p := f.paceOf(s, now)
+	u := f.usageOf(s.listing.Service)
+	e.uncachedTokens = req.PromptTokens - s.cachedTokens(req.Prompt, s == affinity)
+	reported := f.reportedBacklog(now, s, own, e.uncachedTokens)
+	backlog := own.tokens + reported + f.unreportedTokens(now, s)
+	e.alone = own.waiting == 0 && reported == 0
+	e.wait = e.limitWait + prefillTime(p, backlog+e.uncachedTokens) + p.EventGap()
+	if s.hasFreshReport(now) && s.lacksCapacity(req, own, u) {
+		e.broken++
+		e.wait += s.turnWait(u, own)
+	}
+	if req.ModelName.Adapter != "" && !s.models[req.ModelName.Model].adapters[req.ModelName.Adapter] {
+		e.adapterReady = false
+		e.wait += adapterLoadCost
+		if s.report.Busy {
+			e.wait += modelLoadCost
+		}
+	}
+	f.estimateInterference(e, now, req, p, backlog)
+}
+
 // cachedTokens estimates how many prompt tokens are in the server's prefix cache. affinity
 // says whether s is the affinity server of the prompt.
 func (s *server) cachedTokens(p Prompt, affinity bool) int {
@@ -70,22 +98,18 @@
 	return max(cached, int(affinityCachedShare*float64(p.shared.Tokens)))
 }
 
-// engineWait estimates the wait for the first event at a model engine. uncached is the
-// number of prompt tokens to prefill, including the estimate of unreported ones from other
-// entries.
-func (s *server) engineWait(now time.Time, req Requirements, uncached int) time.Duration {
-	own := s.ownBacklog()
-	backlog := own.tokens + max(0, s.pendingPrefills(now)-own.waiting)*meanPromptTokens
-	running := own.running
-	if s.hasFreshReport(now) {
-		running = max(running, s.report.Running)
+// reportedBacklog estimates the prompt tokens that an engine must still prefill for other entries, by its last report. Each prompt counts
+// as the mean of this entry's own, before the first of them as uncached.
+func (f *Fleet) reportedBacklog(now time.Time, s *server, own backlog, uncached int) int {
+	others := float64(max(0, s.pendingPrefills(now)-own.waiting))
+	if others > 0 && s.report.Prefilling > 0 {
+		others -= meanPartLeft
 	}
-	wait := time.Duration(float64(backlog+uncached) / prefillTokensPerMS * float64(time.Millisecond))
-	wait += time.Duration(stepCostMS * float64(running) * float64(time.Millisecond))
-	if s.hasFreshReport(now) && s.lacksCapacity(req, own) {
-		wait += noCapacityCost
+	mean := f.usageOf(s.listing.Service).promptTokens
+	if mean == 0 {
+		mean = float64(uncached)
 	}
-	return wait
+	return int(others * mean)
 }
 
 // hasFreshReport reports whether the last report is recent enough to be used.
@@ -110,13 +134,37 @@
 	return s.report.Waiting + s.report.Prefilling
 }
 
-// lacksCapacity reports whether a request would have to wait for a slot or for KV cache.
-func (s *server) lacksCapacity(req Requirements, own backlog) bool {
+// lacksCapacity reports whether a request would have to wait for a slot or for KV cache, which is counted as it will be once
+// the answers that are being generated are half as long again as they can still get.
+func (s *server) lacksCapacity(req Requirements, own backlog, u *usage) bool {
 	if s.listing.Slots > 0 && max(s.report.Running+s.report.Waiting, own.running+own.waiting) >= s.listing.Slots {
 		return true
 	}
 	need := req.PromptTokens + req.MaxAnswerTokens
-	return s.report.CacheTokens > 0 && s.report.CacheUsed+own.unreportedCacheTokens+need > s.report.CacheTokens
+	growth := int(meanPartLeft * u.answerTokens * float64(s.report.Running))
+	return s.report.CacheTokens > 0 && s.report.CacheUsed+growth+own.unreportedCacheTokens+need > s.report.CacheTokens
+}
+
+// turnWait estimates the time until an engine without capacity has run enough requests for another one.
+func (s *server) turnWait(u *usage, own backlog) time.Duration {
+	running := max(1, s.report.Running, own.running)
+	ahead := 1 + max(s.report.Waiting, own.waiting)
+	perRequest := u.runTime * u.answerTokens / float64(running)
+	return time.Duration(float64(ahead) * perRequest * float64(time.Millisecond))
+}
+
+// answerTime estimates the time that the answer of a request takes at an engine of pace p after its first event: as that of
+// earlier answers, at the pace of the engine; before the first of them as if each token were an event.
+func (f *Fleet) answerTime(now time.Time, req Requirements, p pace.Pace) time.Duration {
+	perToken := f.usageOf(req.Service).runTime * float64(time.Millisecond)
+	peers := f.medianPace(req.Service, now)
+	switch {
+	case perToken == 0:
+		perToken = float64(p.EventGap())
+	case peers.EventGapUS > 0:
+		perToken *= float64(p.EventGapUS) / float64(peers.EventGapUS)
+	}
+	return time.Duration(perToken * float64(req.MaxAnswerTokens))
 }
 
 // backlog is the load that this entry's own requests in flight put on an engine.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/pace"
 )
 
 const (
@@ -63,6 +64,8 @@
 	versionNeeds  map[VersionNeed]bool       // since they were last taken
 	entryCount    int                        // number of entries, 0 if unknown
 	sentRates     map[string]*sentRate       // by service
+	usages        map[string]*usage          // by service
+	medians       map[string]medianPaceOf    // by service
 	rng           *rand.Rand
 }
 
@@ -78,10 +81,14 @@
 	loadAt   time.Time
 
 	inFlight         map[*Assignment]bool // this entry's requests
+	lastAssigned     *Assignment          // newest of this entry's requests; nil before the first
 	silence          silence              // whether it answers this entry's requests
 	usedAdapters     map[AdapterRef]bool  // adapters used by requests since these were last taken
 	prefixes         prefixCache          // estimate of its prefix cache
 	newPrefixes      []PromptPrefix       // prefixes read here that have not been sent to its holder
+	pace             pace.Pace            // as its holder tells, zero where unknown
+	paceAt           time.Time            // when the holder told it; zero if it has not
+	firstEvents      []FirstEvent         // seen here that have not been told to its holder
 	prefillShare     prefillShare         // share of time that it recently spent on prefill
 	departsAt        time.Time            // when it shuts down, as its holder reports; zero if unknown
 	avoidUntil       time.Time            // after a failed connection or a missing model; used only if there is no other server
@@ -117,6 +124,8 @@
 	f.demand = make(map[ModelName]*demandCount)
 	f.versionNeeds = make(map[VersionNeed]bool)
 	f.sentRates = make(map[string]*sentRate)
+	f.usages = make(map[string]*usage)
+	f.medians = make(map[string]medianPaceOf)
 	f.rng = newRNG(f.Seed)
 }
 
--- a/fleet/holder_links.go
+++ b/fleet/holder_links.go
@@ -126,6 +126,11 @@
 		if err = m.Decode(&n); err == nil {
 			l.Fleet.ApplyLoad(address, n, time.Now())
 		}
+	case KindPace:
+		var n PaceUpdate
+		if err = m.Decode(&n); err == nil {
+			l.Fleet.ApplyPace(address, n, time.Now())
+		}
 	case KindPrefixes:
 		var n PrefixUpdate
 		if err = m.Decode(&n); err == nil {
@@ -208,6 +213,13 @@
 	}
 }
 
+// SendFirstEvents tells the holder of an engine how long the engine took for first events.
+func (l *HolderLinks) SendFirstEvents(address string, n FirstEventUpdate) {
+	if c := l.conn(address); c != nil {
+		_ = c.Send(KindFirst, n) // if lost, the pace is learned from others
+	}
+}
+
 // SendAdapterUse tells the holder of an engine which adapters requests have used there.
 func (l *HolderLinks) SendAdapterUse(address string, used []AdapterRef) {
 	if c := l.conn(address); c != nil {
--- a/fleet/interference.go
+++ b/fleet/interference.go
@@ -3,20 +3,24 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bamboostep/bamboostep/pace"
 )
 
 // Interference between prefill and decode. An engine prefills prompts in chunks between
-// the decode steps of running requests. During prefill a decode step takes about ten times
+// the decode steps of running requests. During prefill a decode step takes many times
 // as long, so a long prompt slows all streams of its engine, and a long answer takes long
 // on an engine that prefills constantly. Where several engines hold a model,
-// interferenceCost therefore separates long prompts from long answers.
+// estimateInterference therefore separates long prompts from long answers. How long the steps get is a matter of the engine
+// and of how much there is to prefill: at a fast one a stream may never pause for longer than its route promises, at a slow one
+// a single long prompt may be too much.
 
 const (
-	prefillDecay     = 2 * time.Second       // time constant of the moving average of the prefill share
-	prefillChunkTime = 54 * time.Millisecond // time that prefilling one chunk adds to a decode step
+	prefillDecay = 2 * time.Second // time constant of the moving average of the prefill share
 
 	streamDelayWeight = 0.05 // weight of delay to a running stream, relative to waiting for the first event
 	answerDelayWeight = 0.02 // weight of delay to the request's own answer, relative to waiting for the first event
+	likelyPause       = 0.5  // risk from which a pause is expected
 )
 
 // prefillShare is an exponential moving average of the share of time that an engine spends
@@ -45,15 +49,43 @@
 	return r.share * weight
 }
 
-// interferenceCost estimates the weighted delay that a request's prefill causes to the
-// running streams of an engine, and that the engine's prefills cause to the request's own
-// answer.
-func (s *server) interferenceCost(now time.Time, req Requirements, uncached int) time.Duration {
+// estimateInterference adds what the request's prefill does to the running streams of an engine, and what the engine's
+// prefills do to the request's own stream: the promises that are broken, and the weighted delays. backlog is the number of prompt tokens that the engine
+// prefills before the request's.
+func (f *Fleet) estimateInterference(e *estimate, now time.Time, req Requirements, p pace.Pace, backlog int) {
+	s := e.server
+	e.pause = p.EventGap()
 	if !s.hasFreshReport(now) {
-		return 0
+		return
+	}
+	streams := float64(max(0, s.report.Running-s.report.Prefilling))
+	share := s.prefillShare.value(now)
+	answer := f.answerTime(now, req, p)
+	if p.PrefillGapUS > 0 {
+		slowdown := max(0, float64(p.PrefillGapUS)/float64(max(1, p.EventGapUS))-1)
+		e.cost += time.Duration(answerDelayWeight * share * slowdown * float64(answer))
+	}
+	e.cost += time.Duration(streamDelayWeight * streams * float64(prefillTime(p, e.uncachedTokens)))
+	if req.Promise.EventGap <= 0 {
+		return
+	}
+	risk := pauseRisk(p, share, answer, req.Promise.EventGap)
+	added := missChance(p.LongestGap(backlog+e.uncachedTokens), req.Promise.EventGap) - missChance(p.LongestGap(backlog), req.Promise.EventGap)
+	e.broken += risk + streams*(1-risk)*max(0, added)
+	if risk >= likelyPause {
+		e.pause = max(p.EventGap(), p.PrefillGap())
 	}
-	prefill := float64(uncached) / prefillTokensPerMS * float64(time.Millisecond)
-	streamDelay := streamDelayWeight * prefill * float64(s.report.Running)
-	answerDelay := answerDelayWeight * float64(req.MaxAnswerTokens) * s.prefillShare.value(now) * float64(prefillChunkTime)
-	return time.Duration(streamDelay + answerDelay)
+}
+
+// pauseRisk returns the probability that a stream which takes a time pauses for longer than promised, at an engine that prefills for a share
+// of the time.
+func pauseRisk(p pace.Pace, share float64, answer, promised time.Duration) float64 {
+	pauses := missChance(p.PrefillGap(), promised) * share * float64(answer) / float64(max(1, p.PrefillGap()))
+	return max(missChance(p.EventGap(), promised), 1-math.Exp(-pauses))
+}
+
+// missChance returns the probability that a time which is expected to be d turns out to be longer than what was promised. Expectations are rough:
+// the probability grows from 0 at a quarter of it to 1 at a quarter beyond it.
+func missChance(d, promised time.Duration) float64 {
+	return min(max(float64(d)/float64(promised)-0.25, 0), 1)
 }
--- a/fleet/interference_test.go
+++ b/fleet/interference_test.go
@@ -5,17 +5,20 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/pace"
 )
 
 // Two engines hold a model: one runs many streams with few prefills, the other prefills
 // constantly. Long prompts must go to the latter and long answers to the former.
 func TestLongPromptsAndLongAnswersAreSeparated(t *testing.T) {
 	now := time.Unix(1000, 0)
-	f := &Fleet{Domain: "a"}
+	f := newFleet()
 	report := func(address string, running, prefilling int) Report {
 		return Report{Instance: address, StartedMS: 1, Service: "llm", Address: address, Domain: "a",
-			Running: running, Prefilling: prefilling, CacheTokens: 200000, Models: []bamboostep.LoadedModel{{Name: "m"}}}
+			Running: running, Prefilling: prefilling, CacheTokens: 200000, Models: []bamboostep.LoadedModel{{Name: "m"}},
+			Pace: &pace.Pace{PrefillPerMS: 38, EventGapUS: 8000, PrefillGapUS: 62000}}
 	}
+	f.usageOf("llm").promptTokens = 1500
 	for range 40 {
 		f.ApplyReport(report("streams", 12, 0), now)
 		f.ApplyReport(report("reads", 2, 1), now)
--- a/fleet/limit_test.go
+++ b/fleet/limit_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/pace"
 )
 
 // TestLimitedServerIsFallback guards against requests that wait for a server's limit, or are
@@ -15,7 +16,8 @@
 	now := start
 	f := &Fleet{Domain: "a"}
 	for _, instance := range []string{"free", "limited"} {
-		f.ApplyReport(Report{Instance: instance, StartedMS: 1, Service: "s", Address: instance, Domain: "a", CacheTokens: 1000, Models: []bamboostep.LoadedModel{{Name: "m"}}}, now)
+		f.ApplyReport(Report{Instance: instance, StartedMS: 1, Service: "s", Address: instance, Domain: "a", CacheTokens: 1000, Models: []bamboostep.LoadedModel{{Name: "m"}},
+			Pace: &pace.Pace{PrefillPerMS: 10}}, now)
 	}
 	req := Requirements{Service: "s", ModelName: ModelName{Model: "m"}, PromptTokens: 100, MaxAnswerTokens: 10, MaxWait: 100 * time.Millisecond}
 	choose := func(exclude ...string) (*Assignment, error) {
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/pace"
 )
 
 // Messages between entries, voters and holders.
@@ -16,6 +17,8 @@
 	KindAdapter    = "fleet.adapter"   // entry to holder: AdapterRef, answered by OrderReply once the adapter is usable
 	KindAdapterUse = "fleet.used"      // entry to holder: AdapterUse; no answer
 	KindPrefixes   = "fleet.kept"      // entry to holder, and holder to subscriber: PrefixUpdate; no answer
+	KindPace       = "fleet.pace"      // holder to subscriber: PaceUpdate; no answer
+	KindFirst      = "fleet.first"     // entry to holder: FirstEventUpdate; no answer
 	KindOrder      = "fleet.order"     // leader to holder: OrderCall, answered by OrderReply
 	KindList       = "fleet.list"      // entry to voter: ListCall, answered by ListReply
 	KindDemand     = "fleet.demand"    // entry to voter: DemandUpdate; no answer
@@ -50,6 +53,27 @@
 	Prefixes []PromptPrefix `msgpack:"parts"`
 }
 
+// PaceUpdate replaces the pace in a holder's last Report.
+type PaceUpdate struct {
+	StartedMS int64     `msgpack:"born"` // start of the engine, Unix milliseconds
+	Pace      pace.Pace `msgpack:"pace"`
+}
+
+// FirstEventUpdate tells a holder of first events of requests that had its engine to themselves, as far as the entry knows.
+type FirstEventUpdate struct {
+	StartedMS   int64        `msgpack:"born"` // start of the engine, Unix milliseconds
+	FirstEvents []FirstEvent `msgpack:"first"`
+}
+
+// FirstEvent is the time that an engine took for the first event of a request.
+type FirstEvent struct {
+	//lint:ignore U1000 the codec reads its tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Tokens int   // prompt tokens that were not cached
+	TookUS int64 // from sending until the first event, microseconds
+}
+
 // OrderCall is the leader's order to load or unload a model.
 type OrderCall struct {
 	Term  uint64 `msgpack:"term"` // of the leader; a holder refuses lower terms than it has seen
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/pace"
 )
 
 // Reports of holders, which describe an engine as of about 100 ms ago. For models and load
@@ -35,6 +36,7 @@
 	Orders         uint64                   `msgpack:"orders"`          // orders that the engine has accepted since its start
 	Busy           bool                     `msgpack:"busy"`            // the engine is carrying out an order
 	AgeMS          int64                    `msgpack:"age_ms"`          // age of the report when it was sent
+	Pace           *pace.Pace               `msgpack:"pace,omitempty"`  // nil if nothing of it is known
 	CachedPrefixes []PromptPrefix           `msgpack:"kept,omitempty"`  // prefixes that the engine has read; only in the reply to a new subscriber
 }
 
@@ -66,6 +68,9 @@
 	s.report, s.reportAt = r, at
 	s.prefillShare.observe(r.Prefilling+r.Waiting > 0, now)
 	s.listing.Leaving = s.listing.Leaving || r.Leaving
+	if r.Pace != nil {
+		s.setPace(*r.Pace, now)
+	}
 	s.setModels(r.Models)
 	s.addCachedPrefixes(r.CachedPrefixes)
 	if r.Leaving && r.RemainingMS > 0 && s.departsAt.IsZero() {
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -12,6 +12,7 @@
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/origin"
+	"github.com/bamboostep/bamboostep/pace"
 	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/timeline"
 )
@@ -190,7 +191,25 @@
 	if x.serverRun.ReportAge >= 0 {
 		basis = fmt.Sprintf("a report %s old, %d running, %d waiting", formatMilliseconds(x.serverRun.ReportAge), x.serverRun.Running, x.serverRun.Waiting)
 	}
-	return "expected " + formatMilliseconds(x.serverRun.EstimatedWait) + ", from " + basis
+	promise := "kept"
+	if !x.serverRun.KeepsPromise {
+		promise = "not kept"
+	}
+	return "expected " + formatMilliseconds(x.serverRun.EstimatedWait) + ", pauses " + formatMilliseconds(x.serverRun.ExpectedPause) +
+		", promise " + promise + ", from " + basis + x.paceBasis()
+}
+
+// paceBasis formats the pace of the engine that the expectation was based on, and its age.
+func (x *exchange) paceBasis() string {
+	p := x.serverRun.Pace
+	if p == (pace.Pace{}) {
+		return ""
+	}
+	age := "of its peers"
+	if x.serverRun.PaceAge >= 0 {
+		age = formatMilliseconds(x.serverRun.PaceAge) + " old"
+	}
+	return fmt.Sprintf(", pace %s: %.1f tokens/ms, gaps %s and %s", age, p.PrefillPerMS, formatMilliseconds(p.EventGap()), formatMilliseconds(p.PrefillGap()))
 }
 
 // recordCallerLeft records that the caller has disconnected, and what it had received
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -143,7 +143,7 @@
 func (x *exchange) forwardInOrder(run *fleet.Assignment, resp *origin.Response, order *sse.Order, events []byte) error {
 	accepted := order.Accept(events)
 	if accepted > 0 {
-		run.Started()
+		run.FirstEvent(time.Now())
 		x.noteOrigin(run)
 		if err := x.forwardEvents(resp, events[:accepted], order.LastID()); err != nil {
 			return &callerWriteError{err}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -79,6 +79,7 @@
 	nextReport     chan struct{}        // closed and replaced when a report is applied
 	sizes          map[string]modelSize // of models that are or may be on the engine, as far as known
 	prefixes       prefixLog            // prompt prefixes that the engine has read
+	pace           paceTracker          // of the engine
 }
 
 // inDoubtOrder is an order that got no answer and may still be carried out.
@@ -100,6 +101,7 @@
 	mux.On(fleet.KindAdapter, func(m *wire.Message) { go h.handleAdapter(m) })
 	mux.On(fleet.KindAdapterUse, h.handleAdapterUse)
 	mux.On(fleet.KindPrefixes, h.handlePrefixes)
+	mux.On(fleet.KindFirst, h.handleFirstEvents)
 	mux.On(fleet.KindOrder, func(m *wire.Message) { go h.handleOrder(m) })
 }
 
@@ -165,6 +167,7 @@
 		h.record("engine_leaving", r.TimeLeft.String())
 	}
 	h.report, h.reportAt = r, at
+	h.observePace(r, at)
 	h.recordSizes(h.Spec())
 	h.resolveInDoubt(r, at)
 	h.acceptedOrders = r.AcceptedOrders
@@ -297,6 +300,7 @@
 		h.lastPushed, h.lastPushedAt = r, now
 		h.broadcast(fleet.KindLoad, fleet.LoadUpdate{Waiting: r.Waiting, Running: r.Running, Prefilling: r.Prefilling, CacheUsed: r.CacheUsed, AgeMS: r.AgeMS})
 	}
+	h.pushPace(now)
 	if unsent := h.prefixes.takeUnsent(); len(unsent) > 0 {
 		h.broadcast(fleet.KindPrefixes, fleet.PrefixUpdate{Prefixes: unsent})
 	}
@@ -335,7 +339,7 @@
 	h.mu.Lock()
 	h.subscribers[m.Conn()] = true
 	r := h.fleetReport(time.Now())
-	r.CachedPrefixes = h.prefixes.all()
+	r.CachedPrefixes, r.Pace = h.prefixes.all(), h.currentPace(time.Now())
 	h.mu.Unlock()
 	m.Reply(r)
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -345,6 +345,9 @@
 			for address, used := range e.fleet.TakeUsedAdapters() {
 				e.links.SendAdapterUse(address, used)
 			}
+			for address, n := range e.fleet.TakeFirstEvents() {
+				e.links.SendFirstEvents(address, n)
+			}
 		}
 		e.follower.SendDemand(fleet.DemandUpdate{Entry: e.cfg.VMName, Demand: e.fleet.TakeDemand(), VersionNeeds: e.fleet.TakeVersionNeeds()})
 	}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -16,7 +16,7 @@
 
 	PrefillPerMS float64 // prompt tokens that are prefilled in a millisecond
 	EventGapUS   int64   // time between two events of a stream while no prompt is prefilled, microseconds
-	PrefillGapUS int64   // the same while prompts are prefilled
+	PrefillGapUS int64   // the same while prompts are prefilled without a break
 }
 
 // EventGap returns the time between two events while no prompt is prefilled; 0 if it is unknown.
@@ -32,3 +32,33 @@
 	}
 	return time.Duration(float64(tokens) / p.PrefillPerMS * float64(time.Millisecond))
 }
+
+// LongestGap returns the longest time between two events that is expected while tokens are prefilled: a decode
+// step takes the longer for them, and never longer than while prompts are prefilled without a break.
+func (p Pace) LongestGap(tokens int) time.Duration {
+	added := p.Prefill(tokens)
+	if p.PrefillGapUS > 0 {
+		added = min(added, max(0, p.PrefillGap()-p.EventGap()))
+	}
+	return p.EventGap() + added
+}
+
+// Similar reports whether no field differs from that of o by more than a tenth.
+func (p Pace) Similar(o Pace) bool {
+	return similar(p.PrefillPerMS, o.PrefillPerMS) && similar(float64(p.EventGapUS), float64(o.EventGapUS)) &&
+		similar(float64(p.PrefillGapUS), float64(o.PrefillGapUS))
+}
+
+func similar(a, b float64) bool { return max(a, b) <= 1.1*min(a, b) }
+
+// Valid reports whether the fields are figures that an engine can have.
+func (p Pace) Valid() bool {
+	return p.PrefillPerMS >= 0 && p.PrefillPerMS <= maxTokensPerMS && p.EventGapUS >= 0 && p.PrefillGapUS >= 0 &&
+		p.EventGap() <= maxGap && p.PrefillGap() <= maxGap
+}
+
+// Bounds beyond which a figure is garbage. They are far beyond any accelerator.
+const (
+	maxTokensPerMS = 1e6
+	maxGap         = time.Minute
+)
