--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -70,6 +70,7 @@
 	ReportAge time.Duration
 	Running   int // running requests, by that report
 	Waiting   int // requests that were queued or in prefill, by that report
+	Prefill   int // prompt tokens that were not cached, as estimated
 
 	Pace    pace.Pace     // of the engine, as the estimate counted with; zero for a plain service
 	PaceAge time.Duration // since its holder told it; negative if that of its peers stood for it
@@ -224,6 +225,7 @@
 		ReportAge:      e.server.reportAge(now),
 		Running:        e.server.report.Running,
 		Waiting:        e.server.pendingPrefills(now),
+		Prefill:        e.uncachedTokens,
 		PaceAge:        e.server.paceAge(now),
 		fleet:          f,
 		server:         e.server,
--- a/fleet/interference.go
+++ b/fleet/interference.go
@@ -20,6 +20,7 @@
 
 	streamDelayWeight = 0.05 // weight of delay to a running stream, relative to waiting for the first event
 	answerDelayWeight = 0.02 // weight of delay to the request's own answer, relative to waiting for the first event
+	othersWeight      = 0.05 // weight of a promise to a running stream, relative to the request's own
 	likelyPause       = 0.5  // risk from which a pause is expected
 )
 
@@ -71,7 +72,7 @@
 	}
 	risk := pauseRisk(p, share, answer, req.Promise.EventGap)
 	added := missChance(p.LongestGap(backlog+e.uncachedTokens), req.Promise.EventGap) - missChance(p.LongestGap(backlog), req.Promise.EventGap)
-	e.broken += risk + streams*(1-risk)*max(0, added)
+	e.broken += risk + othersWeight*streams*(1-risk)*max(0, added)
 	if risk >= likelyPause {
 		e.pause = max(p.EventGap(), p.PrefillGap())
 	}
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -209,7 +209,7 @@
 	if x.serverRun.PaceAge >= 0 {
 		age = formatMilliseconds(x.serverRun.PaceAge) + " old"
 	}
-	return fmt.Sprintf(", pace %s: %.1f tokens/ms, gaps %s and %s", age, p.PrefillPerMS, formatMilliseconds(p.EventGap()), formatMilliseconds(p.PrefillGap()))
+	return fmt.Sprintf(", %d tokens to prefill, pace %s: %.1f tokens/ms, gaps %s and %s", x.serverRun.Prefill, age, p.PrefillPerMS, formatMilliseconds(p.EventGap()), formatMilliseconds(p.PrefillGap()))
 }
 
 // recordCallerLeft records that the caller has disconnected, and what it had received
