Trial: promises asked at an engine's own rate, work counted at the median rate

If all entries rank by an engine's own rate, the fast ones get the long prompts and the streams too.

--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -51,13 +51,14 @@
 	e.limitWait = max(0, s.limitedUntil.Sub(now))
 	if req.ModelName.Model == "" {
 		e.wait = s.plainWait(now, req.DefaultSlots) + e.limitWait
+		e.cost = e.wait
 	} else {
 		f.estimateEngine(&e, now, req, affinity)
 	}
 	if req.Promise.FirstEvent > 0 {
 		e.broken += missChance(e.wait, req.Promise.FirstEvent)
 	}
-	e.cost += e.wait + time.Duration(s.failureRate(now)*float64(failureCost)) + time.Duration(e.broken*float64(req.Promise.EventGap))
+	e.cost += time.Duration(s.failureRate(now)*float64(failureCost)) + time.Duration(e.broken*float64(req.Promise.EventGap))
 	if s.listing.Domain != f.Domain {
 		e.cost += crossDomainCost + crossDomainCost*time.Duration(req.BodyBytes/crossDomainBytes)
 	}
@@ -74,16 +75,21 @@
 	backlog := own.tokens + reported + f.unreportedTokens(now, s)
 	e.alone = own.waiting == 0 && reported == 0
 	e.wait = e.limitWait + prefillTime(p, backlog+e.uncachedTokens) + p.EventGap()
+	e.cost = e.limitWait + prefillTime(f.medianPace(s.listing.Service, now), backlog+e.uncachedTokens) + p.EventGap()
 	if s.hasFreshReport(now) && s.lacksCapacity(req, own, u) {
+		turn := s.turnWait(u, own)
 		e.broken++
-		e.wait += s.turnWait(u, own)
+		e.wait += turn
+		e.cost += turn
 	}
 	if req.ModelName.Adapter != "" && !s.models[req.ModelName.Model].adapters[req.ModelName.Adapter] {
 		e.adapterReady = false
-		e.wait += adapterLoadCost
+		load := adapterLoadCost
 		if s.report.Busy {
-			e.wait += modelLoadCost
+			load += modelLoadCost
 		}
+		e.wait += load
+		e.cost += load
 	}
 	f.estimateInterference(e, now, req, p, backlog)
 }
--- a/fleet/interference.go
+++ b/fleet/interference.go
@@ -59,6 +59,7 @@
 	if !s.hasFreshReport(now) {
 		return
 	}
+	peers := f.medianPace(s.listing.Service, now)
 	streams := float64(max(0, s.report.Running-s.report.Prefilling))
 	share := s.prefillShare.value(now)
 	answer := f.answerTime(now, req, p)
@@ -66,7 +67,7 @@
 		slowdown := max(0, float64(p.PrefillGapUS)/float64(max(1, p.EventGapUS))-1)
 		e.cost += time.Duration(answerDelayWeight * share * slowdown * float64(answer))
 	}
-	e.cost += time.Duration(streamDelayWeight * streams * float64(prefillTime(p, e.uncachedTokens)))
+	e.cost += time.Duration(streamDelayWeight * streams * float64(prefillTime(peers, e.uncachedTokens)))
 	if req.Promise.EventGap <= 0 {
 		return
 	}
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -75,7 +75,6 @@
 // paceOf returns the pace of an engine, with that of its peers for what is not known. f.mu is held.
 func (f *Fleet) paceOf(s *server, now time.Time) pace.Pace {
 	p := s.pace
-	p.PrefillPerMS = f.medianPace(s.listing.Service, now).PrefillPerMS
 	if p.EventGapUS > 0 && p.PrefillGapUS > 0 && p.PrefillPerMS > 0 {
 		return p
 	}
