--- a/pace/estimator.go
+++ b/pace/estimator.go
@@ -207,9 +207,9 @@
 // Pace returns the pace as of now. What is unknown is zero.
 func (e *Estimator) Pace(now time.Time) Pace {
 	slowness := e.Slowness(now)
-	p := Pace{EventGapUS: e.eventGap(now).Microseconds()}
+	p := Pace{EventGapUS: microseconds(e.eventGap(now))}
 	if gap := e.prefillGap() * slowness; gap > 0 {
-		p.PrefillGapUS = max(p.EventGapUS, seconds(gap).Microseconds())
+		p.PrefillGapUS = max(p.EventGapUS, microseconds(seconds(gap)))
 	}
 	if len(e.firstEvents) >= minFirstEvents {
 		rates := slices.Sorted(slices.Values(e.firstEvents))
@@ -271,6 +271,8 @@
 	return time.Duration(min(max(s, 0), maxGap.Seconds()) * float64(time.Second))
 }
 
+func microseconds(d time.Duration) int64 { return d.Round(time.Microsecond).Microseconds() }
+
 // appendBounded appends v and drops the oldest beyond a limit.
 func appendBounded[T any](s []T, v T, limit int) []T {
 	s = append(s, v)
