--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -58,7 +58,7 @@
 	if req.Promise.FirstEvent > 0 {
 		e.broken += missChance(e.wait, req.Promise.FirstEvent)
 	}
-	e.cost += time.Duration(s.failureRate(now)*float64(failureCost)) + time.Duration(2*e.broken*float64(req.Promise.EventGap))
+	e.cost += time.Duration(s.failureRate(now)*float64(failureCost)) + time.Duration(e.broken*float64(req.Promise.EventGap))
 	if s.listing.Domain != f.Domain {
 		e.cost += crossDomainCost + crossDomainCost*time.Duration(req.BodyBytes/crossDomainBytes)
 	}
--- a/fleet/interference.go
+++ b/fleet/interference.go
@@ -73,7 +73,7 @@
 	}
 	risk := pauseRisk(p, share, answer, req.Promise.EventGap)
 	added := missChance(p.LongestGap(backlog+e.uncachedTokens), req.Promise.EventGap) - missChance(p.LongestGap(backlog), req.Promise.EventGap)
-	e.broken += risk + othersWeight*streams*(1-risk)*max(0, added)
+	e.broken += 3*risk + othersWeight*streams*(1-risk)*max(0, added)
 	if risk >= likelyPause {
 		e.pause = max(p.EventGap(), p.PrefillGap())
 	}
