--- a/pace/estimator.go
+++ b/pace/estimator.go
@@ -21,10 +21,8 @@
 	quietValidity    = 2 * time.Second        // for which the speed of the moment is kept without a newer quiet interval
 	minQuietEvents   = 6                      // events in them
 	maxQuiet         = 16                     // quiet intervals that are kept
-	maxPauses        = 16                     // pauses under prefill that are kept
-	minPauses        = 2                      // pauses under prefill that are used
-	pauseRank        = 0.75                   // quantile of them: most prompts are short, and it is the long ones that streams feel
-	maxSpell         = time.Second            // of prefill that gives one pause
+	maxBusy          = 16                     // busy intervals that are kept, and used
+	minBusyEvents    = 4                      // events in them
 	maxFirstEvents   = 16                     // first events that are kept
 	minFirstEvents   = 3                      // first events that are used
 	firstEventRank   = 0.7                    // quantile of the rates that they show: others may have prompts at the engine unseen, which only makes it seem slower
@@ -41,17 +39,11 @@
 
 // interval is what the streams of an engine did between two reports.
 type interval struct {
-	at      time.Time // of the second report
-	runTime float64   // seconds, summed over the streams
-	events  float64   // events, summed over the streams
-	running int       // requests that ran
-}
-
-// stream is what was seen of a running request.
-type stream struct {
-	events  int
-	since   time.Time     // report that showed them first
-	longest time.Duration // between two events, of those in a spell of prefill
+	at       time.Time // of the second report
+	runTime  float64   // seconds, summed over the streams
+	events   float64   // events, summed over the streams
+	running  int       // requests that ran
+	slowness float64   // the factor that applied
 }
 
 // Estimator estimates the pace of one engine from its successive reports and from first events that entries have
@@ -60,15 +52,13 @@
 	started int64     // start of the engine that is known
 	at      time.Time // of the last report; zero before the first
 	busy    bool      // a prompt was waiting or prefilled at the last report
-	streams map[string]stream
-	spellAt time.Time // since when prompts have been prefilled; zero if none are
+	events  map[string]int
 
-	quiet       []interval // newest last
-	pauses      []float64  // seconds, one for each spell of prefill, at the usual speed; newest last
-	firstEvents []float64  // prompt tokens a millisecond, at the usual speed; newest last
-	usual       gapLine
-	slowness    float64   // of the VM against its usual speed, as of slowAt
-	slowAt      time.Time // zero if it is not known
+	quiet, prefilling []interval // newest last
+	firstEvents       []float64  // prompt tokens a millisecond, at the usual speed; newest last
+	usual             gapLine
+	slowness          float64   // of the VM against its usual speed, as of slowAt
+	slowAt            time.Time // zero if it is not known
 }
 
 // Observe adds a report that was requested at a time. Reports must come in order.
@@ -84,70 +74,30 @@
 	if !e.at.IsZero() && took > 0 && took <= maxInterval {
 		e.observeInterval(r, at, took, busy)
 	}
-	e.follow(r, at, took <= maxInterval)
-	e.observeSpell(at, busy)
 	e.at, e.busy = at, busy
-}
-
-// follow brings the streams up to a report. Without the reports before it, nothing is known of their pauses.
-func (e *Estimator) follow(r bamboostep.EngineReport, at time.Time, known bool) {
-	before := e.streams
-	e.streams = make(map[string]stream, len(r.Runs))
+	e.events = make(map[string]int, len(r.Runs))
 	for _, run := range r.Runs[:min(len(r.Runs), maxTrackedRuns)] {
-		s, seen := before[run.ID]
-		switch {
-		case !known || !seen || run.Events < s.events:
-			s = stream{events: run.Events, since: at}
-		case run.Events > s.events:
-			if !e.spellAt.IsZero() {
-				s.longest = max(s.longest, at.Sub(s.since))
-			}
-			s.events, s.since = run.Events, at
-		}
-		e.streams[run.ID] = s
-	}
-}
-
-// observeSpell takes the longest pause of the middle stream once a spell of prefill is over, or has lasted.
-func (e *Estimator) observeSpell(at time.Time, busy bool) {
-	over := !e.spellAt.IsZero() && (!busy || at.Sub(e.spellAt) >= maxSpell)
-	if over {
-		e.takePause(at)
-		e.spellAt = time.Time{}
-	}
-	if busy && e.spellAt.IsZero() {
-		e.spellAt = at
-	}
-}
-
-func (e *Estimator) takePause(at time.Time) {
-	var longest []time.Duration
-	for id, s := range e.streams {
-		if s.longest > 0 {
-			longest = append(longest, s.longest)
-		}
-		s.longest = 0
-		e.streams[id] = s
+		e.events[run.ID] = run.Events
 	}
-	if len(longest) == 0 {
-		return
-	}
-	slices.Sort(longest)
-	pause := longest[len(longest)/2] - at.Sub(e.at)/2 // the longest of several is seen too long by about half an interval
-	e.pauses = appendBounded(e.pauses, pause.Seconds()/e.Slowness(at), maxPauses)
 }
 
-// observeInterval adds what was done since the last report. An interval in which prompts were prefilled tells nothing of the pace without them.
+// observeInterval adds what was done since the last report. An interval in which prompts were prefilled only in part tells nothing.
 func (e *Estimator) observeInterval(r bamboostep.EngineReport, at time.Time, took time.Duration, busy bool) {
 	made, arrived := e.progress(r)
-	if len(made) == 0 || busy || e.busy || arrived {
+	if len(made) == 0 || busy != e.busy || !busy && arrived {
 		return
 	}
-	made = withoutStalled(made)
-	i := interval{at: at, runTime: took.Seconds() * float64(len(made)), running: r.Running}
+	if !busy {
+		made = withoutStalled(made)
+	}
+	i := interval{at: at, runTime: took.Seconds() * float64(len(made)), running: r.Running, slowness: e.Slowness(at)}
 	for _, n := range made {
 		i.events += n
 	}
+	if busy {
+		e.prefilling = appendBounded(e.prefilling, i, maxBusy)
+		return
+	}
 	e.quiet = appendBounded(e.quiet, i, maxQuiet)
 	e.observeQuiet(at)
 }
@@ -155,12 +105,12 @@
 // progress returns the events that each stream made since the last report, and whether a stream has begun since.
 func (e *Estimator) progress(r bamboostep.EngineReport) (made []float64, arrived bool) {
 	for _, run := range r.Runs {
-		before, known := e.streams[run.ID]
+		before, known := e.events[run.ID]
 		switch {
 		case !known:
 			arrived = true
-		case run.Events >= before.events:
-			made = append(made, float64(run.Events-before.events))
+		case run.Events >= before:
+			made = append(made, float64(run.Events-before))
 		}
 	}
 	return made, arrived
@@ -274,16 +224,20 @@
 	if gap, _ := recentGap(e.quiet, now); gap > 0 {
 		return seconds(gap)
 	}
-	return seconds(e.usual.gap(float64(len(e.streams))) * e.Slowness(now))
+	return seconds(e.usual.gap(float64(len(e.events))) * e.Slowness(now))
 }
 
 // prefillGap returns the time between two events, in seconds, while prompts are prefilled at the usual speed; 0 if it is unknown.
 func (e *Estimator) prefillGap() float64 {
-	if len(e.pauses) < minPauses {
+	var runTime, events float64
+	for _, i := range e.prefilling {
+		runTime += i.runTime / i.slowness
+		events += i.events
+	}
+	if events < minBusyEvents {
 		return 0
 	}
-	pauses := slices.Sorted(slices.Values(e.pauses))
-	return pauses[int(pauseRank*float64(len(pauses)))]
+	return runTime / events
 }
 
 // gapLine is the usual time between two events as a line over the number of running requests: a decayed least-squares fit. The zero
