Whether an engine keeps its promises, and in what time it would; a turn at a full engine by what answers take

KeepsPromise asks the expectations themselves, not the priced chances. The median of a service is not taken anew for each estimate while nothing is known.

--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -31,7 +31,9 @@
 	wait           time.Duration // until the first event
 	limitWait      time.Duration // part of wait: until the server's limit allows a request
 	pause          time.Duration // longest time between two of its events
-	broken         float64       // expected number of promises that are broken, its own and those to streams that run there
+	broken         float64       // expected number of promises that are broken; those to streams that run there count little
+	breaks         bool          // a promise is broken if all is as expected, its own or one to a stream that runs there
+	keptIn         time.Duration // time after which none would be, as far as that depends on what is prefilled there; 0 if none is
 	cost           time.Duration // wait plus the penalties for failures, slowed streams and distance
 	uncachedTokens int           // prompt tokens that must be prefilled
 	adapterReady   bool          // the adapter is loaded, or none is needed
@@ -41,8 +43,14 @@
 // better reports whether a is to be chosen before b.
 func better(a, b estimate) bool { return a.cost < b.cost }
 
-// keepsPromise reports whether no promise is expected to be broken.
-func (e estimate) keepsPromise() bool { return e.broken < 0.5 }
+// keepsPromise reports whether all promises are expected to be kept.
+func (e estimate) keepsPromise() bool { return !e.breaks }
+
+// breakFor records that a promise is expected to be broken, unless the choice is made later by a time.
+func (e *estimate) breakFor(later time.Duration) {
+	e.breaks = true
+	e.keptIn = max(e.keptIn, later)
+}
 
 // estimate computes what a request is expected to meet at s. affinity is the server
 // that affinityServer chose for the prompt, or nil.
@@ -57,6 +65,9 @@
 	}
 	if req.Promise.FirstEvent > 0 {
 		e.broken += missChance(e.wait, req.Promise.FirstEvent)
+		if e.wait > req.Promise.FirstEvent {
+			e.breakFor(e.wait - req.Promise.FirstEvent)
+		}
 	}
 	e.cost += time.Duration(s.failureRate(now)*float64(failureCost)) + time.Duration(e.broken*float64(req.Promise.EventGap))
 	if s.listing.Domain != f.Domain {
@@ -77,8 +88,9 @@
 	e.wait = e.limitWait + prefillTime(p, backlog+e.uncachedTokens) + p.EventGap()
 	e.cost = e.limitWait + prefillTime(f.medianPace(s.listing.Service, now), backlog+e.uncachedTokens) + p.EventGap()
 	if s.hasFreshReport(now) && s.lacksCapacity(req, own, u) {
-		turn := s.turnWait(u, own)
+		turn := s.turnWait(f.answerTime(now, req, p), own)
 		e.broken++
+		e.breakFor(turn)
 		e.wait += turn
 		e.cost += turn
 	}
@@ -151,12 +163,12 @@
 	return s.report.CacheTokens > 0 && s.report.CacheUsed+growth+own.unreportedCacheTokens+need > s.report.CacheTokens
 }
 
-// turnWait estimates the time until an engine without capacity has run enough requests for another one.
-func (s *server) turnWait(u *usage, own backlog) time.Duration {
+// turnWait estimates the time until an engine without capacity has run enough requests for another one. answer is the time that an answer
+// takes.
+func (s *server) turnWait(answer time.Duration, own backlog) time.Duration {
 	running := max(1, s.report.Running, own.running)
 	ahead := 1 + max(s.report.Waiting, own.waiting)
-	perRequest := u.runTime * u.answerTokens / float64(running)
-	return time.Duration(float64(ahead) * perRequest * float64(time.Millisecond))
+	return time.Duration(ahead) * answer / time.Duration(running)
 }
 
 // answerTime estimates the time that the answer of a request takes at an engine of pace p after its first event: as that of
@@ -166,7 +178,7 @@
 	peers := f.medianPace(req.Service, now)
 	switch {
 	case perToken == 0:
-		perToken = float64(p.EventGap())
+		perToken = float64(max(p.EventGap(), unitPrefillTime))
 	case peers.EventGapUS > 0:
 		perToken *= float64(p.EventGapUS) / float64(peers.EventGapUS)
 	}
--- a/fleet/interference.go
+++ b/fleet/interference.go
@@ -72,11 +72,15 @@
 		return
 	}
 	risk := pauseRisk(p, share, answer, req.Promise.EventGap)
-	added := missChance(p.LongestGap(backlog+e.uncachedTokens), req.Promise.EventGap) - missChance(p.LongestGap(backlog), req.Promise.EventGap)
+	before, after := p.LongestGap(backlog), p.LongestGap(backlog+e.uncachedTokens)
+	added := missChance(after, req.Promise.EventGap) - missChance(before, req.Promise.EventGap)
 	e.broken += risk + othersWeight*streams*(1-risk)*max(0, added)
 	if risk >= likelyPause {
 		e.pause = max(p.EventGap(), p.PrefillGap())
 	}
+	if e.pause > req.Promise.EventGap || streams > 0 && after > req.Promise.EventGap && before <= req.Promise.EventGap {
+		e.breakFor(prefillTime(p, backlog))
+	}
 }
 
 // pauseRisk returns the probability that a stream which takes a time pauses for longer than promised, at an engine that prefills for a share
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -53,14 +53,19 @@
 	defer f.mu.Unlock()
 	f.init()
 	if s := f.byAddress[address]; s != nil && s.listing.StartedMS == n.StartedMS {
-		s.setPace(n.Pace, now)
+		f.setPace(s, n.Pace, now)
 	}
 }
 
-// setPace records the pace that a holder told, unless it is none that an engine can have.
-func (s *server) setPace(p pace.Pace, now time.Time) {
-	if p.Valid() {
-		s.pace, s.paceAt = p, now
+// setPace records the pace that a holder told, unless it is none that an engine can have. A median that lacks a figure is taken anew at the next use.
+// f.mu is held.
+func (f *Fleet) setPace(s *server, p pace.Pace, now time.Time) {
+	if !p.Valid() {
+		return
+	}
+	s.pace, s.paceAt = p, now
+	if !f.medians[s.listing.Service].pace.Complete() {
+		delete(f.medians, s.listing.Service)
 	}
 }
 
@@ -75,7 +80,7 @@
 // paceOf returns the pace of an engine, with that of its peers for what is not known. f.mu is held.
 func (f *Fleet) paceOf(s *server, now time.Time) pace.Pace {
 	p := s.pace
-	if p.EventGapUS > 0 && p.PrefillGapUS > 0 && p.PrefillPerMS > 0 {
+	if p.Complete() {
 		return p
 	}
 	peers := f.medianPace(s.listing.Service, now)
@@ -104,7 +109,7 @@
 // medianPace returns the median of the known paces of a service. It is at most medianMaxAge old. f.mu is held.
 func (f *Fleet) medianPace(service string, now time.Time) pace.Pace {
 	m, known := f.medians[service]
-	if known && now.Sub(m.at) < medianMaxAge && m.pace != (pace.Pace{}) {
+	if known && now.Sub(m.at) < medianMaxAge {
 		return m.pace
 	}
 	var prefill []float64
--- a/fleet/pace_test.go
+++ b/fleet/pace_test.go
@@ -65,6 +65,37 @@
 	}
 }
 
+// TestKeepsPromise checks what counts as a promise that is kept, of the only engine that there is, and in what time one that isn't would be.
+func TestKeepsPromise(t *testing.T) {
+	for name, c := range map[string]struct {
+		pace             pace.Pace
+		streams, waiting int
+		tokens           int
+		want             bool
+	}{
+		"long prompt at a fast engine with streams":  {fastPace, 10, 0, 9000, true},
+		"long prompt at a slow engine with streams":  {slowPace, 10, 0, 9000, false},
+		"short prompt at a slow engine with streams": {slowPace, 10, 0, 700, true},
+		"long prompt at an empty slow engine":        {slowPace, 0, 0, 9000, true},
+		"queue is too long for the first event":      {fastPace, 0, 4, 9000, false},
+		"each event takes too long":                  {pace.Pace{PrefillPerMS: 20, EventGapUS: 500_000}, 1, 0, 10, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet()
+			r := paceReport("e", c.pace, c.streams, 0)
+			r.Waiting = c.waiting
+			f.ApplyReport(r, start)
+			e := f.estimate(start, promised(c.tokens, 50), f.byAddress["e"], nil)
+			if e.keepsPromise() != c.want || c.want && e.keptIn != 0 {
+				t.Errorf("got %v in %v, want %v", e.keepsPromise(), e.keptIn, c.want)
+			}
+			if c.waiting > 0 && e.keptIn != e.wait-800*time.Millisecond {
+				t.Errorf("kept in: got %v, want what the wait of %v is too long", e.keptIn, e.wait)
+			}
+		})
+	}
+}
+
 // TestEngineThatTurnsSlowAndRecovers checks that an engine is avoided as soon as its holder tells that it has turned slow, and used again
 // once it tells otherwise.
 func TestEngineThatTurnsSlowAndRecovers(t *testing.T) {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -69,7 +69,7 @@
 	s.prefillShare.observe(r.Prefilling+r.Waiting > 0, now)
 	s.listing.Leaving = s.listing.Leaving || r.Leaving
 	if r.Pace != nil {
-		s.setPace(*r.Pace, now)
+		f.setPace(s, *r.Pace, now)
 	}
 	s.setModels(r.Models)
 	s.addCachedPrefixes(r.CachedPrefixes)
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -33,6 +33,9 @@
 	return time.Duration(float64(tokens) / p.PrefillPerMS * float64(time.Millisecond))
 }
 
+// Complete reports whether no field is unknown.
+func (p Pace) Complete() bool { return p.PrefillPerMS > 0 && p.EventGapUS > 0 && p.PrefillGapUS > 0 }
+
 // LongestGap returns the longest time between two events that is expected while tokens are prefilled: a decode
 // step takes the longer for them, and never longer than while prompts are prefilled without a break.
 func (p Pace) LongestGap(tokens int) time.Duration {
