--- a/holder/metrics.go
+++ b/holder/metrics.go
@@ -39,6 +39,7 @@
 	gauge("cache_used_tokens", "Tokens of KV cache that requests need.", func(e bamboostep.EngineReport) float64 { return float64(e.CacheUsedTokens) })
 	gauge("cache_tokens", "Tokens of KV cache that the engine has.", func(e bamboostep.EngineReport) float64 { return float64(e.CacheCapacityTokens) })
 	gauge("models", "Models that the engine holds.", func(e bamboostep.EngineReport) float64 { return float64(len(e.Models)) })
+	registerPaceGauges(r, h)
 	r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Namespace: "bamboostep", Subsystem: "holder", Name: "report_age_seconds",
 		Help: "Age of the engine's last report; -1 before the first.",
--- a/holder/pace.go
+++ b/holder/pace.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/pace"
@@ -68,3 +70,28 @@
 		h.pace.estimator.ObserveFirstEvent(e.Tokens, time.Duration(e.TookUS)*time.Microsecond, now)
 	}
 }
+
+// registerPaceGauges registers with r the pace of h's engine; a gauge is 0 while its figure is unknown.
+func registerPaceGauges(r prometheus.Registerer, h *Holder) {
+	gauge := func(name, help string, value func(e *pace.Estimator, now time.Time) float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: "bamboostep", Subsystem: "holder", Name: name, Help: help,
+		}, func() float64 {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return value(&h.pace.estimator, time.Now())
+		}))
+	}
+	gauge("event_gap_seconds", "Time between two events of a stream while nothing is prefilled.", func(e *pace.Estimator, now time.Time) float64 {
+		return e.Pace(now).EventGap().Seconds()
+	})
+	gauge("prefill_gap_seconds", "Time between two events of a stream while prompts are prefilled.", func(e *pace.Estimator, now time.Time) float64 {
+		return e.Pace(now).PrefillGap().Seconds()
+	})
+	gauge("prefill_tokens_per_second", "Prompt tokens that the engine prefills in a second.", func(e *pace.Estimator, now time.Time) float64 {
+		return e.Pace(now).PrefillPerMS * 1000
+	})
+	gauge("slowness", "Time that the engine takes for its work at this moment, relative to its usual.", func(e *pace.Estimator, now time.Time) float64 {
+		return e.Slowness(now)
+	})
+}
