--- a/fleet/announced_test.go
+++ b/fleet/announced_test.go
@@ -44,7 +44,7 @@
 // The announced prompts of other entries count while the holder is heard of. Without it, a random share of what they are
 // expected to have sent does.
 func TestUnreportedTokens(t *testing.T) {
-	const announced = 6000
+	const announced, meanPrompt = 6000, 1500
 	for name, c := range map[string]struct {
 		pending int           // prompts in the last report
 		age     time.Duration // of it
@@ -52,7 +52,7 @@
 		want    int           // -1 for a draw
 	}{
 		"not yet reported":     {0, 0, false, announced},
-		"in part reported":     {2, 0, false, announced - 2*meanPromptTokens},
+		"in part reported":     {2, 0, false, announced - 2*meanPrompt},
 		"all reported":         {9, 0, false, 0},
 		"old report":           {0, 500 * time.Millisecond, false, announced},
 		"holder silent":        {0, 2 * time.Second, false, -1},
@@ -70,6 +70,7 @@
 			}
 			now := start.Add(c.age + time.Millisecond)
 			f.recordSent(l.Service, 1_000_000, now)
+			f.usageOf(l.Service).promptTokens = meanPrompt
 			s := f.byAddress[l.Address]
 			switch got := f.unreportedTokens(now, s); {
 			case c.want >= 0 && got != c.want:
--- a/fleet/balance.go
+++ b/fleet/balance.go
@@ -16,21 +16,16 @@
 // behind it.
 func (f *Fleet) balancedEstimate(now time.Time, req Requirements, s *server, affinity *server) estimate {
 	e := f.estimate(now, req, s, affinity)
-	e.cost += followersDelayed * prefillTime(e.uncachedTokens)
+	e.cost += followersDelayed * prefillTime(f.medianPace(req.Service, now), e.uncachedTokens)
 	return e
 }
 
-// prefillTime returns how long an engine prefills a number of tokens.
-func prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / prefillTokensPerMS * float64(time.Millisecond))
-}
-
 // affinityAnywhere reports whether all entries should send prompts with the shared prefix of req to
 // the same server, in whatever failure domain: prefilling the prefix in each domain takes an engine longer than sending
 // the prompt to another domain.
-func affinityAnywhere(req Requirements) bool {
+func (f *Fleet) affinityAnywhere(now time.Time, req Requirements) bool {
 	crossing := crossDomainCost + crossDomainCost*time.Duration(req.BodyBytes/crossDomainBytes)
-	return affinityCachedShare*float64(prefillTime(req.Prompt.shared.Tokens)) > minAffinityGain*float64(crossing)
+	return affinityCachedShare*float64(prefillTime(f.medianPace(req.Service, now), req.Prompt.shared.Tokens)) > minAffinityGain*float64(crossing)
 }
 
 // minAffinityGain is the time that a cached prefix must save, relative to that of crossing to another failure domain.
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/bamboostep/bamboostep/pace"
 )
 
 // Requirements states what a request needs from a backend server.
@@ -68,8 +70,8 @@
 	Domain        string
 	AdapterReady  bool          // the adapter is already loaded, or the request needs none
 	EstimatedWait time.Duration // estimated time until the first event
-	KeepsPromise  bool          // the estimates keep the Promise of the request
-	ExpectedPause time.Duration // longest pause that its streams are expected to have; 0 if unknown
+	KeepsPromise  bool          // no promise was expected to be broken, neither of its own route nor to streams that run there
+	ExpectedPause time.Duration // longest time between two of its events
 	LimitWait     time.Duration // time until the server's limit is expected to allow a request; 0 if it is not known to be used up
 
 	// ReportAge is the age of the server's last report when the request was assigned; negative
@@ -77,6 +79,10 @@
 	ReportAge time.Duration
 	Running   int // running requests, by that report
 	Waiting   int // requests that were queued or in prefill, by that report
+	Prefill   int // prompt tokens that were not cached, as estimated
+
+	Pace    pace.Pace     // of the engine, as the estimate counted with; zero for a plain service
+	PaceAge time.Duration // since its holder told it; negative if that of its peers stood for it
 
 	// OthersTokens is the number of prompt tokens that other entries had waiting there, as its holder told; negative if
 	// unknown.
@@ -85,8 +91,11 @@
 	fleet          *Fleet
 	server         *server
 	prompt         Prompt
-	uncachedTokens int // prompt tokens still to be prefilled, until the first event
-	cacheTokens    int // KV cache that the request may use, tokens
+	uncachedTokens int       // prompt tokens still to be prefilled, until the first event
+	cacheTokens    int       // KV cache that the request may use, tokens
+	answerTokens   int       // limit on the length of the answer
+	alone          bool      // nothing else was waiting or being prefilled there
+	firstEventAt   time.Time // zero before
 	assignedAt     time.Time
 	expectedFactor float64 // see plainFactor; 0 for a model engine, and once the run is recorded
 	firstEventSeen bool
@@ -125,7 +134,7 @@
 	switch {
 	case late && best.limitWait > 0:
 		err.Reason = ReasonLimited
-	case late && (p.taken || f.prefill(best) > req.MaxWait):
+	case late && (p.taken || f.prefill(now, best) > req.MaxWait):
 		err.Reason = ReasonBusy
 	case !late && req.holdsBack(best, p):
 		err.Reason = ReasonPaced
@@ -152,14 +161,14 @@
 
 // cheapest returns the estimate of the candidate with the lowest cost.
 func (f *Fleet) cheapest(now time.Time, req Requirements, candidates []*server) estimate {
-	affinity := f.affinityServer(candidates, req)
+	affinity := f.affinityServer(now, candidates, req)
 	if req.Randomize {
 		f.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 		candidates = f.firstWithinMaxWait(now, req, candidates, affinity)
 	}
 	best := f.balancedEstimate(now, req, candidates[0], affinity)
 	for _, s := range candidates[1:] {
-		if e := f.balancedEstimate(now, req, s, affinity); e.cost < best.cost {
+		if e := f.balancedEstimate(now, req, s, affinity); better(e, best) {
 			best = e
 		}
 	}
@@ -231,14 +240,14 @@
 // parts but the last) are sent, so that its prefix cache serves them. Rendezvous hashing
 // makes the entries of a failure domain agree on it without communication. Candidates in
 // the own failure domain are preferred, unless affinityAnywhere holds. It returns nil if the prompt has no shared prefix.
-func (f *Fleet) affinityServer(candidates []*server, req Requirements) *server {
+func (f *Fleet) affinityServer(now time.Time, candidates []*server, req Requirements) *server {
 	p := req.Prompt
 	if p.shared == (PromptPrefix{}) {
 		return nil
 	}
 	var affinity *server
 	var highest uint64
-	anywhere := affinityAnywhere(req)
+	anywhere := f.affinityAnywhere(now, req)
 	for _, s := range candidates {
 		local, bestLocal := anywhere || s.listing.Domain == f.Domain, anywhere || affinity != nil && affinity.listing.Domain == f.Domain
 		r := rendezvousWeight(p.shared.Hash, s.listing.Instance)
@@ -260,16 +269,21 @@
 		AdapterReady:   e.adapterReady,
 		EstimatedWait:  e.wait,
 		KeepsPromise:   e.keepsPromise(),
+		ExpectedPause:  e.pause,
 		LimitWait:      e.limitWait,
 		ReportAge:      e.server.reportAge(now),
 		Running:        e.server.report.Running,
 		Waiting:        e.server.pendingPrefills(now),
 		OthersTokens:   e.server.announcement.othersTokens(now, e.server),
+		Prefill:        e.uncachedTokens,
+		PaceAge:        e.server.paceAge(now),
 		fleet:          f,
 		server:         e.server,
 		prompt:         req.Prompt,
 		uncachedTokens: e.uncachedTokens,
 		cacheTokens:    req.PromptTokens + req.MaxAnswerTokens,
+		answerTokens:   req.MaxAnswerTokens,
+		alone:          e.alone,
 		assignedAt:     now,
 		departureKnown: make(chan struct{}),
 	}
@@ -279,7 +293,7 @@
 	if req.ModelName.Model == "" {
 		r.expectedFactor = f.plainFactor(now, e.server, req.DefaultSlots)
 	}
-	e.server.inFlight[r] = true
+	e.server.inFlight[r], e.server.lastAssigned = true, r
 	e.server.silence.assigned(now)
 	if req.ModelName.Adapter != "" && e.adapterReady {
 		e.server.recordAdapterUse(AdapterRef(req.ModelName))
@@ -289,6 +303,10 @@
 		f.recordSent(req.Service, e.uncachedTokens, now)
 		f.addPending(e.server, e.uncachedTokens)
 		f.recordPriority(req, e.uncachedTokens, now)
+		r.Pace = f.paceOf(e.server, now)
+		u := f.usageOf(req.Service)
+		u.promptTokens = average(u.promptTokens, float64(e.uncachedTokens))
+		u.answerTokens = average(u.answerTokens, float64(req.MaxAnswerTokens))
 	}
 	return r
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/pace"
 )
 
 const (
@@ -70,6 +71,8 @@
 	versions      map[string]*versionHistory // software versions, by service
 	plainServices map[string]*plainService   // by name
 	prioritySent  map[string]priorityRates   // by service
+	usages        map[string]*usage          // by service
+	medians       map[string]medianPaceOf    // by service
 	rng           *rand.Rand
 }
 
@@ -88,11 +91,15 @@
 	loadAt    time.Time   // of the last of them
 
 	inFlight         map[*Assignment]bool // this entry's requests
+	lastAssigned     *Assignment          // newest of this entry's requests; nil before the first
 	silence          silence              // whether it answers this entry's requests
 	usedAdapters     map[AdapterRef]bool  // adapters used by requests since these were last taken
 	prefixes         prefixCache          // estimate of its prefix cache
 	newPrefixes      []PromptPrefix       // prefixes read here that have not been sent to its holder
 	announcement     announcement         // exchange with its holder on prompts that wait for their first event
+	pace             pace.Pace            // as its holder tells, zero where unknown
+	paceAt           time.Time            // when the holder told it; zero if it has not
+	firstEvents      []FirstEvent         // seen here that have not been told to its holder
 	prefillShare     prefillShare         // share of time that it recently spent on prefill
 	departsAt        time.Time            // when it shuts down, as its holder reports; zero if unknown
 	avoidUntil       time.Time            // after a failed connection or a missing model; used only if there is no other server
@@ -133,6 +140,8 @@
 	f.versions = make(map[string]*versionHistory)
 	f.plainServices = make(map[string]*plainService)
 	f.prioritySent = make(map[string]priorityRates)
+	f.usages = make(map[string]*usage)
+	f.medians = make(map[string]medianPaceOf)
 	f.rng = newRNG(f.Seed)
 }
 
--- a/fleet/pacing.go
+++ b/fleet/pacing.go
@@ -20,13 +20,13 @@
 // pacingOf returns when one of the candidates begins a request, given the
 // estimate of the best of them.
 func (f *Fleet) pacingOf(now time.Time, req Requirements, candidates []*server, best estimate) pacing {
-	p := pacing{room: max(0, best.wait-f.prefill(best))}
+	p := pacing{room: max(0, best.wait-f.prefill(now, best))}
 	used, places, backlogged := 0, 0, true
-	affinity := f.affinityServer(candidates, req)
+	affinity := f.affinityServer(now, candidates, req)
 	for _, s := range candidates {
 		own := s.ownBacklog()
 		e := f.estimate(now, req, s, affinity)
-		p.room = min(p.room, max(0, e.wait-f.prefill(e)))
+		p.room = min(p.room, max(0, e.wait-f.prefill(now, e)))
 		used += max(s.report.Running+s.report.Waiting, own.running+own.waiting)
 		if s.listing.Slots > 0 {
 			places += s.listing.Slots
@@ -41,8 +41,8 @@
 }
 
 // prefill returns how long the request's own prompt takes.
-func (f *Fleet) prefill(e estimate) time.Duration {
-	return time.Duration(float64(e.uncachedTokens) / prefillTokensPerMS * float64(time.Millisecond))
+func (f *Fleet) prefill(now time.Time, e estimate) time.Duration {
+	return prefillTime(f.paceOf(e.server, now), e.uncachedTokens)
 }
 
 // holdsBack reports whether a request waits at this entry rather than at the best candidate. It does if that one
--- a/fleet/unreported.go
+++ b/fleet/unreported.go
@@ -59,8 +59,8 @@
 	if s.announcement.others == 0 {
 		return 0
 	}
-	reported := max(0, s.pendingPrefills(now)-s.ownBacklog().waiting)
-	return max(0, s.announcement.others-reported*meanPromptTokens)
+	reported := float64(max(0, s.pendingPrefills(now)-s.ownBacklog().waiting)) * f.usageOf(s.listing.Service).promptTokens
+	return max(0, s.announcement.others-int(reported))
 }
 
 // drawUnreported draws the number of prompt tokens that other entries have sent to s
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -12,6 +12,7 @@
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/origin"
+	"github.com/bamboostep/bamboostep/pace"
 	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/timeline"
 )
@@ -197,7 +198,25 @@
 	if x.serverRun.OthersTokens >= 0 {
 		basis += fmt.Sprintf(", %d prompt tokens of other entries", x.serverRun.OthersTokens)
 	}
-	return "expected " + formatMilliseconds(x.serverRun.EstimatedWait) + ", from " + basis
+	promise := "kept"
+	if !x.serverRun.KeepsPromise {
+		promise = "not kept"
+	}
+	return "expected " + formatMilliseconds(x.serverRun.EstimatedWait) + ", pauses " + formatMilliseconds(x.serverRun.ExpectedPause) +
+		", promise " + promise + ", from " + basis + x.paceBasis()
+}
+
+// paceBasis formats the pace of the engine that the expectation was based on, and its age.
+func (x *exchange) paceBasis() string {
+	p := x.serverRun.Pace
+	if p == (pace.Pace{}) {
+		return ""
+	}
+	age := "of its peers"
+	if x.serverRun.PaceAge >= 0 {
+		age = formatMilliseconds(x.serverRun.PaceAge) + " old"
+	}
+	return fmt.Sprintf(", %d tokens to prefill, pace %s: %.1f tokens/ms, gaps %s and %s", x.serverRun.Prefill, age, p.PrefillPerMS, formatMilliseconds(p.EventGap()), formatMilliseconds(p.PrefillGap()))
 }
 
 // recordCallerLeft records that the caller has disconnected, and what it had received
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -143,7 +143,7 @@
 func (x *exchange) forwardInOrder(run *fleet.Assignment, resp *origin.Response, order *sse.Order, events []byte) error {
 	accepted := order.Accept(events)
 	if accepted > 0 {
-		run.Started()
+		run.FirstEvent(time.Now())
 		if x.stream.events == 0 {
 			x.g.waiting.room() // its prompt has been prefilled
 		}
