--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -89,7 +89,7 @@
 	e.wait = e.limitWait + prefillTime(p, backlog+e.uncachedTokens) + p.EventGap()
 	e.cost = e.limitWait + prefillTime(f.medianPace(s.listing.Service, now), backlog+e.uncachedTokens) + p.EventGap()
 	if s.hasFreshReport(now) && s.lacksCapacity(req, own, u) {
-		turn := s.turnWait(f.answerTime(now, req, p), own)
+		turn := s.turnWait(f.meanAnswerTime(now, req, p), own)
 		e.broken++
 		e.breakFor(turn)
 		e.wait += turn
@@ -164,12 +164,12 @@
 	return s.report.CacheTokens > 0 && s.report.CacheUsed+growth+own.unreportedCacheTokens+need > s.report.CacheTokens
 }
 
-// turnWait estimates the time until an engine without capacity has run enough requests for another one. answer is the time that an answer
-// takes.
+// turnWait estimates the time until an engine without capacity has room for another request: until the answers that it generates have half
+// ended, and more for each request that waits already. answer is the time that an answer takes.
 func (s *server) turnWait(answer time.Duration, own backlog) time.Duration {
 	running := max(1, s.report.Running, own.running)
-	ahead := 1 + max(s.report.Waiting, own.waiting)
-	return time.Duration(ahead) * answer / time.Duration(running)
+	ahead := float64(max(s.report.Waiting, own.waiting)) / float64(running)
+	return time.Duration((meanPartLeft + ahead) * float64(answer))
 }
 
 // answerTime estimates the time that the answer of a request takes at an engine of pace p after its first event: as that of
@@ -186,6 +186,14 @@
 	return time.Duration(perToken * float64(req.MaxAnswerTokens))
 }
 
+// meanAnswerTime is answerTime for an answer of the mean length, or that of the request before the first.
+func (f *Fleet) meanAnswerTime(now time.Time, req Requirements, p pace.Pace) time.Duration {
+	if mean := f.usageOf(req.Service).answerTokens; mean > 0 {
+		req.MaxAnswerTokens = int(mean)
+	}
+	return f.answerTime(now, req, p)
+}
+
 // backlog is the load that this entry's own requests in flight put on an engine.
 type backlog struct {
 	tokens                int // prompt tokens not yet prefilled
