--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -22,7 +22,6 @@
 	modelLoadCost       = 500 * time.Millisecond // an adapter load must wait for a model load in progress
 	failureCost         = 4 * time.Second        // at a failure rate of 1; scales with the rate
 	affinityCachedShare = 0.7                    // share of a prompt's shared prefix that its affinity server is assumed to have cached
-	brokenWeight        = 0.5                    // price of a broken promise, as a part of the pause promised
 	meanPartLeft        = 0.5                    // of a prompt that is being prefilled, and of an answer that is being generated
 )
 
@@ -70,7 +69,7 @@
 			e.breakFor(e.wait - req.Promise.FirstEvent)
 		}
 	}
-	e.cost += time.Duration(s.failureRate(now)*float64(failureCost)) + time.Duration(brokenWeight*e.broken*float64(req.Promise.EventGap))
+	e.cost += time.Duration(s.failureRate(now)*float64(failureCost)) + time.Duration(e.broken*float64(req.Promise.EventGap))
 	if s.listing.Domain != f.Domain {
 		e.cost += crossDomainCost + crossDomainCost*time.Duration(req.BodyBytes/crossDomainBytes)
 	}
--- a/fleet/interference.go
+++ b/fleet/interference.go
@@ -91,7 +91,7 @@
 }
 
 // missChance returns the probability that a time which is expected to be d turns out to be longer than what was promised. Expectations are rough:
-// the probability grows from 0 at half of it to 1 at all of it.
+// the probability grows from 0 at a quarter of it to 1 at a quarter beyond it.
 func missChance(d, promised time.Duration) float64 {
-	return min(max(2*float64(d)/float64(promised)-1, 0), 1)
+	return min(max(float64(d)/float64(promised)-0.25, 0), 1)
 }
