--- a/gateway/workspace_test.go
+++ b/gateway/workspace_test.go
@@ -30,6 +30,12 @@
 // sendWithKey sends a request with an Authorization header, and with a forged X-Tenant
 // header that names another workspace.
 func sendWithKey(t *testing.T, s *httptest.Server, authorization string) (status int, body string) {
+	t.Helper()
+	return sendForModel(t, s, authorization, "")
+}
+
+// sendForModel is sendWithKey for a model, unless that is empty.
+func sendForModel(t *testing.T, s *httptest.Server, authorization, model string) (status int, body string) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, s.URL+"/p/x", nil)
 	if err != nil {
@@ -41,6 +47,9 @@
 	if authorization != "" {
 		req.Header.Set("Authorization", authorization)
 	}
+	if model != "" {
+		req.Header.Set("X-Model", model)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
@@ -112,14 +121,19 @@
 	recorder := &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}
 	for name, c := range map[string]struct {
 		respond responder
+		model   string
 		want    int // of ten requests, how many are rejected with 429
 	}{
-		"run":     {respondWith("ok"), 5},
-		"not run": {rejectUnexecuted, 0},
+		"run":                {respondWith("ok"), "", 5},
+		"not run":            {rejectUnexecuted, "", 0},
+		"model not declared": {respondWith("ok"), "m", 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			table, known := newTableAndFleet(t, route.Route{Kind: route.NonIdempotent, Attempts: 1}, newFakeBackend(t, true, c.respond))
 			declared := *table
+			if c.model != "" {
+				declared.Services = []route.Service{{Name: "s", Engine: &route.Engine{}}}
+			}
 			declared.Workspaces = []route.Workspace{
 				{Name: "one", Keys: []bamboostep.KeyDigest{bamboostep.NewKeyDigest(testKey)}, Quota: route.Quota{PerSecond: 0.001, Burst: 25}},
 				{Name: "two", Keys: []bamboostep.KeyDigest{bamboostep.NewKeyDigest("two")}},
@@ -135,7 +149,7 @@
 			t.Cleanup(s.Close)
 			got := 0
 			for range 10 {
-				if status, _ := sendWithKey(t, s, "Bearer "+testKey); status == http.StatusTooManyRequests {
+				if status, _ := sendForModel(t, s, "Bearer "+testKey, c.model); status == http.StatusTooManyRequests {
 					got++
 				}
 				if status, _ := sendWithKey(t, s, "Bearer two"); status == http.StatusTooManyRequests {
