The end of an upload decides whether an answer without a length is whole

A backend server answers a long upload early, with neither length nor chunks, sends a part and resets: the goroutine that writes the upload takes the socket's error, the one that reads sees an orderly end, and the part reached the caller as a whole answer. Ruled out: closing the connection from the writer, since the reader may have seen the end before. The agent's client of applications has the same class in http.Transport; its connections count what was written. Answers with a length or chunks are as before. The wire, operators' calls and token lines prove their ends themselves (frames, JSON objects, a last line).

--- a/agent/application.go
+++ b/agent/application.go
@@ -11,6 +11,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/backend"
+	"github.com/bamboostep/bamboostep/internal/bodyend"
 	"github.com/bamboostep/bamboostep/internal/sse"
 )
 
@@ -43,7 +44,7 @@
 	}
 	return &application{
 		host:      u.Host,
-		transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true},
+		transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: dialForUpload},
 	}
 }
 
@@ -65,11 +66,15 @@
 	if err != nil {
 		return failedError(bamboostep.NotRun, "bad_request", err.Error())
 	}
-	resp, err := a.transport.RoundTrip(req)
+	up := &upload{body: len(offer.Request.Body)}
+	resp, err := a.transport.RoundTrip(req.WithContext(context.WithValue(ctx, uploadKey{}, up)))
 	if err != nil {
 		return transportError(err)
 	}
 	defer resp.Body.Close()
+	if err := bodyend.CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
 	first := bamboostep.Answer{Status: resp.StatusCode, Header: endToEndHeaders(resp.Header)}
 	if resp.ContentLength >= 0 && resp.ContentLength <= maxChunkBytes && !sse.Is(resp.Header) {
 		return yieldBuffered(first, resp.Body, yield)
@@ -77,7 +82,7 @@
 	if err := yield(first); err != nil {
 		return err
 	}
-	return a.yieldChunks(ctx, resp, yield)
+	return a.yieldChunks(ctx, resp, up, yield)
 }
 
 // newRequest builds the HTTP request to the application: r's path, body and end-to-end
@@ -116,8 +121,8 @@
 
 // yieldChunks yields the body of resp as it arrives, in chunks of at most maxChunkBytes. It fails
 // at the end of a body that is not complete.
-func (a *application) yieldChunks(ctx context.Context, resp *http.Response, yield func(bamboostep.Answer) error) error {
-	end := newBodyEnd(resp)
+func (a *application) yieldChunks(ctx context.Context, resp *http.Response, up *upload, yield func(bamboostep.Answer) error) error {
+	end := newBodyEnd(resp, up)
 	for {
 		buf := make([]byte, maxChunkBytes)
 		n, err := resp.Body.Read(buf)
--- a/agent/body_end.go
+++ b/agent/body_end.go
@@ -19,16 +19,18 @@
 	unframed bool // it has neither a length nor chunks
 	isEvents bool
 	header   http.Header
+	upload   *upload // of the request
 
 	events sse.Tail
 	json   []byte // the body, if it is unframed JSON; at most maxCheckedJSON + 1 bytes are kept
 }
 
-func newBodyEnd(resp *http.Response) *bodyEnd {
+func newBodyEnd(resp *http.Response, up *upload) *bodyEnd {
 	return &bodyEnd{
 		unframed: isUnframed(resp),
 		isEvents: sse.Is(resp.Header),
 		header:   resp.Header,
+		upload:   up,
 	}
 }
 
@@ -56,6 +58,9 @@
 	case b.isEvents && b.events.Empty():
 		return bodyend.ErrNoEvent
 	}
+	if err := bodyend.CheckUpload(b.upload.wait(), b.header, b.json); err != nil {
+		return err
+	}
 	if len(b.json) <= maxCheckedJSON {
 		if err := bodyend.CheckContent(b.header, b.json); err != nil {
 			return err
--- a/agent/engine.go
+++ b/agent/engine.go
@@ -14,6 +14,7 @@
 	"github.com/dghubble/sling"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/internal/bodyend"
 )
 
 // engine is the HTTP client of a model engine on the same VM. Control requests and
@@ -155,6 +156,9 @@
 // responseError returns the failure that an HTTP error response reports. A status
 // below 500 means that the request did not run; from 500 up it may have run.
 func responseError(resp *http.Response) error {
+	if err := bodyend.CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
 	var body errorBody
 	_ = json.NewDecoder(io.LimitReader(resp.Body, 64<<10)).Decode(&body)
 	if body.Code == "" {
@@ -179,6 +183,9 @@
 	if resp == nil {
 		return transportError(err)
 	}
+	if err := bodyend.CheckStatus(resp.StatusCode); err != nil {
+		return err
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		return nil
--- a/gateway/completeness.go
+++ b/gateway/completeness.go
@@ -34,6 +34,9 @@
 	case unframed && !end.anyEvent:
 		return bodyend.ErrNoEvent
 	}
+	if err := bodyend.CheckUpload(uploadError(end.cause), resp.Header, nil); err != nil {
+		return err
+	}
 	return x.checkEnd(ctx, run, end.cause)
 }
 
@@ -44,6 +47,9 @@
 		if err := bodyend.CheckContent(resp.Header, body); err != nil {
 			return err
 		}
+		if err := bodyend.CheckUpload(uploadError(end), resp.Header, body); err != nil {
+			return err
+		}
 	}
 	return x.checkEnd(ctx, run, end)
 }
@@ -70,3 +76,13 @@
 	var unframed *origin.UnframedEndError
 	return errors.As(err, &unframed)
 }
+
+// uploadError returns why the request was not sent whole before the error that ended its response, or nil if it was or that
+// does not matter.
+func uploadError(end error) error {
+	var unframed *origin.UnframedEndError
+	if errors.As(end, &unframed) {
+		return unframed.Upload
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/early_response_test.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/bamboostep/bamboostep/daemon"
+	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/route"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+// startEarlyBackend starts a backend server that answers before it has read the body of a request, and ends its side of the
+// connection in order. It reads nothing more.
+func startEarlyBackend(t *testing.T, response string) *fakeBackend {
+	t.Helper()
+	l, err := net.Listen("tcp", uniqueLoopbackAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { nc.Close() })
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+					_, _ = io.WriteString(nc, response)
+					_ = nc.(*net.TCPConn).CloseWrite()
+				}
+			}()
+		}
+	}()
+	return &fakeBackend{Server: &httptest.Server{URL: "http://" + l.Addr().String()}}
+}
+
+// Guards against a part of an answer that reaches its caller as a whole one: a backend server answers an upload early, with neither length
+// nor chunks, and ends its connection before it has read the upload. Answers that show their end still pass.
+func TestEarlyAnswerOfUnknownLength(t *testing.T) {
+	const jsonHead = unframedHead + "Content-Type: application/json\r\n"
+	upload := strings.Repeat("x", 32<<20) // more than the sockets hold
+	for name, c := range map[string]struct {
+		kind     route.Kind
+		response string
+		whole    string // "" if the caller must not take it for whole
+	}{
+		"plain":                {route.NonIdempotent, unframedHead + "\r\npart", ""},
+		"stream":               {route.Streaming, eventsHead + "\r\n" + event1, ""},
+		"number":               {route.NonIdempotent, jsonHead + "\r\n12", ""},
+		"object":               {route.NonIdempotent, jsonHead + "\r\n{\"a\":1}\n", "{\"a\":1}\n"},
+		"with a length":        {route.NonIdempotent, unframedHead + "Content-Length: 5\r\n\r\nwhole", "whole"},
+		"in chunks":            {route.NonIdempotent, unframedHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "whole"},
+		"stream with a length": {route.Streaming, eventsHead + "Content-Length: 16\r\n\r\n" + event1, event1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table, known := newTableAndFleet(t, route.Route{Kind: c.kind, Attempts: 1}, startEarlyBackend(t, c.response))
+			table.Limits.MaxBodyBytes = int64(len(upload))
+			g := serveGateway(t, &dispatch.RetryBudget{}, &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}, table, known)
+			resp, body, err := send(t, g, "/p/x", upload)
+			complete := err == nil && resp.StatusCode == http.StatusOK
+			if complete != (c.whole != "") || complete && body != c.whole {
+				t.Errorf("answer: got %v, %q, %v, want whole %q", resp, body, err, c.whole)
+			}
+		})
+	}
+}
--- a/internal/bodyend/bodyend.go
+++ b/internal/bodyend/bodyend.go
@@ -2,10 +2,12 @@
 //
 // A response may have neither a length nor chunks. A server that crashes, or gives up, closes the
 // connection in the same way as one that has finished. Then the content must be complete as far as
-// its type shows that, and the server must still listen.
+// its type shows that, and the server must still listen. If it closes while the request is still sent, nothing tells its end from a
+// break but the content.
 package bodyend
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -21,8 +23,25 @@
 	ErrInsideEvent = errors.New("it ends inside an event")
 	ErrNoEvent     = errors.New("it ends with its connection, without an event")
 	ErrInsideJSON  = errors.New("it ends with its connection, inside its JSON value")
+	ErrUpload      = errors.New("it ends with its connection, before the request was sent whole")
 )
 
+// StatusError is a status that no response has. What comes with it is not a response.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status %d is not between 100 and 599", e.Status)
+}
+
+// CheckStatus returns a *StatusError if status is not between 100 and 599.
+func CheckStatus(status int) error {
+	if status < 100 || status > 599 {
+		return &StatusError{status}
+	}
+	return nil
+}
+
 // ServerDownError says that a server refuses connections after the connection that ended a
 // response.
 type ServerDownError struct{ Address string }
@@ -46,6 +65,26 @@
 	return nil
 }
 
+// CheckUpload returns nil if the body of a response is complete although its connection ended while the request was sent,
+// for the reason upload, and else ErrUpload, which wraps it. Only a JSON value whose last byte can be no other shows
+// that. upload is nil if the request was sent whole.
+func CheckUpload(upload error, h http.Header, body []byte) error {
+	if upload == nil || IsJSON(h) && endsItself(body) {
+		return nil
+	}
+	return fmt.Errorf("%w: %w", ErrUpload, upload)
+}
+
+// endsItself reports whether body is one JSON value and no number, which could go on.
+func endsItself(body []byte) bool {
+	value := bytes.TrimSpace(body)
+	if !json.Valid(value) {
+		return false
+	}
+	first := value[0]
+	return first != '-' && (first < '0' || first > '9')
+}
+
 // CheckServer returns a *ServerDownError if a server refuses connections, so that it may have
 // crashed as the connection ended. dialErr is set if the dial failed otherwise, which does not say
 // that.
--- a/operator/client.go
+++ b/operator/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/catalog"
+	"github.com/bamboostep/bamboostep/internal/bodyend"
 	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/timeline"
 )
@@ -191,6 +192,9 @@
 		}
 		return nil
 	}
+	if err := bodyend.CheckStatus(resp.StatusCode); err != nil {
+		return &lostError{cause: err}
+	}
 	return refusal(resp.StatusCode, data)
 }
 
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/internal/bodyend"
 )
 
 const (
@@ -29,6 +30,7 @@
 	errHeadTooLarge         = errors.New("response head is too large")
 	errTooManyInformational = errors.New("too many informational (1xx) responses")
 	errNotHTTP              = errors.New("not an HTTP/1.x response")
+	errUploadUnfinished     = errors.New("the request's body was not written whole")
 )
 
 // Framing is how a response shows where its body ends.
@@ -63,10 +65,10 @@
 	body           io.ReadCloser
 	conn           *conn
 	pool           *Pool
-	stopAbort      func() bool  // cancels the abort on the end of ctx; false if it has begun
-	bodyWritten    <-chan error // result of writing the body; nil if it was sent together with the head
-	ended          bool         // the body was read to its end
-	closeRequested bool         // the backend server closes the connection after this response
+	stopAbort      func() bool // cancels the abort on the end of ctx; false if it has begun
+	upload         *upload     // of the request's body; nil if it was sent together with the head
+	ended          bool        // the body was read to its end
+	closeRequested bool        // the backend server closes the connection after this response
 }
 
 // Do sends a call to a backend server and waits for the head of the response. If ctx ends
@@ -101,22 +103,11 @@
 		return nil, n > 0, err
 	}
 	if len(c.Body) > inlineBodyLimit {
-		r.bodyWritten = writeAsync(cn.netConn, c.Body)
+		r.upload = startUpload(cn.netConn, c.Body)
 	}
 	return r, true, r.readResponse(c)
 }
 
-// writeAsync writes a body in the background, because a backend server may respond before
-// it has read all of it. The result of the write is sent on the returned channel.
-func writeAsync(w io.Writer, body []byte) <-chan error {
-	written := make(chan error, 1)
-	go func() {
-		_, err := w.Write(body)
-		written <- err
-	}()
-	return written
-}
-
 // requestHead returns the head of a request, followed by its body if that is not larger
 // than inlineBodyLimit.
 func requestHead(c bamboostep.Call, h http.Header) []byte {
@@ -169,6 +160,9 @@
 			return nil, err
 		}
 		r.conn.headLimit.remaining = -1
+		if err := bodyend.CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
@@ -227,16 +221,26 @@
 }
 
 // UnframedEndError is the end of a body that has neither a length nor chunks: its connection was
-// closed in order. The body may be complete, or the backend server may have crashed or given up.
-type UnframedEndError struct{ Address string }
+// closed in order, as far as the reader can see. The body may be complete, or the backend server may have crashed or given up.
+type UnframedEndError struct {
+	Address string
+	Upload  error // why the request's body was not written whole; nil if it was
+}
 
 // Error implements error.
 func (e *UnframedEndError) Error() string {
-	return fmt.Sprintf("backend server %s closed the connection of a response with neither length nor chunks", e.Address)
+	text := fmt.Sprintf("backend server %s closed the connection of a response with neither length nor chunks", e.Address)
+	if e.Upload != nil {
+		text += ", while the request was sent: " + e.Upload.Error()
+	}
+	return text
 }
 
+// Unwrap returns e.Upload.
+func (e *UnframedEndError) Unwrap() error { return e.Upload }
+
 // Read reads the body. It returns io.EOF only at the end of a body that is known to be complete,
-// and an *UnframedEndError at the end of one that may be.
+// and an *UnframedEndError at the end of one that may be. There it waits for the upload for at most bodyWriteGrace.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if err != io.EOF {
@@ -244,7 +248,7 @@
 	}
 	r.ended = true
 	if r.Framing == Unframed {
-		return n, &UnframedEndError{r.conn.address}
+		return n, &UnframedEndError{r.conn.address, r.upload.wait()}
 	}
 	return n, err
 }
@@ -257,7 +261,7 @@
 	case aborted || !r.ended:
 		r.conn.abort()
 		return
-	case r.Framing == Unframed || r.closeRequested || !r.waitBodyWritten():
+	case r.Framing == Unframed || r.closeRequested || r.upload.wait() != nil:
 		r.conn.netConn.Close()
 		return
 	}
@@ -267,19 +271,3 @@
 	}
 	r.pool.put(r.conn, r.Mark.IdleTimeout)
 }
-
-// waitBodyWritten reports whether the request body was written completely, and waits for that
-// for at most bodyWriteGrace. Until then the connection cannot carry another request.
-func (r *Response) waitBodyWritten() bool {
-	if r.bodyWritten == nil {
-		return true
-	}
-	t := time.NewTimer(bodyWriteGrace)
-	defer t.Stop()
-	select {
-	case err := <-r.bodyWritten:
-		return err == nil
-	case <-t.C:
-		return false
-	}
-}
