One budget over all that an entry holds for callers and servers

A crowd of callers ended a process: bodies of legal size were read whole, without a bound over all of them, and each buffer doubled as it grew. Now package memory keeps one budget, a quarter of the memory of the process, over bodies, answers and events (instead of 16 MB for answers alone). 16 KB of each request are free of it and take no lock. Beyond it what has stood still for 2 s goes first, then the largest; who would be the largest itself is refused, with 503 before more of its body is read. What runs at a backend server stays. Bodies grow with what arrives, in chunks without garbage. A body that pauses for longer than the published idle limit gets 408; one announced over the limit gets 413 unread. Heads are read to 64 KB or four times the published limit (net/http: 1 MB), connections are bounded to one for each 96 KB, the one without a request for longest goes first. The operators' port counts configurations against a budget of its own, and has times for a whole request. The own entry counts bodies and bounds heads and connections in the same way (settings memory_mib, held_mib, max_conns).

Ruled out: a limit on bodies at once (40 of 4 MiB are more than a VM has, and small ones are no harm); refusing by the announced length alone (chunks have none); http.Server.ReadTimeout (its deadline outlives the body, and ends the context of a request that runs).

--- /dev/null
+++ b/daemon/memory.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bamboostep/bamboostep/memory"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+// The memory of a process is divided: heapShare is what the Go runtime may have in all, and heldShare, a part of that, is for what is held for
+// callers and servers. The rest of the heap is for the process's own state, connections and garbage. What is left beyond the heap is for
+// data that waits in sockets and for the program itself.
+
+const (
+	heapShare = 0.6  // of the memory; the runtime collects garbage more often as it comes near
+	heldShare = 0.25 // of the memory
+
+	connectionBytes = 96 << 10 // of the memory, for each connection that may be open
+	minHeaderBytes  = 64 << 10 // of a request's head that is read at least
+	headerFactor    = 4        // on the published limit; what is between the two is refused by the handler
+
+	cgroupLimit = "/sys/fs/cgroup/memory.max"
+)
+
+// Memory is what a process may use and how it divides it. Zero fields take their defaults.
+type Memory struct {
+	Bytes       int64 // in all; with 0, no limit is set
+	Held        int64 // of it, for what is held for callers and servers; heldShare of Bytes if 0
+	Connections int   // of callers or operators at once; 0 for as many as Bytes are enough for
+}
+
+// MachineMemory returns the bytes of memory that the machine has, or that the control group of the process may use, or 0 if it cannot find out.
+func MachineMemory() int64 {
+	var info syscall.Sysinfo_t
+	if syscall.Sysinfo(&info) != nil {
+		return 0
+	}
+	machine := int64(info.Totalram) * int64(info.Unit)
+	text, err := os.ReadFile(cgroupLimit)
+	if err != nil {
+		return machine // not in a control group with a limit
+	}
+	if limit, err := strconv.ParseInt(strings.TrimSpace(string(text)), 10, 64); err == nil {
+		return min(machine, limit)
+	}
+	return machine
+}
+
+// LimitHeap tells the Go runtime how much memory it may have.
+func (m Memory) LimitHeap() {
+	if m.Bytes > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(m.Bytes)))
+	}
+}
+
+// MaxConnections returns how many connections may be open at once, 0 for any number.
+func (m Memory) MaxConnections() int {
+	if m.Connections > 0 {
+		return m.Connections
+	}
+	return int(m.Bytes / connectionBytes)
+}
+
+// NewBudget returns the budget for what is held, with its metrics, and an event for each holder that had to go. It returns nil, which means the default of
+// who uses it, if there is neither Held nor Bytes.
+func (m Memory) NewBudget(registry prometheus.Registerer, recorder *timeline.Recorder) *memory.Budget {
+	held := m.Held
+	if held == 0 {
+		held = int64(heldShare * float64(m.Bytes))
+	}
+	if held == 0 {
+		return nil
+	}
+	b := memory.NewBudget(held)
+	b.GaveUp = func(g memory.GivenUp) {
+		recorder.Record(timeline.Event{Kind: "memory_given_up",
+			Detail: fmt.Sprintf("%d bytes, still for %v, for a request of %d; %d of %d bytes were held", g.Bytes, g.Still, g.Asking, g.Used, g.Total)})
+	}
+	b.RegisterMetrics(registry)
+	return b
+}
+
+// LimitHeader bounds the head of a request that s reads, given the published limit in bytes, 0 for none.
+func LimitHeader(s *http.Server, published int) {
+	s.MaxHeaderBytes = max(minHeaderBytes, headerFactor*published)
+}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -21,15 +21,19 @@
 )
 
 // connTracker tracks the connections of a server that have a request in progress or
-// have not sent their first one.
+// have not sent their first one. With a limit it tracks the idle ones too, and when one more is accepted than the limit, it closes the one that has
+// been idle or silent for longest, else the new one.
 type connTracker struct {
+	limit int // open connections; 0 for any number
+
 	mu       sync.Mutex
+	idleConn map[net.Conn]time.Time // in http.StateIdle, since when; empty without a limit
 	accepted map[net.Conn]time.Time // in http.StateNew: nothing read yet; the value is the time of accept
 	active   map[net.Conn]bool      // in http.StateActive: a request is being read or served
 }
 
-func newConnTracker() *connTracker {
-	return &connTracker{accepted: make(map[net.Conn]time.Time), active: make(map[net.Conn]bool)}
+func newConnTracker(limit int) *connTracker {
+	return &connTracker{limit: limit, idleConn: make(map[net.Conn]time.Time), accepted: make(map[net.Conn]time.Time), active: make(map[net.Conn]bool)}
 }
 
 // setState records the state of a connection. It is the http.Server's ConnState hook.
@@ -38,14 +42,39 @@
 	defer c.mu.Unlock()
 	delete(c.accepted, conn)
 	delete(c.active, conn)
+	delete(c.idleConn, conn)
 	switch state {
 	case http.StateNew:
 		c.accepted[conn] = time.Now()
+		c.closeExcess()
+	case http.StateIdle:
+		if c.limit > 0 {
+			c.idleConn[conn] = time.Now()
+		}
 	case http.StateActive:
 		c.active[conn] = true
 	}
 }
 
+// closeExcess closes a connection if more than the limit are open.
+func (c *connTracker) closeExcess() {
+	if c.limit == 0 || len(c.accepted)+len(c.active)+len(c.idleConn) <= c.limit {
+		return
+	}
+	from := c.idleConn
+	if len(from) == 0 {
+		from = c.accepted
+	}
+	var oldest net.Conn
+	for conn, since := range from {
+		if oldest == nil || since.Before(from[oldest]) {
+			oldest = conn
+		}
+	}
+	delete(from, oldest)
+	oldest.Close()
+}
+
 // idle reports whether no connection is active and none was accepted within the last
 // firstRequestTimeout without a request so far.
 func (c *connTracker) idle(now time.Time) bool {
@@ -80,7 +109,16 @@
 // shutdown, context.DeadlineExceeded after timeout, or the error that ended Serve
 // earlier. ServeHTTP sets s.ConnState.
 func ServeHTTP(ctx context.Context, listener net.Listener, s *http.Server, timeout time.Duration) error {
-	conns := newConnTracker()
+	return ServeLimited(ctx, listener, s, timeout, 0)
+}
+
+// LimitConnections lets at most so many connections of s be open at once, 0 for any number. It sets s.ConnState.
+func LimitConnections(s *http.Server, limit int) { s.ConnState = newConnTracker(limit).setState }
+
+// ServeLimited is ServeHTTP with a limit on the connections that are open at once; 0 for none. Beyond it, the one that has been without a
+// request for longest is closed.
+func ServeLimited(ctx context.Context, listener net.Listener, s *http.Server, timeout time.Duration, limit int) error {
+	conns := newConnTracker(limit)
 	s.ConnState = conns.setState
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
--- a/entry/caller_handler.go
+++ b/entry/caller_handler.go
@@ -19,6 +19,7 @@
 	"github.com/bamboostep/bamboostep/catalog"
 	"github.com/bamboostep/bamboostep/dispatch"
 	"github.com/bamboostep/bamboostep/internal/worker"
+	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -129,6 +130,7 @@
 	Admission         dispatch.Admission
 	Seed              uint64
 	Limits            callerLimits
+	Memory            *memory.Budget // for the bodies of requests; nil for any number
 
 	once           sync.Once
 	firstRequestAt time.Time // ledgerLostAfter counts from here if the ledger was never reached
@@ -205,6 +207,7 @@
 	id      bamboostep.RequestID
 	set     *catalog.Set
 	body    []byte
+	held    memory.Holder // the bytes of the body
 	started time.Time
 
 	target    string // name of the model, adapter or service; empty until known
@@ -215,6 +218,7 @@
 
 func (c *callerHandler) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	x := &exchange{callerHandler: c, w: w, r: r, set: c.Fleet.Set(), started: c.Clock.Now()}
+	x.held = c.Memory.Open()
 	x.id = newRequestID()
 	w.Header().Set("X-Request-Id", string(x.id))
 	c.metrics.inFlight.Inc()
@@ -231,6 +235,7 @@
 }
 
 func (x *exchange) finish() {
+	x.held.Close()
 	x.metrics.inFlight.Dec()
 	x.metrics.countRequest(x)
 }
@@ -245,27 +250,46 @@
 	x.Recorder.Record(e)
 }
 
-// readBody reads the request body within Limits.BodyTimeout. The read deadline is
+// readBody reads the request body within Limits.BodyTimeout, and counts it against Memory as it arrives. The read deadline is
 // removed afterwards, since it would otherwise close the connection while the
 // answer is being produced.
 func (x *exchange) readBody() bool {
 	controller := http.NewResponseController(x.w)
 	controller.SetReadDeadline(x.started.Add(x.Limits.BodyTimeout))
-	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, x.Limits.MaxBodyBytes), x.r.ContentLength)
-	controller.SetReadDeadline(time.Time{})
+	x.held.Release = func() { controller.SetReadDeadline(time.Now()) }
+	var body []byte
+	var err error = &memory.TooLargeError{Limit: x.Limits.MaxBodyBytes}
+	if x.r.ContentLength <= x.Limits.MaxBodyBytes {
+		body, err = memory.ReadAll(x.r.Body, &x.held, x.Limits.MaxBodyBytes, time.Now, nil)
+	}
+	if !x.held.Keep(time.Now(), true) {
+		err = &memory.FullError{Bytes: int64(len(body))}
+	}
 	if err == nil {
+		controller.SetReadDeadline(time.Time{})
 		x.body = body
 		return true
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		x.refuse(clientError(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes"))
-		return false
-	}
-	x.refuse(clientError(http.StatusBadRequest, "body_unreadable", "the body could not be read: "+err.Error()))
+	x.w.Header().Set("Connection", "close")
+	controller.SetReadDeadline(time.Now()) // what is left of the body is not read
+	x.refuse(bodyError(err))
 	return false
 }
 
+// bodyError returns the refusal of a request whose body was not read.
+func bodyError(err error) *bamboostep.RequestError {
+	var tooLarge *memory.TooLargeError
+	var full *memory.FullError
+	switch {
+	case errors.As(err, &tooLarge):
+		return clientError(http.StatusRequestEntityTooLarge, "body_too_large", "the body is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+	case errors.As(err, &full):
+		return &bamboostep.RequestError{Status: http.StatusServiceUnavailable, Code: "memory_full",
+			Message: "this entry holds as much as it can", Outcome: bamboostep.NotRun, RetryAfter: time.Second}
+	}
+	return clientError(http.StatusBadRequest, "body_unreadable", "the body could not be read: "+err.Error())
+}
+
 // clientError returns the refusal of a request that is invalid in itself. Every
 // resend is refused alike, so the outcome is not_run.
 func clientError(status int, code, message string) *bamboostep.RequestError {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/dispatch"
 	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/roster"
 	"github.com/bamboostep/bamboostep/stock"
 	"github.com/bamboostep/bamboostep/timeline"
@@ -68,6 +69,7 @@
 	peers         *peers
 	servers       *serverPool
 	callerHandler *callerHandler
+	held          *memory.Budget // for what is held for callers and operators
 	placementLoop *placementLoop
 
 	stateMu    sync.Mutex
@@ -101,6 +103,7 @@
 		mux:        &wire.Mux{},
 		configured: make(chan struct{}),
 	}
+	e.held = cfg.memory().NewBudget(registry, e.recorder)
 	e.buildLedger()
 	e.buildServers()
 	e.buildCallers()
@@ -206,6 +209,7 @@
 		Clock:             daemon.SystemClock{},
 		Seed:              uint64(time.Now().UnixNano()),
 	}
+	e.callerHandler.Memory = e.held
 	e.callerHandler.Limits.MaxBodyBytes = e.cfg.MaxBodyBytes
 }
 
--- a/entry/operator_server.go
+++ b/entry/operator_server.go
@@ -29,10 +29,12 @@
 		Status:    e.status,
 		Timeline:  e.timeline,
 		Voters:    e.client,
+		Memory:    e.held,
 		Token:     e.cfg.OperatorToken,
 	})
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: e.log.StandardLog()}
-	return daemon.ServeHTTP(ctx, nl, s, adminCloseTimeout)
+	daemon.LimitHeader(s, 0)
+	return daemon.ServeLimited(ctx, nl, s, adminCloseTimeout, e.cfg.memory().MaxConnections())
 }
 
 func (e *entry) revisions() []bamboostep.Revision {
--- a/entry/run.go
+++ b/entry/run.go
@@ -23,6 +23,7 @@
 // ready, lets running requests finish, and only then closes the connections to
 // agents and other entries.
 func (e *entry) Run(ctx context.Context) error {
+	e.cfg.memory().LimitHeap()
 	if err := e.restoreSet(); err != nil {
 		return err
 	}
@@ -115,7 +116,8 @@
 		ErrorLog:          e.log.StandardLog(),
 	}
 	daemon.ResetIncomplete(s)
-	return daemon.ServeHTTP(servingCtx, nl, s, e.cfg.DrainTimeout.Duration)
+	daemon.LimitHeader(s, 0)
+	return daemon.ServeLimited(servingCtx, nl, s, e.cfg.DrainTimeout.Duration, e.cfg.memory().MaxConnections())
 }
 
 // waitConfigured blocks until a configuration is active, and returns false if ctx
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"io"
 	"maps"
 	"net/http"
 	"net/textproto"
@@ -164,18 +163,6 @@
 	return h
 }
 
-// readAll reads r to its end. It allocates the result at once if the length is
-// known and not large.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	const maxAhead = 1 << 16
-	if length <= 0 || length > maxAhead {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
-}
-
 // incompleteRuneLen returns the length of the incomplete UTF-8 sequence at the end
 // of data, or 0 if there is none.
 func incompleteRuneLen(data []byte) int {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/settings"
 )
@@ -34,6 +35,9 @@
 	Placer        string            `toml:"placer"`         // placement policy: demand, on_demand or static
 	Admission     string            `toml:"admission"`      // load shedding policy: predicted_wait or none
 	MaxBodyBytes  int64             `toml:"max_body_bytes"` // largest request body accepted from a caller
+	MemoryMiB     int64             `toml:"memory_mib"`     // memory that this process may use; 0 for that of the machine
+	HeldMiB       int64             `toml:"held_mib"`       // of it, for what is held for callers and servers; 0 for a quarter
+	MaxConns      int               `toml:"max_conns"`      // connections of callers, and of operators, that are open at once; 0 for as many as the memory takes
 	DrainDelay    settings.Duration `toml:"drain_delay"`    // time between reporting not ready and refusing new connections, for the load balancer to notice
 	DrainTimeout  settings.Duration `toml:"drain_timeout"`  // time that running requests get to finish on shutdown
 	StaleAfter    settings.Duration `toml:"stale_after"`    // age of the last freshness proof above which the entry reports not ready
@@ -121,6 +125,11 @@
 	if s.MaxBodyBytes < 1 {
 		add("max_body_bytes", "is %d, want at least 1", s.MaxBodyBytes)
 	}
+	for key, value := range map[string]int64{"memory_mib": s.MemoryMiB, "held_mib": s.HeldMiB, "max_conns": int64(s.MaxConns)} {
+		if value < 0 {
+			add(key, "is %d, want at least 0", value)
+		}
+	}
 	if s.DrainDelay.Duration < 0 {
 		add("drain_delay", "is %v, want at least 0s", s.DrainDelay)
 	}
@@ -132,6 +141,15 @@
 	}
 }
 
+// memory returns what the process may use.
+func (s *entrySettings) memory() daemon.Memory {
+	m := daemon.Memory{Bytes: s.MemoryMiB << 20, Held: s.HeldMiB << 20, Connections: s.MaxConns}
+	if m.Bytes == 0 {
+		m.Bytes = daemon.MachineMemory()
+	}
+	return m
+}
+
 // keyList returns the keys of m, sorted and separated by commas.
 func keyList[V any](m map[string]V) string {
 	return strings.Join(slices.Sorted(maps.Keys(m)), ", ")
--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/bamboostep/bamboostep/memory"
+	"github.com/bamboostep/bamboostep/quarantine"
+)
+
+// Bodies are read whole before they are passed on, because they may have to be sent more than once. They count against the budget as they arrive,
+// whatever their length is said to be. One that stops moving is given up after the time for which the published limits let a
+// connection be idle. Nothing has run by then, so each refusal is the promise that nothing will.
+
+const (
+	defaultBodyStall = 15 * time.Second // if the published limits have no time for idle connections
+	stallRenewal     = 4                // the time left is renewed after this part of it
+)
+
+// errBodyStalled says that a body has stopped moving.
+var errBodyStalled = errors.New("the body has stopped")
+
+// readBody reads the whole body. If that fails, readBody writes the response and returns false.
+func (x *exchange) readBody() bool {
+	if x.r.ContentLength == 0 {
+		return x.setBody(nil)
+	}
+	limit := x.table.Limits.MaxBodyBytes
+	if limit > 0 && x.r.ContentLength > limit {
+		return x.failBody(&memory.TooLargeError{Limit: limit})
+	}
+	stop := x.watchBody()
+	data, err := x.receiveBody(limit)
+	stop()
+	if err != nil {
+		return x.failBody(err)
+	}
+	return x.setBody(data)
+}
+
+func (x *exchange) setBody(data []byte) bool {
+	x.call = x.call.WithBody(data)
+	x.held.Keep(time.Now(), true)
+	x.content = quarantine.Content{Fingerprint: x.call.Fingerprint(), Parts: x.call.SharedParts()}
+	return true
+}
+
+// receiveBody reads the body, and lets each pause in it last for bodyStall.
+func (x *exchange) receiveBody(limit int64) ([]byte, error) {
+	c := http.NewResponseController(x.w)
+	stall := x.bodyStall()
+	var renewAt time.Time
+	renew := func(now time.Time) error {
+		if now.Before(renewAt) {
+			return nil
+		}
+		renewAt = now.Add(stall / stallRenewal)
+		return x.setBodyDeadline(c, now.Add(stall+stall/stallRenewal))
+	}
+	x.held.Release = func() { _ = c.SetReadDeadline(time.Now()) } // fails only on a connection that is closed
+	_ = renew(x.arrived)
+	data, err := memory.ReadAll(x.r.Body, &x.held, limit, time.Now, renew)
+	if !x.held.Keep(time.Now(), true) {
+		return nil, &memory.FullError{Bytes: int64(len(data)), Total: x.g.budget().Total}
+	}
+	if err == nil {
+		_ = c.SetReadDeadline(time.Time{}) // fails only on a connection that is closed
+		return data, nil
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !x.g.pastBodyCutoff() {
+		err = errBodyStalled
+	}
+	return nil, err
+}
+
+// setBodyDeadline lets the next reads of the body last until a time. It fails if the holder had to go, or the bodies of requests are no longer
+// read, since the deadline that ended their reads may just have been replaced.
+func (x *exchange) setBodyDeadline(c *http.ResponseController, until time.Time) error {
+	_ = c.SetReadDeadline(until) // fails only on a connection that is closed
+	if x.g.pastBodyCutoff() {
+		return os.ErrDeadlineExceeded
+	}
+	if !x.held.Keep(time.Now(), false) {
+		return &memory.FullError{Total: x.g.budget().Total}
+	}
+	return nil
+}
+
+// bodyStall returns how long a body may pause.
+func (x *exchange) bodyStall() time.Duration {
+	if idle := x.table.Limits.IdleTimeout; idle > 0 {
+		return idle
+	}
+	return defaultBodyStall
+}
+
+// failBody answers a request whose body was not read to its end, without reading more of it, and closes its connection. It returns false.
+func (x *exchange) failBody(err error) bool {
+	x.w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now()) // fails only on a connection that is closed
+	var tooLarge *memory.TooLargeError
+	var full *memory.FullError
+	switch {
+	case errors.As(err, &tooLarge):
+		return x.fail(http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
+	case errors.As(err, &full):
+		return x.refuseWithDetail("memory_full", err.Error(), retryAfterBusy)
+	case x.g.pastBodyCutoff():
+		return x.refuse(reasonStopping, 0)
+	case errors.Is(err, errBodyStalled):
+		return x.fail(http.StatusRequestTimeout, "body_stalled", "after "+formatMilliseconds(time.Since(x.arrived)))
+	}
+	return x.fail(http.StatusBadRequest, "body_unreadable", err.Error())
+}
+
+// waitForCaller notes that from now on the request waits for its caller only, who may be reading slowly or not at all. If others need the memory, its
+// connection is closed.
+func (x *exchange) waitForCaller() {
+	if !x.held.MayGo() {
+		return
+	}
+	c := http.NewResponseController(x.w)
+	x.held.Release = func() { _ = c.SetWriteDeadline(time.Now()) } // fails only on a connection that is closed
+	x.held.Keep(time.Now(), false)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,8 +18,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -29,6 +27,7 @@
 	"github.com/bamboostep/bamboostep/dispatch"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/origin"
 	"github.com/bamboostep/bamboostep/quarantine"
 	"github.com/bamboostep/bamboostep/quota"
@@ -63,6 +62,7 @@
 	Releases     *release.Tracker     // software versions at which streams began; may be nil
 	KeyLease     *ledger.Lease        // while it is valid, the keys in the current table can be trusted; may be nil
 	Proof        RouteProof           // what the current table rests on; may be nil
+	Memory       *memory.Budget       // for all that is held for callers and servers; nil for a small one
 	Recorder     *timeline.Recorder
 	Metrics      *Metrics
 
@@ -72,7 +72,7 @@
 	bodyOnce       sync.Once
 	bodyReads      context.Context // ends when the bodies of requests are no longer read; see bodyReadContext
 	endBodyReads   context.CancelFunc
-	bufferedBytes  atomic.Int64 // in incomplete responses and events, see bufferUsage
+	memoryOnce     sync.Once // of budget
 }
 
 var _ http.Handler = (*Gateway)(nil)
@@ -81,7 +81,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	x := &exchange{g: g, w: w, r: r, arrived: time.Now()}
+	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), held: g.budget().Open()}
+	defer x.held.Close()
 	if g.shutdown.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -126,6 +127,8 @@
 	service  *route.Service
 	deadline time.Time
 
+	held memory.Holder // the bytes of body and answer
+
 	workspace *route.Workspace // of the caller's key; nil if it has none
 	leased    bool             // the keys in the table could be trusted when it was looked up
 
@@ -249,28 +252,3 @@
 	}
 	return n
 }
-
-// readBody reads the whole body, because it may have to be sent more than once. If that
-// fails, readBody writes the response and returns false.
-func (x *exchange) readBody() bool {
-	limit := x.table.Limits.MaxBodyBytes
-	body := x.r.Body
-	if limit > 0 {
-		body = http.MaxBytesReader(x.w, body, limit)
-	}
-	stop := x.watchBody()
-	data, err := io.ReadAll(body)
-	stop()
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return x.fail(http.StatusRequestEntityTooLarge, "body_too_large", err.Error())
-	case err != nil && x.g.pastBodyCutoff():
-		return x.refuse(reasonStopping, 0)
-	case err != nil:
-		return x.fail(http.StatusBadRequest, "body_unreadable", err.Error())
-	}
-	x.call = x.call.WithBody(data)
-	x.content = quarantine.Content{Fingerprint: x.call.Fingerprint(), Parts: x.call.SharedParts()}
-	return true
-}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -97,8 +97,8 @@
 // forwardStream forwards complete events. It returns nil once the stream is complete, and
 // a *callerWriteError if the caller cannot be written to.
 func (x *exchange) forwardStream(ctx context.Context, run *fleet.Assignment, resp *origin.Response) error {
-	usage := bufferUsage{total: &x.g.bufferedBytes}
-	defer usage.release()
+	call := x.held.Bytes()
+	defer func() { _ = x.held.Resize(time.Now(), call) }() // less than before
 	order := sse.NewOrder(x.resumeEventID())
 	var buffered []byte
 	anyEvent := false
@@ -119,7 +119,7 @@
 		case len(buffered) > maxEventBytes:
 			return errResponseTooLarge
 		}
-		if err := usage.resize(len(buffered)); err != nil {
+		if err := x.held.Resize(time.Now(), call+int64(len(buffered))); err != nil {
 			return err
 		}
 	}
--- a/gateway/buffer_test.go
+++ b/memory/buffer_test.go
@@ -1,4 +1,4 @@
-package gateway
+package memory
 
 import (
 	"bytes"
@@ -8,21 +8,21 @@
 	"testing/iotest"
 )
 
-// TestChunkedBufferHoldsWhatItRead checks a buffer against bodies around the sizes of its chunks, whole and byte by byte.
-func TestChunkedBufferHoldsWhatItRead(t *testing.T) {
+// TestBufferHoldsWhatItRead checks a buffer against bodies around the sizes of its chunks, whole and byte by byte.
+func TestBufferHoldsWhatItRead(t *testing.T) {
 	for name, size := range map[string]int{"empty": 0, "one byte": 1, "below a chunk": chunkBytes - 1, "a chunk": chunkBytes, "above a chunk": chunkBytes + 1, "three chunks": 3 * chunkBytes} {
 		t.Run(name, func(t *testing.T) {
 			want := strings.Repeat("0123456", size/7+1)[:size]
 			for _, r := range []io.Reader{strings.NewReader(want), iotest.OneByteReader(strings.NewReader(want)), iotest.DataErrReader(strings.NewReader(want))} {
-				var b chunkedBuffer
+				var b Buffer
 				var err error
 				for err == nil {
-					err = b.readFrom(r)
+					err = b.ReadOnce(r)
 				}
-				if err != io.EOF || !bytes.Equal(b.bytes(), []byte(want)) {
-					t.Errorf("got %d bytes and error %v, want %d as they were read", b.size, err, size)
+				if err != io.EOF || !bytes.Equal(b.Bytes(), []byte(want)) {
+					t.Errorf("got %d bytes and error %v, want %d as they were read", b.Size(), err, size)
 				}
-				b.free()
+				b.Free()
 			}
 		})
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -102,6 +102,7 @@
 		Releases:     e.releases,
 		Proof:        e.client,
 		KeyLease:     &ledger.Lease{Client: e.client, For: leaseDuration(p.cfg.RevokeTimeout)},
+		Memory:       p.memory().NewBudget(p.registry, p.recorder),
 		Recorder:     p.recorder,
 		Metrics:      gateway.NewMetrics(p.registry),
 	}
@@ -179,7 +180,7 @@
 	group.Go(func() error { return e.quotas.Run(runCtx) })
 	group.Go(func() error { return e.releases.Run(runCtx) })
 	group.Go(func() error { return e.runPeriodicTasks(runCtx) })
-	group.Go(func() error { return serve(runCtx, ready, e.readyHandler()) })
+	group.Go(func() error { return serve(runCtx, ready, e.readyHandler(), e.memory().MaxConnections()) })
 	callersCtx, stopCallers := context.WithCancel(runCtx)
 	defer stopCallers()
 	served := make(chan struct{})
@@ -208,9 +209,14 @@
 	return err
 }
 
-// serve serves HTTP on l until ctx ends, then closes all connections.
-func serve(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+// bodyTimeout is for a request of an operator or the platform in all. An operator goes to another process after a second.
+const bodyTimeout = 30 * time.Second
+
+// serve serves HTTP on l until ctx ends, then closes all connections. At most maxConnections are open at once, 0 for any number.
+func serve(ctx context.Context, l net.Listener, h http.Handler, maxConnections int) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: 2 * bodyTimeout, IdleTimeout: 2 * bodyTimeout}
+	daemon.LimitHeader(s, 0)
+	daemon.LimitConnections(s, maxConnections)
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
 	return s.Serve(l)
@@ -222,14 +228,16 @@
 // or may be about to. When runCtx ends, it closes all of them.
 func (e *entry) serveCallers(ctx, runCtx context.Context, l net.Listener) error {
 	s := &http.Server{Handler: e.gateway, ReadHeaderTimeout: headerTimeout}
+	daemon.LimitHeader(s, 0)
 	daemon.ResetIncomplete(s)
 	if t := e.awaitRoutes(ctx); t != nil {
 		s.ReadHeaderTimeout = headerTimeoutFactor * t.Limits.HeaderTimeout
 		s.IdleTimeout = t.Limits.IdleTimeout
+		daemon.LimitHeader(s, t.Limits.MaxHeaderBytes)
 	}
 	stop := context.AfterFunc(runCtx, func() { s.Close() })
 	defer stop()
-	return daemon.ServeHTTP(ctx, l, s, e.cfg.GracePeriod)
+	return daemon.ServeLimited(ctx, l, s, e.cfg.GracePeriod, e.memory().MaxConnections())
 }
 
 // awaitRoutes returns the first routes, or nil if none arrive within routesWait.
--- a/node/main.go
+++ b/node/main.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"runtime/debug"
 
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/platform"
@@ -17,10 +16,6 @@
 const usage = "usage: node ROLE [--check-settings]; ROLE is entry, voter or holder; " +
 	"the environment variable " + platform.SettingsVariable + " holds the path of the settings file"
 
-// heapLimitShare is the share of the memory limit that is passed to debug.SetMemoryLimit.
-// The Go runtime collects garbage more often as its memory approaches that value.
-const heapLimitShare = 0.6
-
 // roles holds the main function of each role. It returns when the process ends.
 var roles = map[string]func(*process) error{
 	"entry":  runEntry,
@@ -52,10 +47,10 @@
 		fmt.Println("ok")
 		return nil
 	}
-	debug.SetMemoryLimit(int64(heapLimitShare * float64(cfg.MemoryLimitMB) * (1 << 20)))
 	ctx, cancel := daemon.SignalContext(context.Background())
 	defer cancel()
 	p := newProcess(ctx, args[0], cfg)
+	p.memory().LimitHeap()
 	defer p.recorder.Flush()
 	p.recordEvent("process_started", fmt.Sprintf("role %s, first start %v, seeds %v", args[0], cfg.Bootstrap, cfg.Seeds))
 	defer p.recordEvent("process_stopped", "")
--- a/node/process.go
+++ b/node/process.go
@@ -70,6 +70,11 @@
 	return p
 }
 
+// memory returns what the process may use of the VM's memory.
+func (p *process) memory() daemon.Memory {
+	return daemon.Memory{Bytes: int64(p.cfg.MemoryLimitMB) << 20, Held: int64(p.cfg.HeldMB) << 20, Connections: p.cfg.MaxConnections}
+}
+
 // serveMetrics serves the metrics endpoint until the process ends. A failure is recorded
 // and does not stop the process.
 func (p *process) serveMetrics() {
--- a/node/voter.go
+++ b/node/voter.go
@@ -123,7 +123,9 @@
 	group.Go(func() error {
 		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux}).Run(ctx)
 	})
-	group.Go(func() error { return serve(ctx, operatorListener, operatorHandler(p, client)) })
+	group.Go(func() error {
+		return serve(ctx, operatorListener, operatorHandler(p, client), p.memory().MaxConnections())
+	})
 	return ignoreShutdown(group.Wait())
 }
 
@@ -149,7 +151,9 @@
 	group.Go(func() error {
 		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux}).Run(ctx)
 	})
-	group.Go(func() error { return serve(ctx, operatorListener, operatorHandler(p, client)) })
+	group.Go(func() error {
+		return serve(ctx, operatorListener, operatorHandler(p, client), p.memory().MaxConnections())
+	})
 	return ignoreShutdown(group.Wait())
 }
 
@@ -185,7 +189,7 @@
 
 // operatorHandler serves the publication and the reading of routes.
 func operatorHandler(p *process, client *ledger.Client) http.Handler {
-	routes := &operator.Routes{Ledger: client, Decode: platform.ParseRoutes, Recorder: p.recorder}
+	routes := &operator.Routes{Ledger: client, Decode: platform.ParseRoutes, Recorder: p.recorder, Memory: p.memory().NewBudget(p.registry, p.recorder)}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PatternPublishRoutes, routes.Publish)
 	mux.HandleFunc(platform.PatternReadRoutes, routes.Read)
--- /dev/null
+++ b/operator/body.go
@@ -0,0 +1,31 @@
+package operator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/bamboostep/bamboostep/memory"
+)
+
+// readBody reads the body of a request of at most limit bytes, which count against held. If that fails, the connection is closed after the response.
+// The error is a *memory.TooLargeError, a *memory.FullError or that of the connection. While the body is taken up, held is kept.
+func readBody(w http.ResponseWriter, r *http.Request, held *memory.Holder, limit int64) ([]byte, error) {
+	c := http.NewResponseController(w)
+	held.Release = func() { _ = c.SetReadDeadline(time.Now()) } // fails only on a connection that is closed
+	data, err := readWithin(r, held, limit)
+	if !held.Keep(time.Now(), true) {
+		err = &memory.FullError{Bytes: int64(len(data))}
+	}
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		_ = c.SetReadDeadline(time.Now()) // fails only on a connection that is closed
+	}
+	return data, err
+}
+
+func readWithin(r *http.Request, held *memory.Holder, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, &memory.TooLargeError{Limit: limit}
+	}
+	return memory.ReadAll(r.Body, held, limit, time.Now, nil)
+}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -15,6 +16,7 @@
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/catalog"
 	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -26,8 +28,9 @@
 	Revisions func() []bamboostep.Revision
 	Status    func() Status
 	Timeline  func(ctx context.Context, q timeline.Query) []timeline.Event
-	Voters    Voters // nil if the entry cannot change them
-	Token     string // bearer token that operators must send; none is asked for if empty
+	Voters    Voters         // nil if the entry cannot change them
+	Memory    *memory.Budget // for bodies that arrive; nil for any number
+	Token     string         // bearer token that operators must send; none is asked for if empty
 
 	once sync.Once
 	mux  http.ServeMux
@@ -207,10 +210,22 @@
 	h.answer(w, doneBody{})
 }
 
+// readBody decodes the body of a request into v. If that fails, it responds and returns false.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, v any) bool {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(v); err != nil {
+	held := h.Memory.Open()
+	defer held.Close()
+	data, err := readBody(w, r, &held, maxBodyBytes)
+	var full *memory.FullError
+	if errors.As(err, &full) {
+		h.refuse(w, http.StatusServiceUnavailable, errorDetail{Code: codeUnavailable, Message: err.Error(), Known: true})
+		return false
+	}
+	if err == nil {
+		dec := json.NewDecoder(bytes.NewReader(data))
+		dec.DisallowUnknownFields()
+		err = dec.Decode(v)
+	}
+	if err != nil {
 		h.refuse(w, http.StatusBadRequest, errorDetail{Code: codeBadRequest, Message: "body: " + err.Error()})
 		return false
 	}
--- a/operator/routes.go
+++ b/operator/routes.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/timeline"
 )
@@ -38,17 +38,24 @@
 type Routes struct {
 	Ledger   Numbered
 	Decode   func(data []byte) (route.Table, error)
+	Memory   *memory.Budget // for sets that arrive; nil for any number
 	Recorder *timeline.Recorder
 }
 
 // Publish takes a set.
 func (h *Routes) Publish(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRoutesBytes))
-	var large *http.MaxBytesError
+	held := h.Memory.Open()
+	defer held.Close()
+	data, err := readBody(w, r, &held, maxRoutesBytes)
+	var large *memory.TooLargeError
+	var full *memory.FullError
 	switch {
 	case errors.As(err, &large):
 		h.refuse(w, http.StatusRequestEntityTooLarge, "routes_too_large", err)
 		return
+	case errors.As(err, &full):
+		h.refuse(w, http.StatusServiceUnavailable, "memory_full", err)
+		return
 	case err != nil:
 		h.refuse(w, http.StatusBadRequest, "routes_cut_short", err)
 		return
