Streams are read on while their callers are slow

A stream was read and written in turn, so a caller that read slowly kept its backend server waiting, which cuts off a response that stays unread. One loop watches all writes to callers while there are any; when one blocks for 250 ms, a goroutine reads that stream on into memory within the budget until the write returns. Streams whose callers read get neither goroutine nor timer. When there is no room, reading ahead stops and the stream goes on with its caller. Large plain answers, which are read whole before, are written in pieces; a write that blocks past the time of its request and for the idle limit loses its connection.

Ruled out: a goroutine for each stream (cost for all), a deadline on the write (net/http cannot go on after one).

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -113,14 +113,3 @@
 	}
 	return x.fail(http.StatusBadRequest, "body_unreadable", err.Error())
 }
-
-// waitForCaller notes that from now on the request waits for its caller only, who may be reading slowly or not at all. If others need the memory, its
-// connection is closed.
-func (x *exchange) waitForCaller() {
-	if !x.held.MayGo() {
-		return
-	}
-	c := http.NewResponseController(x.w)
-	x.held.Release = func() { _ = c.SetWriteDeadline(time.Now()) } // fails only on a connection that is closed
-	x.held.Keep(time.Now(), false)
-}
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -27,9 +27,14 @@
 	recorder := &timeline.Recorder{Clock: &timeline.Clock{Wall: daemon.SystemClock{}}}
 	g := newGateway(newSingleEntryGuard(recorder), &dispatch.RetryBudget{}, recorder, table, known)
 	g.Memory = memory.NewBudget(held)
+	return startServer(t, g), s
+}
+
+func startServer(t *testing.T, g *Gateway) *httptest.Server {
+	t.Helper()
 	server := httptest.NewServer(g)
 	t.Cleanup(server.Close)
-	return server, s
+	return server
 }
 
 // sendRaw sends the bytes of a request, and returns its connection and what reads the response.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,7 @@
 	bodyReads      context.Context // ends when the bodies of requests are no longer read; see bodyReadContext
 	endBodyReads   context.CancelFunc
 	memoryOnce     sync.Once // of budget
+	writes         writeWatch
 }
 
 var _ http.Handler = (*Gateway)(nil)
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -65,8 +65,7 @@
 	x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(resp.Status)
 	if x.r.Method != http.MethodHead {
-		x.waitForCaller()
-		_, err = x.w.Write(body)
+		err = x.writeWhole(body)
 	}
 	x.recordServed(run.Address, resp.Status, err)
 	return attemptFinal
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,6 +31,8 @@
 	firstEventAfter time.Duration // from the arrival of the request to the first event
 	lastEventAt     time.Time     // when the last events were forwarded
 	longestPause    time.Duration // longest time between two events
+
+	write *callerWrite // of the attempt that goes on
 }
 
 func (s *streamState) hasStarted() bool { return s != nil && s.started }
@@ -99,12 +101,18 @@
 func (x *exchange) forwardStream(ctx context.Context, run *fleet.Assignment, resp *origin.Response) error {
 	call := x.held.Bytes()
 	defer func() { _ = x.held.Resize(time.Now(), call) }() // less than before
+	ahead := &readAhead{source: resp, held: x.g.budget().Open()}
+	ahead.held.Release = x.cutCaller
+	defer ahead.close()
+	var stop func()
+	x.stream.write, stop = x.watchWrite(ahead)
+	defer stop()
 	order := sse.NewOrder(x.resumeEventID())
 	var buffered []byte
 	anyEvent := false
 	chunk := make([]byte, streamReadSize)
 	for {
-		n, err := resp.Read(chunk)
+		n, err := ahead.Read(chunk)
 		buffered = append(buffered, chunk[:n]...)
 		if end := sse.LastEnd(buffered); end > 0 {
 			anyEvent = true
@@ -176,10 +184,13 @@
 func (x *exchange) forwardEvents(resp *origin.Response, events []byte, lastID string) error {
 	x.sendStreamHead(resp)
 	x.stream.lastID = lastID
-	x.stream.countEvents(time.Now())
+	now := time.Now()
+	x.stream.countEvents(now)
 	if x.quarantineVerdict.Crashes > 0 && x.stream.position() > x.quarantineVerdict.ClearAfterEvents {
 		x.reportPassed()
 	}
+	x.stream.write.begin(now)
+	defer x.stream.write.end()
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -253,6 +253,9 @@
 	return n, err
 }
 
+// Abort resets the connection, which ends a Read that is waiting. It may be called concurrently with Read.
+func (r *Response) Abort() { r.conn.abort() }
+
 // Close ends the exchange. The connection is kept for reuse if the request was written and
 // the response was read completely, and reset if the response was not.
 func (r *Response) Close() {
