Connections among processes draw on a budget: frames that arrive, messages that wait

Each connection could have 8 MiB of a frame that had not arrived whole, its buffer doubling, and 32 MiB of messages that its peer did not read; nothing bounded all of them. Not wired to the roles yet. TestFloodOfFramesStaysWithinTheBudget has 12 peers that stop short or do not read, with 4 MiB.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/bamboostep/bamboostep/memory"
 )
 
 const (
@@ -111,12 +113,15 @@
 
 	mu       sync.Mutex
 	queue    [][]byte
-	queued   int // bytes in queue
+	queued   int           // bytes in queue
+	writing  int           // bytes taken from queue that are being written
+	out      memory.Holder // of both
 	wake     chan struct{}
 	calls    map[uint64]chan envelope
 	lastCall uint64
 	cause    error
 
+	in       memory.Holder // of the frame that arrives; used by readLoop alone
 	done     chan struct{}
 	lastRead atomic.Int64 // uptime of the node, nanoseconds: the wall clock may be set while a connection is quiet
 	uptime   atomic.Pointer[peerUptime]
@@ -237,6 +242,11 @@
 		c.close(err)
 		return &ClosedError{c.peer.Name, err}
 	}
+	if err := c.out.Resize(time.Now(), int64(c.writing+c.queued+len(frame))); err != nil {
+		c.mu.Unlock()
+		c.close(err)
+		return &ClosedError{c.peer.Name, err}
+	}
 	c.queue = append(c.queue, frame)
 	c.queued += len(frame)
 	c.mu.Unlock()
@@ -252,10 +262,26 @@
 	defer c.mu.Unlock()
 	q := c.queue
 	c.queue = nil
-	c.queued = 0
+	c.writing, c.queued = c.queued, 0
 	return q
 }
 
+// wrote notes that what was taken from the queue has been written.
+func (c *Conn) wrote() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cause != nil {
+		return // it has given back all, or will
+	}
+	c.writing = 0
+	_ = c.out.Resize(time.Now(), int64(c.queued)) // less than before
+}
+
+// expire ends the reads and writes of the connection, and so the connection. It does not block.
+func (c *Conn) expire() {
+	_ = c.nc.SetDeadline(time.Now()) // fails only on a connection that is closed
+}
+
 func (c *Conn) close(cause error) {
 	c.mu.Lock()
 	if c.cause != nil {
@@ -285,6 +311,7 @@
 			c.close(err)
 			return
 		}
+		c.wrote()
 	}
 }
 
@@ -326,7 +353,7 @@
 
 func (c *Conn) readLoop(r *bufio.Reader) {
 	for {
-		e, err := readFrame(r, MaxFrameBytes)
+		e, err := readFrame(r, MaxFrameBytes, &c.in)
 		if err != nil {
 			c.countBadFrame(err)
 			c.close(err)
@@ -336,6 +363,7 @@
 		c.node.Metrics.countReceived(len(e.Body) + lengthBytes)
 		c.node.Clock.Observe(e.Stamp)
 		c.dispatch(e)
+		_ = c.in.Resize(time.Now(), 0) // less than before
 	}
 }
 
@@ -380,11 +408,20 @@
 	answer <- e
 }
 
+// giveBack gives back what the connection has held.
+func (c *Conn) giveBack() {
+	c.in.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.out.Close()
+}
+
 func (c *Conn) start(r *bufio.Reader) {
 	c.lastRead.Store(int64(c.node.uptime()))
 	go c.writeLoop()
 	c.node.watch(c)
 	defer c.node.unwatch(c)
+	defer c.giveBack()
 	_ = c.send(kindPing, 0, false, nil)
 	c.readLoop(r)
 }
--- /dev/null
+++ b/wire/flood_test.go
@@ -0,0 +1,112 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/bamboostep/bamboostep/memory"
+	"github.com/bamboostep/bamboostep/timeline"
+)
+
+type floodClock struct{}
+
+func (floodClock) Now() time.Time { return time.Now() }
+
+const (
+	floodPeers  = 12
+	floodBudget = 4 << 20 // bytes, half a frame
+	floodWait   = 20 * time.Second
+)
+
+// startFlooded starts a node with floodBudget that answers each message with a large one. It returns its address.
+func startFlooded(t *testing.T) (*Node, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &Node{Hello: Hello{Name: "flooded"}, Clock: &timeline.Clock{Wall: floodClock{}}, Memory: memory.NewBudget(floodBudget)}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = (&Listener{Node: n, Net: l, Handler: HandlerFunc(func(m *Message) { _ = m.Reply(make([]byte, 1<<20)) })}).Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	return n, l.Addr().String()
+}
+
+// connectRaw opens a connection to a node and exchanges hellos.
+func connectRaw(t *testing.T, address string) net.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	if _, err := exchangeHello(nc, bufio.NewReader(nc), Hello{Name: "peer", Version: protocolVersion}, &timeline.Clock{Wall: floodClock{}}); err != nil {
+		t.Fatal(err)
+	}
+	return nc
+}
+
+// Guards against a process that ends since others send it many large frames that stop short, or read none of many large answers: what it holds stays under its bound,
+// and another peer is answered afterwards.
+func TestFloodOfFramesStaysWithinTheBudget(t *testing.T) {
+	call, err := encodeFrame(envelope{Kind: "x", Call: 1}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, send := range map[string]func(nc net.Conn){
+		"frames that stop short": func(nc net.Conn) {
+			head := binary.BigEndian.AppendUint32(nil, MaxFrameBytes)
+			_, _ = nc.Write(append(head, make([]byte, MaxFrameBytes-100)...))
+		},
+		"answers that are not read": func(nc net.Conn) {
+			for range 16 {
+				_, _ = nc.Write(call)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, address := startFlooded(t)
+			for range floodPeers {
+				nc := connectRaw(t, address)
+				_ = nc.SetDeadline(time.Now().Add(floodWait))
+				go send(nc)
+			}
+			for until := time.Now().Add(floodWait); ; time.Sleep(10 * time.Millisecond) {
+				if s := n.Memory.State(); s.Used > s.Total {
+					t.Fatalf("held: got %d bytes, want at most %d", s.Used, s.Total)
+				} else if s.Refused+s.GivenUp > 0 {
+					break
+				}
+				if time.Now().After(until) {
+					t.Fatal("nothing was refused")
+				}
+			}
+			peer := &Node{Hello: Hello{Name: "other"}, Clock: &timeline.Clock{Wall: floodClock{}}}
+			answered := make(chan struct{})
+			ctx, cancel := context.WithTimeout(context.Background(), floodWait)
+			defer cancel()
+			link := &Link{Node: peer, Address: address, Up: func(c *Conn) {
+				go func() {
+					if c.Call(ctx, "x", "", nil) == nil {
+						close(answered)
+						cancel()
+					}
+				}()
+			}}
+			_ = link.Run(ctx)
+			select {
+			case <-answered:
+			default:
+				t.Error("another peer was not answered")
+			}
+		})
+	}
+}
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -7,9 +7,11 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -46,8 +48,8 @@
 
 // readFrame reads one frame of at most limit bytes. Memory for the body is only
 // taken as the bytes arrive, so a peer that announces much and sends little
-// costs little.
-func readFrame(r *bufio.Reader, limit int) (envelope, error) {
+// costs little. A large one counts against held.
+func readFrame(r *bufio.Reader, limit int, held *memory.Holder) (envelope, error) {
 	var head [lengthBytes]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return envelope{}, err
@@ -56,20 +58,20 @@
 	if n == 0 || n > limit {
 		return envelope{}, &FrameError{n, fmt.Sprintf("length is not between 1 and %d", limit)}
 	}
-	body, err := readBody(r, n)
+	body, err := readBody(r, n, held)
 	if err != nil {
 		return envelope{}, err
 	}
 	return decodeFrame(body)
 }
 
-func readBody(r *bufio.Reader, n int) ([]byte, error) {
+func readBody(r *bufio.Reader, n int, held *memory.Holder) ([]byte, error) {
 	if n <= r.Size() {
 		body := make([]byte, n)
 		_, err := io.ReadFull(r, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	body, err := memory.ReadAll(io.LimitReader(r, int64(n)), held, 0, time.Now, nil)
 	if err == nil && len(body) < n {
 		err = io.ErrUnexpectedEOF
 	}
--- a/wire/hello.go
+++ b/wire/hello.go
@@ -8,6 +8,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -50,7 +51,7 @@
 }
 
 func readHello(r *bufio.Reader) (Hello, error) {
-	e, err := readFrame(r, helloLimit)
+	e, err := readFrame(r, helloLimit, &memory.Holder{})
 	if err != nil {
 		return Hello{}, err
 	}
--- a/wire/node.go
+++ b/wire/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/bamboostep/bamboostep/dialer"
 	"github.com/bamboostep/bamboostep/internal/timer"
+	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -37,10 +38,11 @@
 	Hello   Hello // Version may be left 0
 	Clock   *timeline.Clock
 	Metrics *Metrics
-	TLS     *tls.Config   // mutual TLS on every connection; nil for plain TCP
-	Dial    time.Duration // longest time that a dial of a link takes; 2 s if 0
-	Redial  time.Duration // longest delay between two dials of a link; 2 s if 0
-	Source  net.IP        // address that links dial from; nil for the kernel's choice
+	TLS     *tls.Config    // mutual TLS on every connection; nil for plain TCP
+	Dial    time.Duration  // longest time that a dial of a link takes; 2 s if 0
+	Redial  time.Duration  // longest delay between two dials of a link; 2 s if 0
+	Memory  *memory.Budget // for frames that arrive and messages that wait to be written; nil for any number
+	Source  net.IP         // address that links dial from; nil for the kernel's choice
 
 	once    sync.Once
 	started time.Time
@@ -87,7 +89,11 @@
 		wake:    make(chan struct{}, 1),
 		calls:   make(map[uint64]chan envelope),
 		done:    make(chan struct{}),
+		in:      n.Memory.Open(),
+		out:     n.Memory.Open(),
 	}
+	c.in.Release = c.expire
+	c.out.Release = c.expire
 	return c, r, nil
 }
 
