All roles bound what their connections to each other hold

Apart from the budget for callers, so that a crowd of callers cannot cut an entry off from its voters: 12 in 100 of the memory, two largest frames at least.

--- a/agent/run.go
+++ b/agent/run.go
@@ -44,6 +44,9 @@
 		Metrics: wire.NewMetrics(registry),
 		TLS:     tlsConfig,
 	}
+	own := daemon.Memory{Bytes: daemon.MachineMemory()}
+	own.LimitHeap()
+	node.Memory = own.NewWireBudget(registry, recorder)
 	server := newServer(cfg, node, ln.Addr().String())
 	server.Recorder = recorder
 	server.Registry = registry
--- a/daemon/memory.go
+++ b/daemon/memory.go
@@ -13,6 +13,7 @@
 
 	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/timeline"
+	"github.com/bamboostep/bamboostep/wire"
 )
 
 // The memory of a process is divided: heapShare is what the Go runtime may have in all, and heldShare, a part of that, is for what is held for
@@ -22,6 +23,8 @@
 const (
 	heapShare = 0.6  // of the memory; the runtime collects garbage more often as it comes near
 	heldShare = 0.25 // of the memory
+	wireShare = 0.12 // of the memory, for connections among the system's own processes, apart from callers so that these cannot cut them off
+	minFrames = 2    // of the largest that such a connection carries, since a frame is copied once
 
 	connectionBytes = 96 << 10 // of the memory, for each connection that may be open
 	minHeaderBytes  = 64 << 10 // of a request's head that is read at least
@@ -69,22 +72,34 @@
 	return int(m.Bytes / connectionBytes)
 }
 
-// NewBudget returns the budget for what is held, with its metrics, and an event for each holder that had to go. It returns nil, which means the default of
-// who uses it, if there is neither Held nor Bytes.
+// NewBudget returns the budget for what is held for callers, operators and servers, with its metrics, and an event for each holder that had to go. It
+// returns nil, which means the default of who uses it, if there is neither Held nor Bytes.
 func (m Memory) NewBudget(registry prometheus.Registerer, recorder *timeline.Recorder) *memory.Budget {
 	held := m.Held
 	if held == 0 {
 		held = int64(heldShare * float64(m.Bytes))
 	}
-	if held == 0 {
+	return newBudget(held, "requests", registry, recorder)
+}
+
+// NewWireBudget returns the budget for connections among the system's own processes, like NewBudget.
+func (m Memory) NewWireBudget(registry prometheus.Registerer, recorder *timeline.Recorder) *memory.Budget {
+	if m.Bytes == 0 {
+		return nil
+	}
+	return newBudget(max(minFrames*wire.MaxFrameBytes, int64(wireShare*float64(m.Bytes))), "processes", registry, recorder)
+}
+
+func newBudget(bytes int64, use string, registry prometheus.Registerer, recorder *timeline.Recorder) *memory.Budget {
+	if bytes == 0 {
 		return nil
 	}
-	b := memory.NewBudget(held)
+	b := memory.NewBudget(bytes)
 	b.GaveUp = func(g memory.GivenUp) {
 		recorder.Record(timeline.Event{Kind: "memory_given_up",
-			Detail: fmt.Sprintf("%d bytes, still for %v, for a request of %d; %d of %d bytes were held", g.Bytes, g.Still, g.Asking, g.Used, g.Total)})
+			Detail: fmt.Sprintf("for %s: %d bytes, still for %v, for one that asked for %d; %d of %d bytes were held", use, g.Bytes, g.Still, g.Asking, g.Used, g.Total)})
 	}
-	b.RegisterMetrics(registry)
+	b.RegisterMetrics(registry, use)
 	return b
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,6 +103,7 @@
 		mux:        &wire.Mux{},
 		configured: make(chan struct{}),
 	}
+	e.node.Memory = cfg.memory().NewWireBudget(registry, e.recorder)
 	e.held = cfg.memory().NewBudget(registry, e.recorder)
 	e.buildLedger()
 	e.buildServers()
--- a/node/process.go
+++ b/node/process.go
@@ -61,6 +61,7 @@
 			Redial:  redialDelay,
 		},
 	}
+	p.wire.Memory = p.memory().NewWireBudget(registry, p.recorder)
 	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: "bamboostep", Subsystem: "log", Name: "lines_dropped_total",
 		Help: "Log lines left out, because the log took them too slowly or they were too many.",
