The budget costs a request less

No closures or timers for a request that stays within its reserve: the exchange itself is the owner that is told to let go, and is told of its body's progress.

--- a/entry/caller_handler.go
+++ b/entry/caller_handler.go
@@ -256,7 +256,7 @@
 func (x *exchange) readBody() bool {
 	controller := http.NewResponseController(x.w)
 	controller.SetReadDeadline(x.started.Add(x.Limits.BodyTimeout))
-	x.held.Release = func() { controller.SetReadDeadline(time.Now()) }
+	x.held.Owner = memory.OwnerFunc(func() { controller.SetReadDeadline(time.Now()) })
 	var body []byte
 	var err error = &memory.TooLargeError{Limit: x.Limits.MaxBodyBytes}
 	if x.r.ContentLength <= x.Limits.MaxBodyBytes {
--- a/gateway/body.go
+++ b/gateway/body.go
@@ -49,19 +49,8 @@
 
 // receiveBody reads the body, and lets each pause in it last for bodyStall.
 func (x *exchange) receiveBody(limit int64) ([]byte, error) {
-	c := http.NewResponseController(x.w)
-	stall := x.bodyStall()
-	var renewAt time.Time
-	renew := func(now time.Time) error {
-		if now.Before(renewAt) {
-			return nil
-		}
-		renewAt = now.Add(stall / stallRenewal)
-		return x.setBodyDeadline(c, now.Add(stall+stall/stallRenewal))
-	}
-	x.held.Release = func() { _ = c.SetReadDeadline(time.Now()) } // fails only on a connection that is closed
-	_ = renew(x.arrived)
-	data, err := memory.ReadAll(x.r.Body, &x.held, limit, time.Now, renew)
+	_ = x.Moved(x.arrived) // its errors come again with the first read
+	data, err := memory.ReadAll(x.r.Body, &x.held, limit, time.Now, x)
 	if !x.held.Keep(time.Now(), true) {
 		return nil, &memory.FullError{Bytes: int64(len(data)), Total: x.g.budget().Total}
 	}
@@ -74,19 +63,34 @@
 	return nil, err
 }
 
-// setBodyDeadline lets the next reads of the body last until a time. It fails if the holder had to go, or the bodies of requests are no longer
-// read, since the deadline that ended their reads may just have been replaced.
-func (x *exchange) setBodyDeadline(c *http.ResponseController, until time.Time) error {
-	_ = c.SetReadDeadline(until) // fails only on a connection that is closed
+// Moved implements memory.Progress. It lets the next reads of the body last for bodyStall from now, and fails if the holder had to go or the bodies of
+// requests are no longer read, since the deadline that ended their reads may just have been replaced.
+func (x *exchange) Moved(now time.Time) error {
+	if now.Before(x.renewBodyAt) {
+		return nil
+	}
+	stall := x.bodyStall()
+	x.renewBodyAt = now.Add(stall / stallRenewal)
+	_ = http.NewResponseController(x.w).SetReadDeadline(now.Add(stall + stall/stallRenewal)) // fails only on a connection that is closed
 	if x.g.pastBodyCutoff() {
 		return os.ErrDeadlineExceeded
 	}
-	if !x.held.Keep(time.Now(), false) {
+	if !x.held.Keep(now, false) {
 		return &memory.FullError{Total: x.g.budget().Total}
 	}
 	return nil
 }
 
+// Release implements memory.Owner: others need the memory. It ends the read of the body, or the write of the response.
+func (x *exchange) Release() {
+	c := http.NewResponseController(x.w)
+	if x.responding.Load() {
+		_ = c.SetWriteDeadline(time.Now()) // fails only on a connection that is closed
+		return
+	}
+	_ = c.SetReadDeadline(time.Now()) // the same
+}
+
 // bodyStall returns how long a body may pause.
 func (x *exchange) bodyStall() time.Duration {
 	if idle := x.table.Limits.IdleTimeout; idle > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,7 @@
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
 	x := &exchange{g: g, w: w, r: r, arrived: time.Now(), held: g.budget().Open()}
+	x.held.Owner = x
 	defer x.held.Close()
 	if g.shutdown.Load() != nil {
 		w.Header().Set("Connection", "close")
@@ -128,7 +129,9 @@
 	service  *route.Service
 	deadline time.Time
 
-	held memory.Holder // the bytes of body and answer
+	held        memory.Holder // the bytes of body and answer
+	renewBodyAt time.Time     // when the deadline of the body's reads is renewed
+	responding  atomic.Bool   // the response is being written
 
 	workspace *route.Workspace // of the caller's key; nil if it has none
 	leased    bool             // the keys in the table could be trusted when it was looked up
--- a/gateway/read_ahead.go
+++ b/gateway/read_ahead.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,8 +33,8 @@
 	since    atomic.Int64 // when the write that goes on began, in nanoseconds of Unix time; 0 while there is none
 	deadline time.Time    // of the request
 	patience time.Duration
-	cut      func()     // ends the write; may be called again
-	ahead    *readAhead // nil for a response that has been read whole
+	caller   memory.Owner // its Release ends the write; may be called again
+	ahead    *readAhead   // nil for a response that has been read whole
 }
 
 func (w *callerWrite) begin(now time.Time) { w.since.Store(now.UnixNano()) }
@@ -52,7 +51,7 @@
 		w.ahead.start()
 	}
 	if blocked >= w.patience && now.After(w.deadline) {
-		w.cut()
+		w.caller.Release()
 	}
 }
 
@@ -184,17 +183,11 @@
 	a.held.Close()
 }
 
-// watchWrite watches the writes of a response to the caller until the function that it returns is called. ahead is nil for a response that has been read
-// whole.
-func (x *exchange) watchWrite(ahead *readAhead) (w *callerWrite, stop func()) {
-	w = &callerWrite{deadline: x.deadline, patience: x.bodyStall(), cut: x.cutCaller, ahead: ahead}
+// watchWrite watches the writing w of a response to the caller, until it is removed. ahead is nil for a response that has been read whole.
+func (x *exchange) watchWrite(w *callerWrite, ahead *readAhead) {
+	x.responding.Store(true)
+	w.deadline, w.patience, w.caller, w.ahead = x.deadline, x.bodyStall(), x, ahead
 	x.g.writes.add(w)
-	return w, func() { x.g.writes.remove(w) }
-}
-
-// cutCaller ends a write to the caller.
-func (x *exchange) cutCaller() {
-	_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now()) // fails only on a connection that is closed
 }
 
 // writeWhole writes a response that has been read whole, in pieces. A caller may be reading it slowly or not at all; if others need the
@@ -204,9 +197,9 @@
 		_, err := x.w.Write(body)
 		return err
 	}
-	x.held.Release = x.cutCaller
-	w, stop := x.watchWrite(nil)
-	defer stop()
+	var w callerWrite
+	x.watchWrite(&w, nil)
+	defer x.g.writes.remove(&w)
 	for len(body) > 0 {
 		now := time.Now()
 		x.held.Keep(now, false)
--- a/gateway/read_ahead_test.go
+++ b/gateway/read_ahead_test.go
@@ -47,7 +47,7 @@
 	const pieces = 20
 	source := newSourceStream(0)
 	a := &readAhead{source: source}
-	w := &callerWrite{ahead: a, patience: time.Hour, cut: func() { t.Error("the caller was cut off") }}
+	w := &callerWrite{ahead: a, patience: time.Hour, caller: memory.OwnerFunc(func() { t.Error("the caller was cut off") })}
 	start := time.Unix(100, 0)
 	var watch writeWatch
 	watch.running = true // by this test
@@ -129,7 +129,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			cut := false
-			w := &callerWrite{deadline: start.Add(c.deadline), patience: patience, cut: func() { cut = true }}
+			w := &callerWrite{deadline: start.Add(c.deadline), patience: patience, caller: memory.OwnerFunc(func() { cut = true })}
 			w.begin(start)
 			if c.ended {
 				w.end()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,7 +32,7 @@
 	lastEventAt     time.Time     // when the last events were forwarded
 	longestPause    time.Duration // longest time between two events
 
-	write *callerWrite // of the attempt that goes on
+	write callerWrite // of the attempt that goes on
 }
 
 func (s *streamState) hasStarted() bool { return s != nil && s.started }
@@ -102,11 +102,10 @@
 	call := x.held.Bytes()
 	defer func() { _ = x.held.Resize(time.Now(), call) }() // less than before
 	ahead := &readAhead{source: resp, held: x.g.budget().Open()}
-	ahead.held.Release = x.cutCaller
+	ahead.held.Owner = x
 	defer ahead.close()
-	var stop func()
-	x.stream.write, stop = x.watchWrite(ahead)
-	defer stop()
+	x.watchWrite(&x.stream.write, ahead)
+	defer x.g.writes.remove(&x.stream.write)
 	order := sse.NewOrder(x.resumeEventID())
 	var buffered []byte
 	anyEvent := false
--- a/memory/buffer.go
+++ b/memory/buffer.go
@@ -54,17 +54,23 @@
 // Error implements error.
 func (e *TooLargeError) Error() string { return fmt.Sprintf("body exceeds %d bytes", e.Limit) }
 
+// Progress is told of a body that is read.
+type Progress interface {
+	// Moved is called between two reads, at now. An error ends the reading.
+	Moved(now time.Time) error
+}
+
 // ReadAll reads r to its end, counts what has arrived against h besides what h holds already, and returns it; on an error, h holds what it held
-// before. between, which may be nil, is called between two reads. The error is a *TooLargeError beyond limit, unless that is 0, a
-// *FullError, that of r, or that of between. It blocks like r.
-func ReadAll(r io.Reader, h *Holder, limit int64, now func() time.Time, between func(now time.Time) error) ([]byte, error) {
+// before. progress may be nil. The error is a *TooLargeError beyond limit, unless that is 0, a
+// *FullError, that of r, or that of progress. It blocks like r.
+func ReadAll(r io.Reader, h *Holder, limit int64, now func() time.Time, progress Progress) ([]byte, error) {
 	before := h.Bytes()
-	data, err := readAll(r, h, limit, now, between)
+	data, err := readAll(r, h, limit, now, progress)
 	_ = h.Resize(now(), before+int64(len(data))) // less than before; what had to go says so at its next use
 	return data, err
 }
 
-func readAll(r io.Reader, h *Holder, limit int64, now func() time.Time, between func(now time.Time) error) ([]byte, error) {
+func readAll(r io.Reader, h *Holder, limit int64, now func() time.Time, progress Progress) ([]byte, error) {
 	before := h.Bytes()
 	var b Buffer
 	defer b.Free()
@@ -86,10 +92,10 @@
 		if err := h.Resize(at, before+size); err != nil {
 			return nil, err
 		}
-		if between == nil {
+		if progress == nil {
 			continue
 		}
-		if err := between(at); err != nil {
+		if err := progress.Moved(at); err != nil {
 			return nil, err
 		}
 	}
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -72,9 +72,7 @@
 
 // Holder is what holds bytes: a request with its body and its answer. Its methods are called from one goroutine at a time, its owner.
 type Holder struct {
-	// Release ends the read or write that the owner waits in. It is called at most once, by another goroutine and before Close returns, and must
-	// neither block nor call the budget. The owner sets it before the first Resize or while the holder is kept.
-	Release func()
+	Owner Owner // set before the first Resize; may be nil
 
 	budget  *Budget
 	bytes   int64
@@ -85,6 +83,19 @@
 	gone    bool // had to go
 }
 
+// Owner is whose bytes a holder counts.
+type Owner interface {
+	// Release ends the read or write that the owner waits in, since its holder has to go. It is called at most once for a holder, by another goroutine and
+	// before Close returns, and must neither block nor call the budget.
+	Release()
+}
+
+// OwnerFunc is a function that is an Owner.
+type OwnerFunc func()
+
+// Release implements Owner.
+func (f OwnerFunc) Release() { f() }
+
 // Open returns a holder without bytes.
 func (b *Budget) Open() Holder { return Holder{budget: b} }
 
@@ -130,8 +141,8 @@
 		v.gone = true
 		b.givenUp++
 		b.drop(v)
-		if v.Release != nil {
-			v.Release()
+		if v.Owner != nil {
+			v.Owner.Release()
 		}
 	}
 	b.used += counted - h.counted
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -71,7 +71,7 @@
 			var holders []*Holder
 			for i, other := range c.held {
 				h := b.Open()
-				h.Release = func() { released[i] = true }
+				h.Owner = OwnerFunc(func() { released[i] = true })
 				if err := h.Resize(now.Add(-other.still), other.bytes); err != nil {
 					t.Fatal(err)
 				}
--- a/operator/body.go
+++ b/operator/body.go
@@ -11,7 +11,7 @@
 // The error is a *memory.TooLargeError, a *memory.FullError or that of the connection. While the body is taken up, held is kept.
 func readBody(w http.ResponseWriter, r *http.Request, held *memory.Holder, limit int64) ([]byte, error) {
 	c := http.NewResponseController(w)
-	held.Release = func() { _ = c.SetReadDeadline(time.Now()) } // fails only on a connection that is closed
+	held.Owner = memory.OwnerFunc(func() { _ = c.SetReadDeadline(time.Now()) }) // fails only on a connection that is closed
 	data, err := readWithin(r, held, limit)
 	if !held.Keep(time.Now(), true) {
 		err = &memory.FullError{Bytes: int64(len(data))}
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -277,8 +277,8 @@
 	_ = c.out.Resize(time.Now(), int64(c.queued)) // less than before
 }
 
-// expire ends the reads and writes of the connection, and so the connection. It does not block.
-func (c *Conn) expire() {
+// Release implements memory.Owner. It ends the reads and writes of the connection, and so the connection.
+func (c *Conn) Release() {
 	_ = c.nc.SetDeadline(time.Now()) // fails only on a connection that is closed
 }
 
--- a/wire/node.go
+++ b/wire/node.go
@@ -92,8 +92,7 @@
 		in:      n.Memory.Open(),
 		out:     n.Memory.Open(),
 	}
-	c.in.Release = c.expire
-	c.out.Release = c.expire
+	c.in.Owner, c.out.Owner = c, c
 	return c, r, nil
 }
 
