--- a/gateway/read_ahead_test.go
+++ b/gateway/read_ahead_test.go
@@ -55,7 +55,11 @@
 	w.begin(start)
 	watch.check(start.Add(watchInterval))
 	for i := range pieces {
-		source.pieces <- strconv.Itoa(i) + " " // taken only if somebody reads
+		select {
+		case source.pieces <- strconv.Itoa(i) + " ": // taken only if somebody reads
+		case <-time.After(20 * time.Second):
+			t.Fatal("nobody reads the stream")
+		}
 	}
 	w.end()
 	go func() {
