Connections among processes, of operators and to metrics are bounded

Listeners of the wire take so many as callers may have; beyond that new ones are closed. The operators' and metrics ports have times for a whole request and its response, and bounds on heads and connections.

--- a/agent/run.go
+++ b/agent/run.go
@@ -52,7 +52,7 @@
 	server.Registry = registry
 	mux := &wire.Mux{}
 	server.Register(mux)
-	listener := &wire.Listener{Node: node, Net: ln, Handler: mux, Up: server.Up, Down: server.Down, Patient: true}
+	listener := &wire.Listener{Node: node, Net: ln, Handler: mux, Up: server.Up, Down: server.Down, Limit: own.MaxConnections(), Patient: true}
 	admin := &daemon.AdminServer{Address: cfg.Admin, Registry: registry, Recorder: recorder, Ready: server.Ready}
 	recorder.Record(timeline.Event{Kind: "agent_started", VM: cfg.Name, Detail: ln.Addr().String()})
 	return runAll(ctx, server, listener, admin)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,8 @@
 const (
 	adminHeaderTimeout = 5 * time.Second
 	adminCloseTimeout  = 2 * time.Second
+	adminTimeout       = 30 * time.Second // for a request, and for its response
+	adminConnections   = 64               // open at once
 )
 
 // SystemClock reads the host's wall clock.
@@ -78,7 +80,9 @@
 	if err != nil {
 		return err
 	}
-	return ServeHTTP(ctx, listener, &http.Server{Handler: a.Handler(), ReadHeaderTimeout: adminHeaderTimeout}, adminCloseTimeout)
+	s := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: adminHeaderTimeout, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout, IdleTimeout: 2 * adminTimeout}
+	LimitHeader(s, 0)
+	return ServeLimited(ctx, listener, s, adminCloseTimeout, adminConnections)
 }
 
 // Handler returns the admin endpoints as a handler, for programs that serve them on
--- a/entry/operator_server.go
+++ b/entry/operator_server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/daemon"
@@ -14,6 +15,9 @@
 // This file serves the operators' HTTP API (package operator) together with the
 // metrics, health and timeline pages of daemon.AdminServer.
 
+// operatorTimeout is for a request of an operator to arrive, and for its response to be made and read.
+const operatorTimeout = time.Minute
+
 func (e *entry) serveOperators(ctx context.Context) error {
 	nl, err := net.Listen("tcp", e.cfg.Operators)
 	if err != nil {
@@ -32,7 +36,7 @@
 		Memory:    e.held,
 		Token:     e.cfg.OperatorToken,
 	})
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTimeout, ErrorLog: e.log.StandardLog()}
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTimeout, ReadTimeout: operatorTimeout, WriteTimeout: 2 * operatorTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: e.log.StandardLog()}
 	daemon.LimitHeader(s, 0)
 	return daemon.ServeLimited(ctx, nl, s, adminCloseTimeout, e.cfg.memory().MaxConnections())
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -35,7 +35,7 @@
 	componentsCtx, stopComponents := context.WithCancel(context.Background())
 	defer stopComponents()
 	g, componentsCtx := errgroup.WithContext(componentsCtx)
-	listener := &wire.Listener{Node: e.node, Net: wireListener, Handler: e.mux, Patient: true}
+	listener := &wire.Listener{Node: e.node, Net: wireListener, Handler: e.mux, Limit: e.cfg.memory().MaxConnections(), Patient: true}
 	g.Go(func() error { return ignoreCanceled(listener.Run(componentsCtx)) })
 	g.Go(func() error { return ignoreCanceled(e.runLedger(componentsCtx)) })
 	g.Go(func() error { return ignoreCanceled(e.peers.Run(componentsCtx)) })
--- a/node/holder.go
+++ b/node/holder.go
@@ -48,7 +48,7 @@
 	group.Go(func() error { return client.Run(ctx) })
 	group.Go(func() error { return p.watchSeeds(ctx, seeds) })
 	group.Go(func() error {
-		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Patient: true}).Run(ctx)
+		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.memory().MaxConnections(), Patient: true}).Run(ctx)
 	})
 	return ignoreShutdown(group.Wait())
 }
--- a/node/voter.go
+++ b/node/voter.go
@@ -121,7 +121,7 @@
 	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return placer.Run(ctx) })
 	group.Go(func() error {
-		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux}).Run(ctx)
+		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.memory().MaxConnections()}).Run(ctx)
 	})
 	group.Go(func() error {
 		return serve(ctx, operatorListener, operatorHandler(p, client), p.memory().MaxConnections())
@@ -149,7 +149,7 @@
 	group.Go(func() error { return p.watchSeeds(ctx, seeds) })
 	group.Go(func() error { return client.Run(ctx) })
 	group.Go(func() error {
-		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux}).Run(ctx)
+		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.memory().MaxConnections()}).Run(ctx)
 	})
 	group.Go(func() error {
 		return serve(ctx, operatorListener, operatorHandler(p, client), p.memory().MaxConnections())
--- a/wire/flood_test.go
+++ b/wire/flood_test.go
@@ -110,3 +110,42 @@
 		})
 	}
 }
+
+// Guards against connections without a bound: a process closes those beyond its limit at once, and takes new ones when others have left.
+func TestConnectionsBeyondTheLimitAreClosed(t *testing.T) {
+	const limit = 3
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &Node{Hello: Hello{Name: "flooded"}, Clock: &timeline.Clock{Wall: floodClock{}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = (&Listener{Node: n, Net: l, Handler: HandlerFunc(func(*Message) {}), Limit: limit}).Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	var first net.Conn
+	for range limit {
+		first = connectRaw(t, l.Addr().String())
+	}
+	hello := func() error {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			return err
+		}
+		t.Cleanup(func() { nc.Close() })
+		_, err = exchangeHello(nc, bufio.NewReader(nc), Hello{Name: "peer", Version: protocolVersion}, &timeline.Clock{Wall: floodClock{}})
+		return err
+	}
+	if hello() == nil {
+		t.Error("a connection beyond the limit: got a hello, want it closed")
+	}
+	first.Close()
+	for until := time.Now().Add(floodWait); hello() != nil; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("no connection was taken after another had ended")
+		}
+	}
+}
--- a/wire/node.go
+++ b/wire/node.go
@@ -17,6 +17,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bamboostep/bamboostep/dialer"
@@ -103,6 +104,7 @@
 	Handler Handler
 	Up      func(c *Conn) // called before the first message of a connection; may be nil
 	Down    func(c *Conn) // called after its last message; may be nil
+	Limit   int           // connections at once, beyond which new ones are closed; 0 for any number
 	Patient bool          // leaves it to who dials to notice a silent connection soon
 }
 
@@ -114,12 +116,21 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { l.Net.Close() })
 	defer stop()
+	var open atomic.Int64
 	for {
 		nc, err := l.Net.Accept()
 		if err != nil {
 			return ctx.Err()
 		}
-		all.Go(func() { l.serve(ctx, nc) })
+		if l.Limit > 0 && open.Load() >= int64(l.Limit) {
+			nc.Close()
+			continue
+		}
+		open.Add(1)
+		all.Go(func() {
+			defer open.Add(-1)
+			l.serve(ctx, nc)
+		})
 	}
 }
 
