What moves on quickly comes to its end however many others arrive

The budget let anyone who asked for less than the largest holder take that one's bytes: under a crowd that keeps arriving, each body went shortly before its end and nobody with a large one was served. Now only what stands still, or has been there for 10 s and is larger, goes; else the one that asks is refused. An eighth is left to those that hold little.

--- a/daemon/memory.go
+++ b/daemon/memory.go
@@ -24,7 +24,7 @@
 	heapShare = 0.6  // of the memory; the runtime collects garbage more often as it comes near
 	heldShare = 0.25 // of the memory
 	wireShare = 0.12 // of the memory, for connections among the system's own processes, apart from callers so that these cannot cut them off
-	minFrames = 2    // of the largest that such a connection carries, since a frame is copied once
+	minFrames = 3    // of the largest that such a connection carries: a frame is copied once, and a part is left to small ones
 
 	connectionBytes = 96 << 10 // of the memory, for each connection that may be open
 	minHeaderBytes  = 64 << 10 // of a request's head that is read at least
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -1,10 +1,10 @@
 // Package memory bounds what a process holds for callers and servers.
 //
 // A Budget is the bytes for all bodies, answers and events together. Each holder of some has a small reserve that is
-// always granted and not counted, so that small requests pass while large ones fill the rest. When the budget is used up, a holder that
-// asks for more gets it at the cost of the largest one that has not moved for a while, and else of the largest one that holds more than the asking one
-// would; if there is none, it is refused itself. So whoever holds most goes first, whatever it announced, and a holder that is
-// alone is never refused anything that fits into the budget.
+// always granted and not counted, so that small requests pass while large ones fill the rest, and an eighth of the budget is left to those that hold
+// little. When the budget is used up, a holder that asks for more gets it at the cost of the largest one that has not moved for a while, and else of the
+// largest one that has been there for long and holds more than the asking one would; if there is none, it is refused itself. So whoever holds most goes first,
+// whatever it announced, what moves on quickly comes to its end however many others arrive, and a holder that is alone is refused nothing that fits.
 //
 // The hard point is that the holder that goes is in other hands. Its bytes are given to the next at once, and its owner is told to
 // let go of them; until it has, the process holds more than the budget. Callers of this package keep that short, by ending the read or write that
@@ -39,6 +39,10 @@
 const (
 	defaultReserve = 16 << 10 // bytes
 	defaultStall   = 2 * time.Second
+
+	longStay   = 5  // times Stall, after which a holder goes for smaller ones although it moves
+	littlePart = 16 // a holder with at most this part of the budget holds little
+	leftPart   = 8  // this part of the budget is left to holders that hold little
 )
 
 // NewBudget returns a budget of so many bytes, with the usual reserve and time to stall.
@@ -79,6 +83,7 @@
 	known   bool // to the budget; from then on the fields below are read and written under its lock
 	kept    bool // does not go for others
 	counted int64
+	since   time.Time // when it first had bytes counted
 	movedAt time.Time
 	gone    bool // had to go
 }
@@ -125,13 +130,14 @@
 			b.holders = make(map[*Holder]bool)
 		}
 		b.holders[h] = true
+		h.since = now
 	}
 	if h.gone {
 		return nil, &FullError{Bytes: bytes, Total: b.Total}
 	}
 	counted := max(0, bytes-b.Reserve)
 	var victims []GivenUp
-	for b.used-h.counted+counted > b.Total && counted > h.counted {
+	for b.used-h.counted+counted > b.limit(counted) && counted > h.counted {
 		v := b.victim(h, now, counted)
 		if v == nil {
 			b.refused++
@@ -150,18 +156,26 @@
 	return victims, nil
 }
 
+// limit returns what all may hold after a holder has so many counted bytes.
+func (b *Budget) limit(counted int64) int64 {
+	if counted > b.Total/littlePart {
+		return b.Total - b.Total/leftPart
+	}
+	return b.Total
+}
+
 // victim returns the holder that goes so that h can hold so many counted bytes, or nil if h is refused.
 func (b *Budget) victim(h *Holder, now time.Time, counted int64) *Holder {
-	if counted > b.Total {
+	if counted > b.limit(counted) {
 		return nil
 	}
-	var largest, stalled *Holder
+	var old, stalled *Holder
 	for other := range b.holders {
 		if other == h || other.kept || other.counted == 0 {
 			continue
 		}
-		if largest == nil || other.counted > largest.counted {
-			largest = other
+		if now.Sub(other.since) >= longStay*b.Stall && other.counted > counted && (old == nil || other.counted > old.counted) {
+			old = other
 		}
 		if now.Sub(other.movedAt) >= b.Stall && (stalled == nil || other.counted > stalled.counted) {
 			stalled = other
@@ -170,10 +184,7 @@
 	if stalled != nil {
 		return stalled
 	}
-	if largest != nil && largest.counted > counted {
-		return largest
-	}
-	return nil
+	return old
 }
 
 func (b *Budget) drop(h *Holder) {
