--- a/entry/run.go
+++ b/entry/run.go
@@ -23,6 +23,7 @@
 // ready, lets running requests finish, and only then closes the connections to
 // agents and other entries.
 func (e *entry) Run(ctx context.Context) error {
+	e.cfg.memory().LimitHeap()
 	if err := e.restoreSet(); err != nil {
 		return err
 	}
@@ -34,7 +35,7 @@
 	componentsCtx, stopComponents := context.WithCancel(context.Background())
 	defer stopComponents()
 	g, componentsCtx := errgroup.WithContext(componentsCtx)
-	listener := &wire.Listener{Node: e.node, Net: wireListener, Handler: e.mux, Patient: true}
+	listener := &wire.Listener{Node: e.node, Net: wireListener, Handler: e.mux, Limit: e.cfg.memory().MaxConnections(), Patient: true}
 	g.Go(func() error { return ignoreCanceled(listener.Run(componentsCtx)) })
 	g.Go(func() error { return ignoreCanceled(e.runLedger(componentsCtx)) })
 	g.Go(func() error { return ignoreCanceled(e.peers.Run(componentsCtx)) })
@@ -115,7 +116,8 @@
 		ErrorLog:          e.log.StandardLog(),
 	}
 	daemon.ResetIncomplete(s)
-	return daemon.ServeHTTP(servingCtx, nl, s, e.cfg.DrainTimeout.Duration)
+	daemon.LimitHeader(s, 0)
+	return daemon.ServeLimited(servingCtx, nl, s, e.cfg.DrainTimeout.Duration, e.cfg.memory().MaxConnections())
 }
 
 // waitConfigured blocks until a configuration is active, and returns false if ctx
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -31,6 +31,8 @@
 	firstEventAfter time.Duration // from the arrival of the request to the first event
 	lastEventAt     time.Time     // when the last events were forwarded
 	longestPause    time.Duration // longest time between two events
+
+	write callerWrite // of the attempt that goes on
 }
 
 func (s *streamState) hasStarted() bool { return s != nil && s.started }
@@ -97,14 +99,19 @@
 // forwardStream forwards complete events. It returns nil once the stream is complete, and
 // a *callerWriteError if the caller cannot be written to.
 func (x *exchange) forwardStream(ctx context.Context, run *fleet.Assignment, resp *origin.Response) error {
-	usage := bufferUsage{total: &x.g.bufferedBytes}
-	defer usage.release()
+	call := x.held.Bytes()
+	defer func() { _ = x.held.Resize(time.Now(), call) }() // less than before
+	ahead := &readAhead{source: resp, held: x.g.budget().Open()}
+	ahead.held.Owner = x
+	defer ahead.close()
+	x.watchWrite(&x.stream.write, ahead)
+	defer x.g.writes.remove(&x.stream.write)
 	order := sse.NewOrder(x.resumeEventID())
 	var buffered []byte
 	anyEvent := false
 	chunk := make([]byte, streamReadSize)
 	for {
-		n, err := resp.Read(chunk)
+		n, err := ahead.Read(chunk)
 		buffered = append(buffered, chunk[:n]...)
 		if end := sse.LastEnd(buffered); end > 0 {
 			anyEvent = true
@@ -119,7 +126,7 @@
 		case len(buffered) > maxEventBytes:
 			return errResponseTooLarge
 		}
-		if err := usage.resize(len(buffered)); err != nil {
+		if err := x.held.Resize(time.Now(), call+int64(len(buffered))); err != nil {
 			return err
 		}
 	}
@@ -179,10 +186,13 @@
 func (x *exchange) forwardEvents(resp *origin.Response, events []byte, lastID string) error {
 	x.sendStreamHead(resp)
 	x.stream.lastID = lastID
-	x.stream.countEvents(time.Now())
+	now := time.Now()
+	x.stream.countEvents(now)
 	if x.quarantineVerdict.Crashes > 0 && x.stream.position() > x.quarantineVerdict.ClearAfterEvents {
 		x.reportPassed()
 	}
+	x.stream.write.begin(now)
+	defer x.stream.write.end()
 	if _, err := x.w.Write(events); err != nil {
 		return err
 	}
--- a/node/voter.go
+++ b/node/voter.go
@@ -121,9 +121,11 @@
 	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return placer.Run(ctx) })
 	group.Go(func() error {
-		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux}).Run(ctx)
+		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.memory().MaxConnections()}).Run(ctx)
+	})
+	group.Go(func() error {
+		return serve(ctx, operatorListener, operatorHandler(p, client), p.memory().MaxConnections())
 	})
-	group.Go(func() error { return serve(ctx, operatorListener, operatorHandler(p, client)) })
 	return ignoreShutdown(group.Wait())
 }
 
@@ -147,9 +149,11 @@
 	group.Go(func() error { return p.watchSeeds(ctx, seeds) })
 	group.Go(func() error { return client.Run(ctx) })
 	group.Go(func() error {
-		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux}).Run(ctx)
+		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.memory().MaxConnections()}).Run(ctx)
+	})
+	group.Go(func() error {
+		return serve(ctx, operatorListener, operatorHandler(p, client), p.memory().MaxConnections())
 	})
-	group.Go(func() error { return serve(ctx, operatorListener, operatorHandler(p, client)) })
 	return ignoreShutdown(group.Wait())
 }
 
@@ -185,7 +189,7 @@
 
 // operatorHandler serves the publication and the reading of routes.
 func operatorHandler(p *process, client *ledger.Client) http.Handler {
-	routes := &operator.Routes{Ledger: client, Decode: platform.ParseRoutes, Recorder: p.recorder}
+	routes := &operator.Routes{Ledger: client, Decode: platform.ParseRoutes, Recorder: p.recorder, Memory: p.memory().NewBudget(p.registry, p.recorder)}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PatternPublishRoutes, routes.Publish)
 	mux.HandleFunc(platform.PatternReadRoutes, routes.Read)
--- a/wire/node.go
+++ b/wire/node.go
@@ -17,10 +17,12 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bamboostep/bamboostep/dialer"
 	"github.com/bamboostep/bamboostep/internal/timer"
+	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -37,10 +39,11 @@
 	Hello   Hello // Version may be left 0
 	Clock   *timeline.Clock
 	Metrics *Metrics
-	TLS     *tls.Config   // mutual TLS on every connection; nil for plain TCP
-	Dial    time.Duration // longest time that a dial of a link takes; 2 s if 0
-	Redial  time.Duration // longest delay between two dials of a link; 2 s if 0
-	Source  net.IP        // address that links dial from; nil for the kernel's choice
+	TLS     *tls.Config    // mutual TLS on every connection; nil for plain TCP
+	Dial    time.Duration  // longest time that a dial of a link takes; 2 s if 0
+	Redial  time.Duration  // longest delay between two dials of a link; 2 s if 0
+	Memory  *memory.Budget // for frames that arrive and messages that wait to be written; nil for any number
+	Source  net.IP         // address that links dial from; nil for the kernel's choice
 
 	once    sync.Once
 	started time.Time
@@ -87,7 +90,10 @@
 		wake:    make(chan struct{}, 1),
 		calls:   make(map[uint64]chan envelope),
 		done:    make(chan struct{}),
+		in:      n.Memory.Open(),
+		out:     n.Memory.Open(),
 	}
+	c.in.Owner, c.out.Owner = c, c
 	return c, r, nil
 }
 
@@ -98,6 +104,7 @@
 	Handler Handler
 	Up      func(c *Conn) // called before the first message of a connection; may be nil
 	Down    func(c *Conn) // called after its last message; may be nil
+	Limit   int           // connections at once, beyond which new ones are closed; 0 for any number
 	Patient bool          // leaves it to who dials to notice a silent connection soon
 }
 
@@ -109,12 +116,21 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { l.Net.Close() })
 	defer stop()
+	var open atomic.Int64
 	for {
 		nc, err := l.Net.Accept()
 		if err != nil {
 			return ctx.Err()
 		}
-		all.Go(func() { l.serve(ctx, nc) })
+		if l.Limit > 0 && open.Load() >= int64(l.Limit) {
+			nc.Close()
+			continue
+		}
+		open.Add(1)
+		all.Go(func() {
+			defer open.Add(-1)
+			l.serve(ctx, nc)
+		})
 	}
 }
 
