A proof that is older than wanted begins no new check

Change: only a proof that leaves nothing to be wanted lets the next check come at once. Test: 327,682 questions under way before, at most 10 now.

--- a/ledger/sources.go
+++ b/ledger/sources.go
@@ -193,10 +193,11 @@
 	return []question{q}, left
 }
 
-// prove notes that the client's state was the newest at a moment.
+// prove notes that the client's state was the newest at a moment. Only a proof that leaves nothing to be wanted lets the next check come at
+// once: else each answer of a check would begin another one.
 func (s *sources) prove(now, at time.Duration) {
 	s.proved = max(s.proved, at)
-	if now-s.proved <= s.staleAfter() {
+	if now-s.proved <= s.staleAfter() && s.wanted <= s.proved {
 		s.checkDue, s.checkDelay, s.checks = 0, s.bound/8, 0
 	}
 }
