A question that failed is not repeated at once

Cause: where a process's own voter is current, its client does not look which voters can be reached. Change: without another voter to follow, one that failed rests for a sixteenth of the bound. Test fails without it.

--- a/ledger/sources.go
+++ b/ledger/sources.go
@@ -85,6 +85,10 @@
 // restTime is how long a voter that was left is not followed again.
 func (s *sources) restTime() time.Duration { return s.bound / 2 }
 
+// retryTime is how long a voter is not asked again that has failed, if there is no other. A question may fail at once, since its
+// connection is gone, and a client whose own voter is current does not look which voters can be reached.
+func (s *sources) retryTime() time.Duration { return s.bound / 16 }
+
 // tick returns the questions to ask now, given the voters that can be reached.
 func (s *sources) tick(now time.Duration, reachable []Member) (asked []question, left []departure) {
 	s.reachable = reachable
@@ -182,10 +186,16 @@
 	}
 	next, wait := a.to, s.waitTime()
 	if reason != "" {
-		if other, ok := s.choose(now, s.reachable); ok {
+		other, ok := s.choose(now, s.reachable)
+		switch {
+		case ok:
 			s.restUntil[a.to.Address] = now + s.restTime()
 			left = []departure{{a.to, reason}}
 			next, wait = other, 0
+		case a.failed != "":
+			s.restUntil[a.to.Address] = now + s.retryTime()
+			s.followed = slices.Delete(s.followed, i, i+1)
+			return nil, nil // the next tick after that follows it anew, if it can be reached
 		}
 	}
 	q := s.ask(next, wait)
--- a/ledger/sources_test.go
+++ b/ledger/sources_test.go
@@ -45,3 +45,30 @@
 		t.Errorf("questions under way: got %d, want at most %d", most, want)
 	}
 }
+
+// Guards against a client that asks a voter over and over whose connection is gone, while there is no other to follow: each question fails at
+// once, and the loop takes the whole processor and ever more memory.
+func TestFailedQuestionIsNotRepeatedAtOnce(t *testing.T) {
+	const bound = 2 * time.Second
+	only := []Member{{Name: "a", Address: "a", FailureDomain: "0"}}
+	s := newSources(bound, 2, "0", 0)
+	now := time.Minute
+	s.prove(now, now)
+	asked, _ := s.tick(now, only)
+	if len(asked) != 1 {
+		t.Fatalf("questions at first: got %d, want 1", len(asked))
+	}
+	if again, _ := s.answer(now, answered{question: asked[0], failed: "no connection"}); len(again) > 0 {
+		t.Errorf("questions after the failure: got %d, want none", len(again))
+	}
+	if again, _ := s.tick(now, only); len(again) > 0 {
+		t.Errorf("questions at once: got %d, want none", len(again))
+	}
+	due := s.due(now)
+	if due <= now || due > now+bound/4 {
+		t.Errorf("next tick: got %v after the failure, want within a quarter of the bound", due-now)
+	}
+	if again, _ := s.tick(due, only); len(again) != 1 || again[0].to != only[0] {
+		t.Errorf("questions after a while: got %v, want one", again)
+	}
+}
