--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -25,7 +25,6 @@
 	modelLoadWait       = 2500 * time.Millisecond // for a model that no backend server has loaded yet
 	serverDiscoveryWait = 600 * time.Millisecond  // for a first backend server to become known
 	adapterTimeout      = 800 * time.Millisecond  // for loading an adapter before an attempt
-	minAttemptTime      = 20 * time.Millisecond   // remaining time below which no attempt is sent
 )
 
 const (
@@ -218,7 +217,7 @@
 		return attemptRetryable
 	}
 	left := time.Until(x.deadline)
-	if left < minAttemptTime {
+	if left < route.MinAttemptTime {
 		run.End(fleet.EndedCanceled, time.Now())
 		x.handleTimeout()
 		return attemptFinal
--- a/gateway/response.go
+++ b/gateway/response.go
@@ -14,6 +14,7 @@
 	"github.com/bamboostep/bamboostep/origin"
 	"github.com/bamboostep/bamboostep/pace"
 	"github.com/bamboostep/bamboostep/quarantine"
+	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/timeline"
 )
 
@@ -76,7 +77,7 @@
 // mayRetryFailure reports whether an error response of a backend server may be
 // retried.
 func (x *exchange) mayRetryFailure() bool {
-	return x.route.Repeatable() && x.possibleRuns < x.route.Attempts && time.Until(x.deadline) > minAttemptTime
+	return x.route.Repeatable() && x.possibleRuns < x.route.Attempts && time.Until(x.deadline) > route.MinAttemptTime
 }
 
 // copyHeader copies all headers except connectionHeaders. It keeps a Connection header
