Lanes only for models of which some engine pauses streams for longer than promised

Change: no lanes where no engine needs them, by its pace. Tests: none then; the others have a slow engine.

--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -161,7 +161,7 @@
 
 // cheapest returns the estimate of the candidate with the lowest cost.
 func (f *Fleet) cheapest(now time.Time, req Requirements, candidates []*server) estimate {
-	lane := f.lane(now, req)
+	lane := f.lane(req)
 	affinity := f.affinityServer(now, inLane(lane, candidates), req)
 	if req.Randomize {
 		f.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
--- a/fleet/lanes.go
+++ b/fleet/lanes.go
@@ -16,6 +16,9 @@
 // at which the prefill of a prompt would pause streams for longer than promised first, and the first of them take short
 // prompts. Each entry measures the share of the work in its own requests; where two differ, they differ about one engine.
 //
+// There are lanes only for a model of which some engine, by its pace, pauses streams for longer than promised while it prefills. Else
+// they would only make the engines of each kind fewer.
+//
 // A lane is a preference: a request leaves it where that saves more than the pause that its route promises.
 
 const (
@@ -62,12 +65,15 @@
 }
 
 // lane returns the engines that requests like req go to, or nil if there are no lanes.
-func (f *Fleet) lane(now time.Time, req Requirements) map[*server]bool {
+func (f *Fleet) lane(req Requirements) map[*server]bool {
 	sizes := f.promptSizes[req.Service]
 	if req.ModelName.Model == "" || req.Promise.EventGap <= 0 || sizes == nil {
 		return nil
 	}
-	holders := f.rankedHolders(req, now)
+	holders := f.rankedHolders(req)
+	if len(holders) == 0 || !holders[0].pauses {
+		return nil // no engine needs to be kept free of long prompts
+	}
 	short := sizes.shortEngines(len(holders))
 	if short == 0 {
 		return nil
@@ -92,7 +98,7 @@
 }
 
 // rankedHolders returns the engines that hold the model of req and stay, those that take short prompts first.
-func (f *Fleet) rankedHolders(req Requirements, now time.Time) []rankedHolder {
+func (f *Fleet) rankedHolders(req Requirements) []rankedHolder {
 	model := xxhash.Sum64String(req.ModelName.Model)
 	var holders []rankedHolder
 	for _, s := range f.byService[req.Service] {
