--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -161,17 +161,14 @@
 
 // cheapest returns the estimate of the candidate with the lowest cost.
 func (f *Fleet) cheapest(now time.Time, req Requirements, candidates []*server) estimate {
-	lane := f.lane(req)
-	affinity := f.affinityServer(now, inLane(lane, candidates), req)
+	affinity := f.affinityServer(now, candidates, req)
 	if req.Randomize {
 		f.rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 		candidates = f.firstWithinMaxWait(now, req, candidates, affinity)
 	}
-	var best estimate
-	for i, s := range candidates {
-		e := f.balancedEstimate(now, req, s, affinity)
-		e.cost += req.laneCost(lane, s)
-		if i == 0 || better(e, best) {
+	best := f.balancedEstimate(now, req, candidates[0], affinity)
+	for _, s := range candidates[1:] {
+		if e := f.balancedEstimate(now, req, s, affinity); better(e, best) {
 			best = e
 		}
 	}
@@ -307,7 +304,6 @@
 		f.addPending(e.server, e.uncachedTokens)
 		f.recordPriority(req, e.uncachedTokens, now)
 		r.Pace = f.paceOf(e.server, now)
-		f.recordPromptSize(req, e.uncachedTokens)
 		u := f.usageOf(req.Service)
 		u.promptTokens = average(u.promptTokens, float64(e.uncachedTokens))
 		u.answerTokens = average(u.answerTokens, float64(req.MaxAnswerTokens))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,7 +72,6 @@
 	plainServices map[string]*plainService   // by name
 	prioritySent  map[string]priorityRates   // by service
 	usages        map[string]*usage          // by service
-	promptSizes   map[string]*promptSizes    // by service
 	medians       map[string]medianPaceOf    // by service
 	rng           *rand.Rand
 }
@@ -142,7 +141,6 @@
 	f.plainServices = make(map[string]*plainService)
 	f.prioritySent = make(map[string]priorityRates)
 	f.usages = make(map[string]*usage)
-	f.promptSizes = make(map[string]*promptSizes)
 	f.medians = make(map[string]medianPaceOf)
 	f.rng = newRNG(f.Seed)
 }
