--- a/agent/upload.go
+++ b/agent/upload.go
@@ -6,16 +6,14 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/bamboostep/bamboostep/internal/bodyend"
 )
 
 // http.Transport writes a request in one goroutine and reads its response in another. A connection that breaks tells
 // its error once, to whichever of the two meets it first; the reader may then see an orderly end. So each connection
 // counts what was written of its one request, and the end of a response without a length is asked against that.
 
-const uploadGrace = 50 * time.Millisecond // wait for the rest of the request at the end of its response
-
-var errUploadUnfinished = errors.New("the request's body was not written whole")
-
 // uploadKey is the context key of a request's *upload.
 type uploadKey struct{}
 
@@ -58,16 +56,16 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.err == nil && u.written < u.body {
-		return errUploadUnfinished
+		return bodyend.ErrUploadUnfinished
 	}
 	return u.err
 }
 
-// wait is result after at most uploadGrace.
+// wait is result after at most bodyend.UploadGrace.
 func (u *upload) wait() error {
 	err := u.result()
-	for until := time.Now().Add(uploadGrace); errors.Is(err, errUploadUnfinished) && time.Now().Before(until); err = u.result() {
-		time.Sleep(uploadGrace / 50)
+	for until := time.Now().Add(bodyend.UploadGrace); errors.Is(err, bodyend.ErrUploadUnfinished) && time.Now().Before(until); err = u.result() {
+		time.Sleep(bodyend.UploadGrace / 50)
 	}
 	return err
 }
--- a/fleet/estimate.go
+++ b/fleet/estimate.go
@@ -11,8 +11,8 @@
 //
 // An engine prefills prompts one after another between the decode steps of running requests, so the
 // dominant terms are the prompt tokens queued ahead of a request and the part of its own
-// prompt that is not cached, at the pace of that engine (pace.go). Where no promise is at stake the soonest first
-// event wins; a server that breaks fewer promises goes before it.
+// prompt that is not cached, at the pace of that engine (pace.go). The lowest cost wins: the work before the first event at the
+// median pace of the service, and the price of the promises that are likely to be broken.
 
 // Terms of the estimated wait and cost of a request at a backend server.
 const (
--- a/gateway/early_response_test.go
+++ b/gateway/early_response_test.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +8,7 @@
 
 	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/dispatch"
+	"github.com/bamboostep/bamboostep/internal/rawserver"
 	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/route"
 	"github.com/bamboostep/bamboostep/timeline"
@@ -20,27 +18,8 @@
 // connection in order. It reads nothing more.
 func startEarlyBackend(t *testing.T, response string) *fakeBackend {
 	t.Helper()
-	l, err := net.Listen("tcp", uniqueLoopbackAddress())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			nc, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { nc.Close() })
-			go func() {
-				if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
-					_, _ = io.WriteString(nc, response)
-					_ = nc.(*net.TCPConn).CloseWrite()
-				}
-			}()
-		}
-	}()
-	return &fakeBackend{Server: &httptest.Server{URL: "http://" + l.Addr().String()}}
+	address := rawserver.Server{Listen: uniqueLoopbackAddress(), Response: response, Early: true}.Start(t)
+	return &fakeBackend{Server: &httptest.Server{URL: "http://" + address}}
 }
 
 // Guards against a part of an answer that reaches its caller as a whole one: a backend server answers an upload early, with neither length
--- a/internal/bodyend/bodyend.go
+++ b/internal/bodyend/bodyend.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/bamboostep/bamboostep/dialer"
 )
@@ -24,8 +25,14 @@
 	ErrNoEvent     = errors.New("it ends with its connection, without an event")
 	ErrInsideJSON  = errors.New("it ends with its connection, inside its JSON value")
 	ErrUpload      = errors.New("it ends with its connection, before the request was sent whole")
+
+	// ErrUploadUnfinished is why an upload does not show the end of a response: it was still being written UploadGrace later.
+	ErrUploadUnfinished = errors.New("the request's body was not written whole")
 )
 
+// UploadGrace is how long the end of a response waits for the rest of its request to be written.
+const UploadGrace = 50 * time.Millisecond
+
 // StatusError is a status that no response has. What comes with it is not a response.
 type StatusError struct{ Status int }
 
--- a/internal/rawserver/rawserver.go
+++ b/internal/rawserver/rawserver.go
@@ -16,6 +16,7 @@
 	Listen   string              // address to listen on
 	Response string              // sent as it is
 	Crashes  bool                // it stops listening before it closes the connection
+	Early    bool                // it answers before it has read the body, ends its side of the connection in order and reads nothing more
 	Received func(*http.Request) // called for each request, concurrently; may be nil
 }
 
@@ -33,6 +34,7 @@
 			if err != nil {
 				return
 			}
+			t.Cleanup(func() { nc.Close() })
 			go s.serve(l, nc)
 		}
 	}()
@@ -42,8 +44,13 @@
 // serve answers one request. A connection without one was only opened to see whether the server
 // listens.
 func (s Server) serve(l net.Listener, nc net.Conn) {
-	defer nc.Close()
 	r, err := http.ReadRequest(bufio.NewReader(nc))
+	if err == nil && s.Early {
+		_, _ = io.WriteString(nc, s.Response)
+		_ = nc.(*net.TCPConn).CloseWrite()
+		return // the end of the test closes it
+	}
+	defer nc.Close()
 	if err != nil {
 		return
 	}
--- a/origin/exchange.go
+++ b/origin/exchange.go
@@ -9,18 +9,16 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/bamboostep/bamboostep"
 	"github.com/bamboostep/bamboostep/internal/bodyend"
 )
 
 const (
-	inlineBodyLimit  = 16 << 10              // bytes; a larger body is written concurrently with reading the response
-	maxDiscardedBody = 1 << 20               // bytes read from the body of a response to another request
-	maxResponsesRead = 4                     // responses read per request until one carries its attempt ID
-	maxInformational = 8                     // heads read per response, including informational (1xx) ones
-	bodyWriteGrace   = 50 * time.Millisecond // wait for the body to be written before the connection is closed
+	inlineBodyLimit  = 16 << 10 // bytes; a larger body is written concurrently with reading the response
+	maxDiscardedBody = 1 << 20  // bytes read from the body of a response to another request
+	maxResponsesRead = 4        // responses read per request until one carries its attempt ID
+	maxInformational = 8        // heads read per response, including informational (1xx) ones
 )
 
 var (
@@ -30,7 +28,6 @@
 	errHeadTooLarge         = errors.New("response head is too large")
 	errTooManyInformational = errors.New("too many informational (1xx) responses")
 	errNotHTTP              = errors.New("not an HTTP/1.x response")
-	errUploadUnfinished     = errors.New("the request's body was not written whole")
 )
 
 // Framing is how a response shows where its body ends.
@@ -240,7 +237,7 @@
 func (e *UnframedEndError) Unwrap() error { return e.Upload }
 
 // Read reads the body. It returns io.EOF only at the end of a body that is known to be complete,
-// and an *UnframedEndError at the end of one that may be. There it waits for the upload for at most bodyWriteGrace.
+// and an *UnframedEndError at the end of one that may be. There it waits for the upload for at most bodyend.UploadGrace.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if err != io.EOF {
--- a/origin/upload.go
+++ b/origin/upload.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"time"
+
+	"github.com/bamboostep/bamboostep/internal/bodyend"
 )
 
 // A large body is written by a goroutine of its own while the response is read, because a backend server may respond
@@ -26,7 +28,7 @@
 	return u
 }
 
-// wait waits for the end of the write for at most bodyWriteGrace, and returns nil if the body was written whole, else
+// wait waits for the end of the write for at most bodyend.UploadGrace, and returns nil if the body was written whole, else
 // why it was not. u may be nil, for a body that was sent together with the head.
 func (u *upload) wait() error {
 	if u == nil {
@@ -37,12 +39,12 @@
 		return u.err
 	default:
 	}
-	t := time.NewTimer(bodyWriteGrace)
+	t := time.NewTimer(bodyend.UploadGrace)
 	defer t.Stop()
 	select {
 	case <-u.written:
 		return u.err
 	case <-t.C:
-		return errUploadUnfinished
+		return bodyend.ErrUploadUnfinished
 	}
 }
