review: stand-ins are test files

Cause: TestPlatformNamesStayInPackage allows the platform's names in package platform and in tests only; it failed on the stand-ins.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 root=$(cd "$(dirname "$0")/.." && pwd)
 cd "$root"
 mkdir -p target/review-2
-go build -o target/review-2/standin ./review/6/_standin
+go test -c -o target/review-2/standin ./review/6/_standin
