A failed Accept ends no listener among our own processes

Callers saw: after a crowd had taken a voter's descriptors for a moment, the voter lived on and never accepted a connection of another process again; entries that started later did not serve. Cause: wire.Listener.Run returned at the first error of Accept, whatever it was, without an error, so that the process did not end either. Evidence: TestFailedAcceptEndsNoListener fails on (i/o timeout: nobody accepts after three failures with EMFILE). Change: only the end of the listener or of ctx ends Run; after another error it waits for 5 ms, twice as long after each further one and at most 1 s, and accepts again. A listener that was closed by others ends Run with an error, so that the process ends with it. The errors are counted (wire_accept_errors_total). The listener has a file of its own. Ruled out: that the kernel's queue of connections is lost; it is served once Accept works again.

--- a/wire/flood_test.go
+++ b/wire/flood_test.go
@@ -4,7 +4,10 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -149,3 +152,40 @@
 		}
 	}
 }
+
+// failingListener is a listener whose first calls of Accept fail, as those of a process without descriptors do.
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a process that never accepts again after it was out of descriptors, and does not end either.
+func TestFailedAcceptEndsNoListener(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &Node{Hello: Hello{Name: "n"}, Clock: &timeline.Clock{Wall: floodClock{}}}
+	ended := make(chan error, 1)
+	go func() {
+		ended <- (&Listener{Node: n, Net: &failingListener{l, 3}, Handler: HandlerFunc(func(*Message) {})}).Run(context.Background())
+	}()
+	connectRaw(t, l.Addr().String())
+	select {
+	case err := <-ended:
+		t.Errorf("the listener has ended: %v", err)
+	default:
+	}
+	l.Close()
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Errorf("after the listener was closed: got %v, want %v", err, net.ErrClosed)
+	}
+}
--- a/wire/metrics.go
+++ b/wire/metrics.go
@@ -9,6 +9,7 @@
 	badFrames     prometheus.Counter
 	silentConns   prometheus.Counter
 	strayReplies  prometheus.Counter
+	notAccepted   prometheus.Counter
 }
 
 // NewMetrics registers the counters with r.
@@ -19,8 +20,9 @@
 		badFrames:     newCounter("bad_frames_total", "Connections closed for a malformed or oversized frame."),
 		silentConns:   newCounter("silent_connections_total", "Connections abandoned because they brought nothing."),
 		strayReplies:  newCounter("stray_replies_total", "Replies that no call was waiting for."),
+		notAccepted:   newCounter("accept_errors_total", "Times that a connection could not be accepted, for example for want of descriptors."),
 	}
-	r.MustRegister(m.sentBytes, m.receivedBytes, m.badFrames, m.silentConns, m.strayReplies)
+	r.MustRegister(m.sentBytes, m.receivedBytes, m.badFrames, m.silentConns, m.strayReplies, m.notAccepted)
 	return m
 }
 
@@ -62,3 +64,9 @@
 		m.strayReplies.Inc()
 	}
 }
+
+func (m *Metrics) countNotAccepted() {
+	if m != nil {
+		m.notAccepted.Inc()
+	}
+}
--- a/wire/node.go
+++ b/wire/node.go
@@ -17,7 +17,6 @@
 	"math/rand/v2"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/bamboostep/bamboostep/dialer"
@@ -97,58 +96,6 @@
 	return c, r, nil
 }
 
-// Listener accepts connections. Set the exported fields before Run.
-type Listener struct {
-	Node    *Node
-	Net     net.Listener
-	Handler Handler
-	Up      func(c *Conn) // called before the first message of a connection; may be nil
-	Down    func(c *Conn) // called after its last message; may be nil
-	Limit   int           // connections at once, beyond which new ones are closed; 0 for any number
-	Patient bool          // leaves it to who dials to notice a silent connection soon
-}
-
-// Run accepts until ctx ends, then closes the listener and all its connections.
-func (l *Listener) Run(ctx context.Context) error {
-	var all sync.WaitGroup
-	defer all.Wait()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := context.AfterFunc(ctx, func() { l.Net.Close() })
-	defer stop()
-	var open atomic.Int64
-	for {
-		nc, err := l.Net.Accept()
-		if err != nil {
-			return ctx.Err()
-		}
-		if l.Limit > 0 && open.Load() >= int64(l.Limit) {
-			nc.Close()
-			continue
-		}
-		open.Add(1)
-		all.Go(func() {
-			defer open.Add(-1)
-			l.serve(ctx, nc)
-		})
-	}
-}
-
-func (l *Listener) serve(ctx context.Context, nc net.Conn) {
-	if l.Node.TLS != nil {
-		nc = tls.Server(nc, l.Node.TLS)
-	}
-	watch := silence{busy: listenerLimits}
-	if l.Patient {
-		watch.busy = patientLimits
-	}
-	c, r, err := l.Node.open(nc, l.Handler, nil, watch)
-	if err != nil {
-		return
-	}
-	run(ctx, c, r, l.Up, l.Down)
-}
-
 func run(ctx context.Context, c *Conn, r *bufio.Reader, up, down func(c *Conn)) {
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
