--- a/wire/flood_test.go
+++ b/wire/flood_test.go
@@ -153,6 +153,33 @@
 	}
 }
 
+// Guards against a crowd that says nothing and keeps peers out: beyond the limit, the longest silent connection goes for a new one.
+func TestSilentConnectionsGoForNewOnes(t *testing.T) {
+	const limit = 3
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &Node{Hello: Hello{Name: "n"}, Clock: &timeline.Clock{Wall: floodClock{}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = (&Listener{Node: n, Net: l, Handler: HandlerFunc(func(*Message) {}), Limit: limit}).Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-done })
+	for range 2 * limit {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+	}
+	for range limit {
+		connectRaw(t, l.Addr().String()) // fails the test if it gets no hello
+	}
+}
+
 // failingListener is a listener whose first calls of Accept fail, as those of a process without descriptors do.
 type failingListener struct {
 	net.Listener
