Own interface: a large answer to a request that must not run twice is not held whole

Callers saw: an entry that took 325 MB where it may use 96 (24 callers that don't read answers of 7 MB to orders), so that on a VM of that size it ends. Cause: serveNonIdempotent collected the whole answer, of any size, before it settled the request and answered; neither the limit of buffered answers nor the budget of package memory applied. Nothing of an answer over 64 KB is kept by the ledger anyway. Change: buffered answers count against the memory for requests. One that is larger than the limit of buffered answers, or has no room, is settled as run, without its body, before its first part is passed on; then it is streamed. The request runs to its end although its caller leaves; an answer that breaks off closes the connection. Why it works: what is held is one part at a time, and no part leaves before the ledger says that the request ran, so that a resend hears answer_not_kept, as it did before.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -23,7 +23,8 @@
 // attempt. Among all entries, only the holder of the claim may run the request.
 // Further attempts under the same claim are made only if the previous one is
 // guaranteed not to have run. The outcome is settled in the ledger before the
-// caller is answered. That costs one commit of latency, but a caller that lost the
+// caller is answered. An answer that is too large to buffer is settled, without its
+// body, before its first part is passed on. That costs one commit of latency, but a caller that lost the
 // answer can get the recorded one from any entry, even if this one is killed right
 // afterwards. If an entry is killed while it holds a claim, the claim stays held:
 // resends are told that the outcome is unknown, and the request is not run again.
@@ -66,18 +67,12 @@
 		x.replayAnswer(result.Settlement)
 		return
 	}
-	var buffer bufferedAnswer
-	refused = x.runAttempts(ctx, j, func(p bamboostep.Answer) error {
-		buffer.add(p)
-		return nil
-	})
-	x.settleAll(ctx, claims, newSettlement(&buffer, refused, x.Limits.MaxRecordedBytes))
-	if refused != nil {
-		x.refuse(refused)
-		return
+	a := &serviceAnswer{exchange: x, job: j, ran: func() { x.settleAll(ctx, claims, bamboostep.Settlement{Outcome: bamboostep.Ran}) }}
+	refused = x.runAttempts(ctx, j, a.handlePiece)
+	if !a.headerSent {
+		x.settleAll(ctx, claims, newSettlement(&a.buffer, refused, x.Limits.MaxRecordedBytes))
 	}
-	a := &serviceAnswer{exchange: x, job: j, buffer: buffer}
-	a.finishAnswer(nil)
+	a.finishAnswer(refused)
 }
 
 // claimSet is the set of claims of one request.
--- a/entry/service.go
+++ b/entry/service.go
@@ -16,7 +16,8 @@
 // passed on unchanged, except for hop-by-hop headers.
 //
 // Short answers are buffered until complete, so that an idempotent request can be
-// retried without the caller noticing. Longer answers are streamed. If a streamed
+// retried without the caller noticing, and that of another one recorded. Longer answers, and those that the memory for
+// requests has no room for, are streamed. If a streamed
 // answer is interrupted, the caller's connection is aborted, since a clean end
 // would make the answer look complete.
 
@@ -53,7 +54,9 @@
 	*exchange
 	job        *job
 	buffer     bufferedAnswer
-	headerSent bool // the response has started, so the request cannot be retried
+	headerSent bool   // the response has started, so the request cannot be retried
+	ran        func() // of a request that must not run twice: records that it ran, before an incomplete answer is passed on; else nil
+	callerGone error  // why a request that must not run twice goes on without its caller
 }
 
 // bufferedAnswer collects an answer until it is complete.
@@ -79,15 +82,39 @@
 
 func (a *serviceAnswer) handlePiece(p bamboostep.Answer) error {
 	if a.headerSent {
-		return a.write(p.Data)
+		return a.passOn(p.Data)
 	}
 	a.buffer.add(p)
-	if p.Last || len(a.buffer.body) <= a.Limits.MaxBufferedBytes && !isEventStream(a.buffer.header) {
+	if p.Last || a.mayBuffer() {
 		return nil
 	}
+	if a.ran != nil {
+		a.ran()
+	}
 	return a.flushBuffer()
 }
 
+// mayBuffer reports whether the answer may be buffered on, and counts what is.
+func (a *serviceAnswer) mayBuffer() bool {
+	if len(a.buffer.body) > a.Limits.MaxBufferedBytes || a.ran == nil && isEventStream(a.buffer.header) {
+		return false
+	}
+	return a.held.Resize(a.Clock.Now(), int64(len(a.body)+len(a.buffer.body))) == nil
+}
+
+// passOn writes a part of a streamed answer. A request that must not run twice runs to its end also when its caller has left.
+func (a *serviceAnswer) passOn(data []byte) error {
+	if a.callerGone != nil {
+		return nil
+	}
+	err := a.write(data)
+	if a.ran != nil {
+		a.callerGone = err
+		return nil
+	}
+	return err
+}
+
 func isEventStream(header map[string][]string) bool {
 	return strings.HasPrefix(http.Header(header).Get("Content-Type"), "text/event-stream")
 }
@@ -98,7 +125,10 @@
 	a.headerSent = true
 	a.job.retry.Repeatable = false
 	a.writeHeader(a.buffer.status, a.buffer.header)
-	return a.write(a.buffer.body)
+	err := a.passOn(a.buffer.body)
+	a.buffer.body = nil
+	_ = a.held.Resize(a.Clock.Now(), int64(len(a.body))) // less than before
+	return err
 }
 
 func (a *serviceAnswer) write(data []byte) error {
@@ -117,6 +147,8 @@
 	case refused != nil && a.headerSent:
 		a.recordRefusal(refused)
 		panic(http.ErrAbortHandler)
+	case a.callerGone != nil:
+		panic(http.ErrAbortHandler)
 	case refused != nil:
 		a.refuse(refused)
 	}
