Descriptors are divided among ports and a process's own connections and files

Callers saw: a crowd of idle clients on one port took all descriptors of a process. With 200 descriptors and 400 clients a voter answered neither operators nor metrics (no status 200 within 15 s), a holder, an agent and an entry of our own interface got no connection of another process, and that entry's /healthz did not answer, so that a balancer would take it out. Beside such crowds a voter that was restarted did not come back: its routes could not be read within 15 s. Cause: the bound on connections followed from memory alone (96 KB each) and held for each listener by itself; nobody read limits.max_fds or the system's limit, and nothing was left for the process's own connections and files. Change: each process divides its descriptors by role (daemon/descriptors.go): the lower of limits.max_fds less the 200 that the platform keeps, and of the system's limit less 16. Ports of metrics, readiness, operators, callers and processes have a part each, idle connections to backend servers too; the rest is the process's own. The bound from memory holds beside it. The agent has a setting for its own memory, process_mib; its bounds follow it. process_started names the descriptors. Tests: package internal/flood plays crowds and measures a process by its ID.

--- a/agent/config.go
+++ b/agent/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/settings"
 	"github.com/bamboostep/bamboostep/stock"
 )
@@ -23,6 +24,7 @@
 	MemoryMiB     int64                `toml:"memory_mib"`
 	Concurrency   int                  `toml:"concurrency"`
 	Queue         int                  `toml:"queue"`
+	ProcessMiB    int64                `toml:"process_mib"` // memory that the agent itself may use; 0 for that of the machine
 	DrainTimeout  settings.Duration    `toml:"drain_timeout"`
 	SettleTime    settings.Duration    `toml:"settle_time"`
 	TLS           settings.TLS         `toml:"tls"`
@@ -55,11 +57,21 @@
 	reportIf(c.Kind == bamboostep.EnginePlace && c.MemoryMiB <= 0, "memory_mib", "must be greater than 0 for an engine")
 	reportIf(c.Concurrency <= 0, "concurrency", "must be greater than 0")
 	reportIf(c.Queue < 0, "queue", "must not be negative")
+	reportIf(c.ProcessMiB < 0, "process_mib", "must not be negative")
 	reportIf(c.DrainTimeout.Duration <= 0, "drain_timeout", "must be greater than 0")
 	reportIf(c.SettleTime.Duration < time.Second, "settle_time", "must be at least 1s")
 	return append(problems, c.TLS.Check()...)
 }
 
+// resources returns what the agent may use.
+func (c *config) resources() daemon.Resources {
+	m := daemon.Memory{Bytes: c.ProcessMiB << 20}
+	if m.Bytes == 0 {
+		m.Bytes = daemon.MachineMemory()
+	}
+	return daemon.Resources{Memory: m, Descriptors: daemon.ProcessDescriptors(0)}
+}
+
 var _ settings.Checker = (*config)(nil)
 
 // isHostPort reports whether s has the form host:port.
--- a/agent/run.go
+++ b/agent/run.go
@@ -44,16 +44,16 @@
 		Metrics: wire.NewMetrics(registry),
 		TLS:     tlsConfig,
 	}
-	own := daemon.Memory{Bytes: daemon.MachineMemory()}
-	own.LimitHeap()
-	node.Memory = own.NewWireBudget(registry, recorder)
+	own := cfg.resources()
+	own.Memory.LimitHeap()
+	node.Memory = own.Memory.NewWireBudget(registry, recorder)
 	server := newServer(cfg, node, ln.Addr().String())
 	server.Recorder = recorder
 	server.Registry = registry
 	mux := &wire.Mux{}
 	server.Register(mux)
-	listener := &wire.Listener{Node: node, Net: ln, Handler: mux, Up: server.Up, Down: server.Down, Limit: own.MaxConnections(), Patient: true}
-	admin := &daemon.AdminServer{Address: cfg.Admin, Registry: registry, Recorder: recorder, Ready: server.Ready}
+	listener := &wire.Listener{Node: node, Net: ln, Handler: mux, Up: server.Up, Down: server.Down, Limit: own.Connections(daemon.HolderPeersPart), Patient: true}
+	admin := &daemon.AdminServer{Address: cfg.Admin, Registry: registry, Recorder: recorder, Ready: server.Ready, Resources: own}
 	recorder.Record(timeline.Event{Kind: "agent_started", VM: cfg.Name, Detail: ln.Addr().String()})
 	return runAll(ctx, server, listener, admin)
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,7 +24,6 @@
 	adminHeaderTimeout = 5 * time.Second
 	adminCloseTimeout  = 2 * time.Second
 	adminTimeout       = 30 * time.Second // for a request, and for its response
-	adminConnections   = 64               // open at once
 )
 
 // SystemClock reads the host's wall clock.
@@ -63,10 +62,11 @@
 // AdminServer is the HTTP server of a process's /metrics, /healthz, /readyz and /timeline
 // endpoints. The fields must not change after Run or Handler is called.
 type AdminServer struct {
-	Address  string // host:port to listen on; if empty, Run serves nothing
-	Registry *prometheus.Registry
-	Recorder *timeline.Recorder
-	Ready    func() error // returns why the process is not ready for traffic; if nil, it is always ready
+	Address   string // host:port to listen on; if empty, Run serves nothing
+	Registry  *prometheus.Registry
+	Recorder  *timeline.Recorder
+	Ready     func() error // returns why the process is not ready for traffic; if nil, it is always ready
+	Resources Resources    // of the process
 }
 
 // Run listens on Address and serves until ctx is cancelled. It blocks until then even
@@ -82,7 +82,7 @@
 	}
 	s := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: adminHeaderTimeout, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout, IdleTimeout: 2 * adminTimeout}
 	LimitHeader(s, 0)
-	return ServeLimited(ctx, listener, s, adminCloseTimeout, adminConnections)
+	return ServeLimited(ctx, listener, s, adminCloseTimeout, a.Resources.AdminConnections())
 }
 
 // Handler returns the admin endpoints as a handler, for programs that serve them on
--- a/daemon/memory.go
+++ b/daemon/memory.go
@@ -37,7 +37,7 @@
 type Memory struct {
 	Bytes       int64 // in all; with 0, no limit is set
 	Held        int64 // of it, for what is held for callers and servers; heldShare of Bytes if 0
-	Connections int   // of callers or operators at once; 0 for as many as Bytes are enough for
+	Connections int   // of a port at once; 0 for as many as Bytes are enough for
 }
 
 // MachineMemory returns the bytes of memory that the machine has, or that the control group of the process may use, or 0 if it cannot find out.
@@ -64,8 +64,8 @@
 	}
 }
 
-// MaxConnections returns how many connections may be open at once, 0 for any number.
-func (m Memory) MaxConnections() int {
+// maxConnections returns for how many connections at once the memory is enough, 0 for any number.
+func (m Memory) maxConnections() int {
 	if m.Connections > 0 {
 		return m.Connections
 	}
@@ -82,12 +82,17 @@
 	return newBudget(held, "requests", registry, recorder)
 }
 
-// NewWireBudget returns the budget for connections among the system's own processes, like NewBudget.
-func (m Memory) NewWireBudget(registry prometheus.Registerer, recorder *timeline.Recorder) *memory.Budget {
+// WireBytes returns how much may be held for connections among the system's own processes, 0 for any number of bytes.
+func (m Memory) WireBytes() int64 {
 	if m.Bytes == 0 {
-		return nil
+		return 0
 	}
-	return newBudget(max(minFrames*wire.MaxFrameBytes, int64(wireShare*float64(m.Bytes))), "processes", registry, recorder)
+	return max(minFrames*wire.MaxFrameBytes, int64(wireShare*float64(m.Bytes)))
+}
+
+// NewWireBudget returns the budget for connections among the system's own processes, like NewBudget.
+func (m Memory) NewWireBudget(registry prometheus.Registerer, recorder *timeline.Recorder) *memory.Budget {
+	return newBudget(m.WireBytes(), "processes", registry, recorder)
 }
 
 func newBudget(bytes int64, use string, registry prometheus.Registerer, recorder *timeline.Recorder) *memory.Budget {
--- a/entry/operator_server.go
+++ b/entry/operator_server.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	admin := &daemon.AdminServer{Registry: e.registry, Recorder: e.recorder, Ready: e.ready}
+	admin := &daemon.AdminServer{Registry: e.registry, Recorder: e.recorder, Ready: e.ready, Resources: e.cfg.resources()}
 	mux := http.NewServeMux()
 	mux.Handle("/", admin.Handler())
 	mux.Handle("/operator/v1/", &operator.Handler{
@@ -38,7 +38,7 @@
 	})
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTimeout, ReadTimeout: operatorTimeout, WriteTimeout: 2 * operatorTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: e.log.StandardLog()}
 	daemon.LimitHeader(s, 0)
-	return daemon.ServeLimited(ctx, nl, s, adminCloseTimeout, e.cfg.memory().MaxConnections())
+	return daemon.ServeLimited(ctx, nl, s, adminCloseTimeout, e.cfg.resources().Connections(daemon.EntryOperatorPart))
 }
 
 func (e *entry) revisions() []bamboostep.Revision {
--- a/entry/run.go
+++ b/entry/run.go
@@ -35,7 +35,7 @@
 	componentsCtx, stopComponents := context.WithCancel(context.Background())
 	defer stopComponents()
 	g, componentsCtx := errgroup.WithContext(componentsCtx)
-	listener := &wire.Listener{Node: e.node, Net: wireListener, Handler: e.mux, Limit: e.cfg.memory().MaxConnections(), Patient: true}
+	listener := &wire.Listener{Node: e.node, Net: wireListener, Handler: e.mux, Limit: e.cfg.resources().Connections(daemon.EntryPeersPart), Patient: true}
 	g.Go(func() error { return ignoreCanceled(listener.Run(componentsCtx)) })
 	g.Go(func() error { return ignoreCanceled(e.runLedger(componentsCtx)) })
 	g.Go(func() error { return ignoreCanceled(e.peers.Run(componentsCtx)) })
@@ -117,7 +117,7 @@
 	}
 	daemon.ResetIncomplete(s)
 	daemon.LimitHeader(s, 0)
-	return daemon.ServeLimited(servingCtx, nl, s, e.cfg.DrainTimeout.Duration, e.cfg.memory().MaxConnections())
+	return daemon.ServeLimited(servingCtx, nl, s, e.cfg.DrainTimeout.Duration, e.cfg.resources().Connections(daemon.CallersPart))
 }
 
 // waitConfigured blocks until a configuration is active, and returns false if ctx
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -141,7 +141,7 @@
 	}
 }
 
-// memory returns what the process may use.
+// memory returns what the process may use of the machine's memory.
 func (s *entrySettings) memory() daemon.Memory {
 	m := daemon.Memory{Bytes: s.MemoryMiB << 20, Held: s.HeldMiB << 20, Connections: s.MaxConns}
 	if m.Bytes == 0 {
@@ -150,6 +150,11 @@
 	return m
 }
 
+// resources returns what the process may use.
+func (s *entrySettings) resources() daemon.Resources {
+	return daemon.Resources{Memory: s.memory(), Descriptors: daemon.ProcessDescriptors(0)}
+}
+
 // keyList returns the keys of m, sorted and separated by commas.
 func keyList[V any](m map[string]V) string {
 	return strings.Join(slices.Sorted(maps.Keys(m)), ", ")
--- a/node/crash_test.go
+++ b/node/crash_test.go
@@ -191,7 +191,8 @@
 		req.Header.Set("X-Attempt-Id", id)
 		req.Header.Set("X-Request-Deadline", "3000")
 	}
-	resp, err := http.DefaultClient.Do(req)
+	client := http.Client{Timeout: waitTimeout} // a process that accepts no connection does not answer
+	resp, err := client.Do(req)
 	if err != nil {
 		return 0
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -80,7 +80,7 @@
 		Directory: p.directory(),
 		Recorder:  p.recorder,
 	}
-	e.pool = &origin.Pool{Dialect: platform.HTTPDialect{}, Metrics: origin.NewMetrics(p.registry)}
+	e.pool = &origin.Pool{Dialect: platform.HTTPDialect{}, Metrics: origin.NewMetrics(p.registry), MaxIdle: p.resources().Descriptors.Part(daemon.IdleServersPart)}
 	guard := e.newGuard()
 	e.quotas = &quota.Limiter{Voters: e.reachableVoters, EntryCount: e.follower.Entries, Name: p.cfg.VMName, Span: p.cfg.QuotaWindow, Recorder: p.recorder, Metrics: quota.NewMetrics(p.registry)}
 	e.limits = &quota.ServerLimiter{Voters: e.limitVoters, EntryCount: e.follower.Entries, Recorder: p.recorder, Metrics: quota.NewServerLimitMetrics(p.registry)}
@@ -184,7 +184,9 @@
 	group.Go(func() error { return e.quotas.Run(runCtx) })
 	group.Go(func() error { return e.releases.Run(runCtx) })
 	group.Go(func() error { return e.runPeriodicTasks(runCtx) })
-	group.Go(func() error { return serve(runCtx, ready, e.readyHandler(), e.memory().MaxConnections()) })
+	group.Go(func() error {
+		return serve(runCtx, ready, e.readyHandler(), e.resources().Connections(daemon.AdminPart))
+	})
 	callersCtx, stopCallers := context.WithCancel(runCtx)
 	defer stopCallers()
 	served := make(chan struct{})
@@ -241,7 +243,7 @@
 	}
 	stop := context.AfterFunc(runCtx, func() { s.Close() })
 	defer stop()
-	return daemon.ServeLimited(ctx, l, s, e.cfg.GracePeriod, e.memory().MaxConnections())
+	return daemon.ServeLimited(ctx, l, s, e.cfg.GracePeriod, e.resources().Connections(daemon.CallersPart))
 }
 
 // awaitRoutes returns the first routes, or nil if none arrive within routesWait.
--- a/node/flood_test.go
+++ b/node/flood_test.go
@@ -1,20 +1,17 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
+	"github.com/bamboostep/bamboostep/internal/flood"
 	"github.com/bamboostep/bamboostep/platform"
 )
 
@@ -23,145 +20,69 @@
 // afterwards.
 
 const (
-	floodMemoryMB    = 96               // that the process may use
-	floodCrowd       = 24               // callers, where each sends much
-	floodConnections = 600              // callers, where each sends little
-	floodBody        = 4 << 20          // bytes; the largest that testRoutes allow
-	floodAnswer      = 7 << 20          // bytes; more than the sockets hold for a caller that does not read
-	floodShort       = 100              // bytes that a body stops short of its end
-	floodReadBuffer  = 4 << 10          // bytes that a caller's socket holds
-	floodChunk       = 64               // bytes of a small chunk
-	floodSpare       = 200              // descriptors of a process besides one for each caller
-	floodPatience    = 20 * time.Second // for one caller that is neither served nor refused
+	floodMemoryMB    = 96      // that the process may use
+	floodCrowd       = 24      // callers, where each sends much
+	floodConnections = 600     // callers, where each sends little
+	floodBody        = 4 << 20 // bytes; the largest that testRoutes allow
+	floodAnswer      = 7 << 20 // bytes; more than the sockets hold for a caller that does not read
+	floodShort       = 100     // bytes that a body stops short of its end
+	floodSpare       = 200     // descriptors of a process besides one for each caller
 )
 
-// flood is what each caller of a crowd sends.
-type flood struct {
-	callers int
-	send    func(w net.Conn)
-}
-
 const floodHead = "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: f\r\nX-Request-Deadline: 60000\r\n"
 
-// sendBytes sends bytes in pieces of at most 64 KB until one is not taken.
-func sendBytes(w io.Writer, bytes int) {
-	piece := make([]byte, 64<<10)
-	for bytes > 0 {
-		n, err := w.Write(piece[:min(bytes, len(piece))])
-		if err != nil {
-			return
-		}
-		bytes -= n
-	}
-}
+// measured returns the measures of the process.
+func (p *nodeProcess) measured() flood.Process { return flood.Process{ID: p.cmd.Process.Pid} }
 
-// sendChunks sends a body in small chunks.
-func sendChunks(w io.Writer, bytes int) {
-	chunk := fmt.Sprintf("%x\r\n%s\r\n", floodChunk, strings.Repeat("x", floodChunk))
-	buffered := bufio.NewWriterSize(w, 64<<10)
-	for sent := 0; sent < bytes; sent += floodChunk {
-		if _, err := buffered.WriteString(chunk); err != nil {
-			return
-		}
-	}
-	buffered.Flush()
-}
-
-// run starts the crowd against an address and returns once each caller has sent what it sends, or was refused. The callers stay
-// until the test ends.
-func (f flood) run(t *testing.T, address string) {
-	t.Helper()
-	var sent sync.WaitGroup
-	for range f.callers {
-		nc, err := net.DialTimeout("tcp", address, waitTimeout)
-		if err != nil {
-			t.Logf("a caller did not get a connection: %v", err)
-			continue
-		}
-		t.Cleanup(func() { nc.Close() })
-		_ = nc.SetDeadline(time.Now().Add(floodPatience))
-		_ = nc.(*net.TCPConn).SetReadBuffer(floodReadBuffer)
-		sent.Go(func() { f.send(nc) })
-	}
-	sent.Wait()
-}
-
-// heldBytes returns the most memory that the process ever had from the system, and what it has not read from its connections now.
-func (p *nodeProcess) heldBytes() (memory, unread int64) {
+// systemMemory returns the most memory that the process ever had from the system, in bytes.
+func (p *nodeProcess) systemMemory() int64 {
+	p.t.Helper()
 	resp, err := http.Get("http://" + net.JoinHostPort(p.ip, metricsPorts[p.role]) + "/metrics")
 	if err != nil {
 		p.t.Fatalf("metrics of %s: %v", p.role, err)
 	}
 	defer resp.Body.Close()
-	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
-		if value, found := strings.CutPrefix(lines.Text(), "go_memstats_sys_bytes "); found {
-			bytes, _ := strconv.ParseFloat(value, 64)
-			memory = int64(bytes)
-		}
-	}
-	sockets, err := os.ReadFile("/proc/net/tcp")
+	bytes, err := flood.SystemMemory(resp.Body)
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	ip := net.ParseIP(p.ip).To4()
-	local := fmt.Sprintf("%02X%02X%02X%02X:", ip[3], ip[2], ip[1], ip[0])
-	for line := range strings.Lines(string(sockets)) {
-		fields := strings.Fields(line)
-		if len(fields) > 4 && strings.HasPrefix(fields[1], local) && fields[3] == "01" {
-			_, queue, _ := strings.Cut(fields[4], ":")
-			bytes, _ := strconv.ParseInt(queue, 16, 64)
-			unread += bytes
-		}
-	}
-	return memory, unread
-}
-
-// descriptors returns the number of open descriptors of the process.
-func (p *nodeProcess) descriptors() int {
-	open, err := os.ReadDir(filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid), "fd"))
-	if err != nil {
-		p.t.Fatalf("%s has ended: %v", p.role, err)
-	}
-	return len(open)
+	return bytes
 }
 
 // limitMemory starts the process again with floodMemoryMB.
 func (p *nodeProcess) limitMemory() {
 	p.t.Helper()
-	settings, err := os.ReadFile(p.settings)
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	settings = append(settings, fmt.Sprintf("\nlimits.memory_mb=%d\n", floodMemoryMB)...)
-	if err := os.WriteFile(p.settings, settings, 0o600); err != nil {
-		p.t.Fatal(err)
-	}
+	p.addSettings(fmt.Sprintf("limits.memory_mb=%d", floodMemoryMB))
 	p.kill()
 	p.start()
 }
 
-// check fails the test unless the process has stayed within its bounds against a crowd.
-func (p *nodeProcess) check(callers int) {
+// check fails the test unless the process has stayed within its bounds against a crowd, since when no more than unread bytes waited for it.
+func (p *nodeProcess) check(callers int, unread int64) {
 	p.t.Helper()
-	memory, unread := p.heldBytes()
-	p.t.Logf("memory %.1f MB, unread %.1f MB, descriptors %d", float64(memory)/1e6, float64(unread)/1e6, p.descriptors())
-	if memory > floodMemoryMB<<20 {
-		p.t.Errorf("memory: got %d bytes, want at most %d", memory, floodMemoryMB<<20)
+	memory, descriptors := p.systemMemory(), p.measured().Descriptors(p.t)
+	p.t.Logf("memory %.1f MB, unread %.1f MB, descriptors %d", float64(memory)/1e6, float64(unread)/1e6, descriptors)
+	if memory+unread > floodMemoryMB<<20 {
+		p.t.Errorf("memory: got %d bytes and %d that were not read, want at most %d", memory, unread, floodMemoryMB<<20)
 	}
-	if got := p.descriptors(); got > callers+floodSpare {
-		p.t.Errorf("descriptors: got %d, want at most %d", got, callers+floodSpare)
+	if descriptors > callers+floodSpare {
+		p.t.Errorf("descriptors: got %d, want at most %d", descriptors, callers+floodSpare)
 	}
 }
 
-// floodService is a service whose answers are large for paths that ask for that, and that reads whole bodies.
+// floodService is a service whose answers are large, or do not come, for paths that ask for that, and that reads whole bodies.
 func floodService(t *testing.T) (directory string) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
 		w.Header().Set("X-Response-Signature", "s")
+		if r.URL.Path == "/p/slow" {
+			<-r.Context().Done()
+			return
+		}
 		if r.URL.Path == "/p/large" {
 			w.Header().Set("Content-Length", strconv.Itoa(floodAnswer))
-			sendBytes(w, floodAnswer)
+			flood.SendBytes(w, floodAnswer)
 		}
 	}))
 	t.Cleanup(s.Close)
@@ -174,30 +95,33 @@
 
 // Guards against an entry that ends, or exceeds its memory, since callers flood it.
 func TestFloodedEntry(t *testing.T) {
-	for name, f := range map[string]flood{
+	for name, f := range map[string]struct {
+		clients int
+		send    func(w net.Conn)
+	}{
 		"large bodies that stop short": {floodCrowd, func(w net.Conn) {
 			fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", floodHead, floodBody)
-			sendBytes(w, floodBody-floodShort)
+			flood.SendBytes(w, floodBody-floodShort)
 		}},
 		"one large chunk that stops short": {floodCrowd, func(w net.Conn) {
 			fmt.Fprintf(w, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n", floodHead, floodBody)
-			sendBytes(w, floodBody-floodShort)
+			flood.SendBytes(w, floodBody-floodShort)
 		}},
 		"small chunks that stop short": {floodCrowd, func(w net.Conn) {
 			fmt.Fprint(w, floodHead+"Transfer-Encoding: chunked\r\n\r\n")
-			sendChunks(w, floodBody-floodShort)
+			flood.SendChunks(w, floodBody-floodShort)
 		}},
 		"whole bodies": {floodCrowd, func(w net.Conn) {
 			fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", floodHead, floodBody)
-			sendBytes(w, floodBody)
+			flood.SendBytes(w, floodBody)
 		}},
 		"far over the limit, announced": {floodCrowd, func(w net.Conn) {
 			fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", floodHead, 16*floodBody)
-			sendBytes(w, 16*floodBody)
+			flood.SendBytes(w, 16*floodBody)
 		}},
 		"far over the limit, sent": {floodCrowd, func(w net.Conn) {
 			fmt.Fprintf(w, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n", floodHead, 16*floodBody)
-			sendBytes(w, 16*floodBody)
+			flood.SendBytes(w, 16*floodBody)
 		}},
 		"large answers that are not read": {floodCrowd, func(w net.Conn) {
 			fmt.Fprint(w, strings.Replace(floodHead, "/p/x", "/p/large", 1)+"Content-Length: 0\r\n\r\n")
@@ -213,13 +137,15 @@
 			entry := cluster.entries[0]
 			entry.limitMemory()
 			cluster.awaitReady()
-			f.run(t, entry.callerAddr())
+			unread := entry.measured().WatchUnread(t)
+			defer unread()
+			(&flood.Crowd{Clients: f.clients, Send: f.send}).Start(t, entry.callerAddr())
 			for until := time.Now().Add(waitTimeout); sendRequest(http.MethodPost, entry.callerAddr(), "/p/x", "body", "o") != http.StatusOK; time.Sleep(20 * time.Millisecond) {
 				if time.Now().After(until) {
 					t.Fatal("an ordinary request was not answered")
 				}
 			}
-			entry.check(f.callers)
+			entry.check(f.clients, unread())
 		})
 	}
 }
@@ -228,17 +154,18 @@
 func TestFloodedVoter(t *testing.T) {
 	publish := strings.TrimPrefix(platform.PatternPublishRoutes, "PUT ")
 	for name, c := range map[string]struct {
-		port int
-		flood
+		port    int
+		clients int
+		send    func(w net.Conn)
 	}{
-		"configurations that stop short": {3, flood{floodCrowd, func(w net.Conn) {
+		"configurations that stop short": {3, floodCrowd, func(w net.Conn) {
 			fmt.Fprintf(w, "PUT %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", publish, floodBody)
-			sendBytes(w, floodBody-floodShort)
-		}}},
-		"frames that stop short": {0, flood{floodCrowd, func(w net.Conn) {
+			flood.SendBytes(w, floodBody-floodShort)
+		}},
+		"frames that stop short": {0, floodCrowd, func(w net.Conn) {
 			_, _ = w.Write([]byte{0, 0x7f, 0xff, 0xff})
-			sendBytes(w, 0x7fffff-floodShort)
-		}}},
+			flood.SendBytes(w, 0x7fffff-floodShort)
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			cluster := startCluster(t, 62, 1, 1, floodService(t), testRoutes)
@@ -246,9 +173,11 @@
 			voter.limitMemory()
 			read := strings.TrimPrefix(platform.PatternReadRoutes, "GET ")
 			awaitOK(t, "routes before the flood", http.MethodGet, portOf(voter.ip, 3), read, "")
-			c.run(t, portOf(voter.ip, c.port))
+			unread := voter.measured().WatchUnread(t)
+			defer unread()
+			(&flood.Crowd{Clients: c.clients, Send: c.send}).Start(t, portOf(voter.ip, c.port))
 			awaitOK(t, "routes after the flood", http.MethodGet, portOf(voter.ip, 3), read, "")
-			voter.check(c.callers)
+			voter.check(c.clients, unread())
 		})
 	}
 }
--- a/node/holder.go
+++ b/node/holder.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/holder"
 	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/platform"
@@ -48,7 +49,7 @@
 	group.Go(func() error { return client.Run(ctx) })
 	group.Go(func() error { return p.watchSeeds(ctx, seeds) })
 	group.Go(func() error {
-		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.memory().MaxConnections(), Patient: true}).Run(ctx)
+		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.resources().Connections(daemon.HolderPeersPart), Patient: true}).Run(ctx)
 	})
 	return ignoreShutdown(group.Wait())
 }
--- a/node/main.go
+++ b/node/main.go
@@ -52,7 +52,7 @@
 	p := newProcess(ctx, args[0], cfg)
 	p.memory().LimitHeap()
 	defer p.recorder.Flush()
-	p.recordEvent("process_started", fmt.Sprintf("role %s, first start %v, seeds %v", args[0], cfg.Bootstrap, cfg.Seeds))
+	p.recordEvent("process_started", fmt.Sprintf("role %s, first start %v, seeds %v, %d descriptors", args[0], cfg.Bootstrap, cfg.Seeds, p.resources().Descriptors))
 	defer p.recordEvent("process_stopped", "")
 	return roles[args[0]](p)
 }
--- a/node/process.go
+++ b/node/process.go
@@ -71,6 +71,11 @@
 	return p
 }
 
+// resources returns what the process may use of its VM.
+func (p *process) resources() daemon.Resources {
+	return daemon.Resources{Memory: p.memory(), Descriptors: daemon.ProcessDescriptors(p.cfg.MaxDescriptors)}
+}
+
 // memory returns what the process may use of the VM's memory.
 func (p *process) memory() daemon.Memory {
 	return daemon.Memory{Bytes: int64(p.cfg.MemoryLimitMB) << 20, Held: int64(p.cfg.HeldMB) << 20, Connections: p.cfg.MaxConnections}
@@ -80,7 +85,7 @@
 // and does not stop the process.
 func (p *process) serveMetrics() {
 	address := net.JoinHostPort(p.cfg.IP, metricsPorts[p.role])
-	admin := &daemon.AdminServer{Address: address, Registry: p.registry, Recorder: p.recorder}
+	admin := &daemon.AdminServer{Address: address, Registry: p.registry, Recorder: p.recorder, Resources: p.resources()}
 	if err := admin.Run(p.ctx); err != nil {
 		p.recordEvent("metrics_not_served", err.Error())
 	}
--- a/node/processes_test.go
+++ b/node/processes_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,17 +22,35 @@
 // Tests over real processes: the test binary starts itself as the program, so that processes can be
 // killed without notice.
 
-// nodeVariable makes the test binary run as the program.
-const nodeVariable = "BAMBOOSTEP_TEST_NODE"
+const (
+	nodeVariable        = "BAMBOOSTEP_TEST_NODE"        // makes the test binary run as the program
+	descriptorsVariable = "BAMBOOSTEP_TEST_DESCRIPTORS" // that the program may have open; no limit of its own if empty
+)
 
 func TestMain(m *testing.M) {
 	if os.Getenv(nodeVariable) != "" {
+		limitDescriptors(os.Getenv(descriptorsVariable))
 		main()
 		return
 	}
 	os.Exit(m.Run())
 }
 
+// limitDescriptors lets this process have so many descriptors open.
+func limitDescriptors(text string) {
+	if text == "" {
+		return
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err == nil {
+		err = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n})
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "limit of descriptors:", err)
+		os.Exit(1)
+	}
+}
+
 // nodeProcess is a process of the system.
 type nodeProcess struct {
 	t        *testing.T
@@ -39,6 +58,8 @@
 	settings string // path
 	logPath  string
 	cmd      *exec.Cmd
+
+	maxDescriptors int // 0 for no limit of its own
 }
 
 // start starts the process. Its output is appended to its log.
@@ -55,6 +76,9 @@
 	defer log.Close()
 	p.cmd = exec.Command(program, p.role)
 	p.cmd.Env = append(os.Environ(), nodeVariable+"=1", platform.SettingsVariable+"="+p.settings)
+	if p.maxDescriptors > 0 {
+		p.cmd.Env = append(p.cmd.Env, descriptorsVariable+"="+strconv.Itoa(p.maxDescriptors))
+	}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatal(err)
@@ -111,6 +135,7 @@
 	t       *testing.T
 	voters  []*nodeProcess
 	entries []*nodeProcess
+	others  []*nodeProcess // that were added later
 }
 
 // startCluster starts voters and entries on loopback addresses 127.0.SUBNET.x, publishes routes and
@@ -153,6 +178,8 @@
 	switch role {
 	case "entry":
 		lines = append(lines, "listen.front="+portOf(ip, 1), "listen.ready_addr="+portOf(ip, 2))
+	case "holder":
+		lines = append(lines, "app="+portOf(ip, 1), "backend=orders")
 	case "voter":
 		lines = append(lines, "listen.control="+portOf(ip, 3), "data_dir="+filepath.Join(dir, "data"))
 		if err := os.Mkdir(filepath.Join(dir, "data"), 0o700); err != nil {
@@ -168,7 +195,7 @@
 
 // processes returns all processes.
 func (c *nodeCluster) processes() []*nodeProcess {
-	return append(append([]*nodeProcess(nil), c.voters...), c.entries...)
+	return slices.Concat(c.voters, c.entries, c.others)
 }
 
 func (c *nodeCluster) start() {
--- a/node/voter.go
+++ b/node/voter.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bamboostep/bamboostep"
+	"github.com/bamboostep/bamboostep/daemon"
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/ledger"
 	"github.com/bamboostep/bamboostep/operator"
@@ -121,10 +122,10 @@
 	group.Go(func() error { return links.Run(ctx) })
 	group.Go(func() error { return placer.Run(ctx) })
 	group.Go(func() error {
-		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.memory().MaxConnections()}).Run(ctx)
+		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.resources().Connections(daemon.VoterPeersPart)}).Run(ctx)
 	})
 	group.Go(func() error {
-		return serve(ctx, operatorListener, operatorHandler(p, client), p.memory().MaxConnections())
+		return serve(ctx, operatorListener, operatorHandler(p, client), p.resources().Connections(daemon.VoterOperatorPart))
 	})
 	return ignoreShutdown(group.Wait())
 }
@@ -149,10 +150,10 @@
 	group.Go(func() error { return p.watchSeeds(ctx, seeds) })
 	group.Go(func() error { return client.Run(ctx) })
 	group.Go(func() error {
-		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.memory().MaxConnections()}).Run(ctx)
+		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.resources().Connections(daemon.VoterPeersPart)}).Run(ctx)
 	})
 	group.Go(func() error {
-		return serve(ctx, operatorListener, operatorHandler(p, client), p.memory().MaxConnections())
+		return serve(ctx, operatorListener, operatorHandler(p, client), p.resources().Connections(daemon.VoterOperatorPart))
 	})
 	return ignoreShutdown(group.Wait())
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -61,6 +61,29 @@
 	}
 }
 
+// Guards against idle connections that take the descriptors of a process.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	p := &Pool{Dialect: platform.HTTPDialect{}, MaxIdle: 1}
+	script := func(_, n int) (string, bool) { return responseFor([]string{"", "a", "b"}[n], "ok"), false }
+	kept, keptConns := startBackend(t, script)
+	closed, closedConns := startBackend(t, func(int, int) (string, bool) { return responseFor("a", "ok"), false })
+	for _, address := range []string{kept, closed, closed} {
+		if _, err := sendAndRead(t, p, address, "a"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := sendAndRead(t, p, kept, "b"); err != nil {
+		t.Fatal(err)
+	}
+	if kept, closed := keptConns.Load(), closedConns.Load(); kept != 1 || closed != 2 {
+		t.Errorf("connections: got %d and %d, want the first kept and each of the second's closed", kept, closed)
+	}
+	p.CloseIdle(kept)
+	if p.allIdle != 0 {
+		t.Errorf("idle connections counted after all were closed: got %d, want 0", p.allIdle)
+	}
+}
+
 // TestLateExtraResponse has a backend server respond to one request twice, the second
 // time where the response to the next request is expected.
 func TestLateExtraResponse(t *testing.T) {
--- a/origin/pool.go
+++ b/origin/pool.go
@@ -69,9 +69,11 @@
 type Pool struct {
 	Dialect bamboostep.Dialect
 	Metrics *Metrics // may be nil
+	MaxIdle int      // idle connections to all addresses; 0 for any number
 
-	mu   sync.Mutex
-	idle map[string][]*conn // by address, the most recently used last
+	mu      sync.Mutex
+	idle    map[string][]*conn // by address, the most recently used last
+	allIdle int                // connections in idle
 }
 
 // conn is one connection to a backend server.
@@ -123,6 +125,7 @@
 		}
 		list = slices.Delete(list, i, i+1)
 		p.idle[address] = list
+		p.allIdle--
 		if !expired {
 			return c
 		}
@@ -203,10 +206,11 @@
 	if p.idle == nil {
 		p.idle = make(map[string][]*conn)
 	}
-	if len(p.idle[c.address]) >= maxIdlePerHost {
+	if len(p.idle[c.address]) >= maxIdlePerHost || p.MaxIdle > 0 && p.allIdle >= p.MaxIdle {
 		c.netConn.Close()
 		return
 	}
+	p.allIdle++
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
@@ -222,6 +226,7 @@
 				continue
 			}
 			c.netConn.Close()
+			p.allIdle--
 		}
 		clear(list[len(kept):])
 		p.idle[address] = kept
@@ -238,6 +243,7 @@
 	for _, c := range p.idle[address] {
 		c.netConn.Close()
 	}
+	p.allIdle -= len(p.idle[address])
 	delete(p.idle, address)
 }
 
--- a/scenario/cluster/cluster.go
+++ b/scenario/cluster/cluster.go
@@ -46,6 +46,7 @@
 	Direct      bool             // without relays, so that nothing can be cut
 	Regions     []string         // of the entries and backend servers, in turn; none if empty
 	Voters      int              // the first so many entries; all if 0
+	Descriptors int              // that each entry and agent may have open; 0 for no limit of their own
 
 	ctx       context.Context
 	processes map[string]*Process
@@ -58,6 +59,7 @@
 	operators map[string]string       // by entry
 	backends  map[string]string       // by engine or service
 	admins    map[string]string       // by agent
+	listens   map[string]string       // by entry or agent, for the system's other processes
 	storeURL  string
 	listURL   string
 	vms       []bamboostep.VM
@@ -88,6 +90,7 @@
 	c.operators = make(map[string]string)
 	c.backends = make(map[string]string)
 	c.admins = make(map[string]string)
+	c.listens = make(map[string]string)
 	steps := []func() error{c.addStore, c.addBackends, c.addPlatform, c.addEntries}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -166,6 +169,7 @@
 	c.sources[name] = source
 	c.regions[name] = c.region(i)
 	c.admins[name] = addresses[1]
+	c.listens[name] = addresses[0]
 	domain := c.backendDomain(i)
 	c.domains[name] = domain
 	if kind == "service" {
@@ -273,6 +277,7 @@
 	}
 	c.callers[name] = addresses[0]
 	c.operators[name] = addresses[1]
+	c.listens[name] = listen
 	lines := append(slices.Clone(c.EntryLines),
 		fmt.Sprintf("name = %q", name),
 		fmt.Sprintf("failure_domain = %q", failureDomains[i%len(failureDomains)]),
@@ -302,6 +307,7 @@
 		return err
 	}
 	c.add(name, program, "--settings", file)
+	c.processes[name].Descriptors = c.Descriptors
 	return nil
 }
 
@@ -348,6 +354,12 @@
 // OperatorsURL returns the base URL that operators of an entry use.
 func (c *Cluster) OperatorsURL(entry string) string { return "http://" + c.operators[entry] }
 
+// ListenAddress returns the address at which an entry or agent listens for the system's other processes, behind its relay if there is one.
+func (c *Cluster) ListenAddress(name string) string { return c.listens[name] }
+
+// AdminAddress returns the address of an agent's admin endpoints.
+func (c *Cluster) AdminAddress(agent string) string { return c.admins[agent] }
+
 // EntryAddress returns the address at which the other entries reach an entry.
 func (c *Cluster) EntryAddress(entry string) (string, error) {
 	r := c.relays[entry]
--- a/scenario/cluster/process.go
+++ b/scenario/cluster/process.go
@@ -18,6 +18,8 @@
 	Args []string
 	Dir  string // where its log goes, as NAME.log
 
+	Descriptors int // open descriptors that it may have; 0 for no limit of its own
+
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -39,7 +41,7 @@
 		return err
 	}
 	defer out.Close()
-	cmd := exec.Command(p.Path, p.Args...)
+	cmd := p.command()
 	cmd.Stdout = out
 	cmd.Stderr = out
 	if err := cmd.Start(); err != nil {
@@ -51,6 +53,15 @@
 	return nil
 }
 
+// command returns what starts the program. A shell sets the limit of descriptors and then becomes the program.
+func (p *Process) command() *exec.Cmd {
+	if p.Descriptors == 0 {
+		return exec.Command(p.Path, p.Args...)
+	}
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.Descriptors)
+	return exec.Command("/bin/sh", append([]string{"-c", script, p.Path}, p.Args...)...)
+}
+
 func (p *Process) wait(cmd *exec.Cmd, done chan struct{}) {
 	err := cmd.Wait()
 	p.mu.Lock()
