An agent counts the output that entries have yet to fetch

Callers saw: an agent that takes 141 to 191 MB where it may use 64 MiB, beside 600 callers whose answers have 240 KB each; on a VM of that size it ends, and with it the attempts of all. Cause: an attempt frees its place as soon as its answer is whole, although the entry has not fetched it, so that the next one starts: the answers of any number of attempts, 256 KB each, waited in the table and once more as frames. Only each attempt's output was bounded. Change: the table counts the output that is not acknowledged, of all attempts. Beyond half of the budget for connections among processes, since each byte also waits as a frame, no attempt starts, and each that runs keeps 128 KB, which is as much as an entry needs to acknowledge.

--- a/agent/run.go
+++ b/agent/run.go
@@ -94,6 +94,7 @@
 		MemoryMiB:    cfg.MemoryMiB,
 		Concurrency:  cfg.Concurrency,
 		Queue:        cfg.Queue,
+		MaxOutput:    int(cfg.resources().Memory.WireBytes() / 2), // it waits once more as frames, as long as the entry reads slowly
 		DrainTimeout: cfg.DrainTimeout.Duration,
 		Settle:       cfg.SettleTime.Duration,
 	}
--- a/backend/output.go
+++ b/backend/output.go
@@ -9,13 +9,20 @@
 	end    int64 // bytes produced so far
 	bytes  int   // bytes kept
 	gone   bool  // dropped before its end was fetched
+	all    *int  // bytes kept of all attempts
+}
+
+// keep notes a change of the bytes kept.
+func (o *output) keep(change int) {
+	o.bytes += change
+	*o.all += change
 }
 
 // add appends a piece, sets its offset and returns it.
 func (o *output) add(a bamboostep.Answer) bamboostep.Answer {
 	a.Offset = o.end
 	o.end += int64(len(a.Data))
-	o.bytes += len(a.Data)
+	o.keep(len(a.Data))
 	o.pieces = append(o.pieces, a)
 	return a
 }
@@ -25,7 +32,7 @@
 func (o *output) acked(offset int64) {
 	n := 0
 	for n < len(o.pieces) && o.passed(o.pieces[n], offset) {
-		o.bytes -= len(o.pieces[n].Data)
+		o.keep(-len(o.pieces[n].Data))
 		n++
 	}
 	o.pieces = o.pieces[n:]
@@ -43,7 +50,7 @@
 // drop forgets all output.
 func (o *output) drop() {
 	o.pieces = nil
-	o.bytes = 0
+	o.keep(-o.bytes)
 	o.gone = true
 	o.base = o.end
 }
--- a/backend/property_test.go
+++ b/backend/property_test.go
@@ -312,6 +312,17 @@
 	}
 }
 
+// checkOutput compares the output that the table counts with what its records hold.
+func (w *world) checkOutput() {
+	output := 0
+	for _, r := range w.table.records {
+		output += r.out.bytes
+	}
+	if w.table.outputBytes != output {
+		w.t.Fatalf("output that is not acknowledged: got %d bytes, want %d", w.table.outputBytes, output)
+	}
+}
+
 func repeat(t *rapid.T, f func(*rapid.T)) {
 	for range 1 + dice(t, 6, "times") {
 		f(t)
@@ -370,14 +381,16 @@
 	var whole, refused int
 	rapid.Check(t, func(t *rapid.T) {
 		w := &world{
-			t:       t,
-			conn:    1,
-			table:   &table{concurrency: 3, queue: 4, limit: rapid.IntRange(5, 40).Draw(t, "limit"), stopOrphans: true},
+			t:    t,
+			conn: 1,
+			table: &table{concurrency: 3, queue: 4, limit: rapid.IntRange(5, 40).Draw(t, "limit"), stopOrphans: true,
+				maxOutput: rapid.IntRange(0, 10).Draw(t, "max_output")},
 			callers: make(map[bamboostep.AttemptID]*caller),
 			running: make(map[bamboostep.AttemptID]bool),
 		}
 		for range 400 {
 			w.step(t)
+			w.checkOutput()
 			if len(w.table.records) > w.table.limit {
 				t.Fatalf("table keeps %d records, limit %d", len(w.table.records), w.table.limit)
 			}
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -31,6 +31,7 @@
 	cancelLimit    = 5 * time.Second        // how long a cancelled offer waits to learn whether it ran
 	ackEvery       = 64 << 10               // bytes
 	windowBytes    = 256 << 10              // output that an agent keeps unacknowledged for one attempt
+	minWindowBytes = 2 * ackEvery           // the same, while it keeps as much as it may for all; less would never be acknowledged
 )
 
 // The codes of failures that both ends use.
--- a/backend/schedule.go
+++ b/backend/schedule.go
@@ -13,7 +13,9 @@
 // fewer than the concurrency limit run. A crash suspect runs with nothing beside
 // it, not even another suspect, so that a second crash has exactly one possible
 // cause. While a suspect waits, nothing else starts, or a busy engine would never
-// be empty; its StartBy bounds that.
+// be empty; its StartBy bounds that. Nothing starts either while entries have yet to
+// fetch as much output as the agent may keep, since an attempt frees its place before its
+// answer is fetched.
 
 // schedule starts what may start now.
 func (t *table) schedule(now int64) []action {
@@ -31,7 +33,7 @@
 			acts = append(acts, t.refuse(r, codeNotResident)...)
 			continue
 		}
-		if alone || len(t.active) >= t.concurrency {
+		if alone || len(t.active) >= t.concurrency || t.outputFull() {
 			continue
 		}
 		if r.offer.RunAlone && len(t.active) > 0 {
@@ -124,6 +126,7 @@
 	if r.state == stateEnded {
 		t.forgotten = max(t.forgotten, r.startBy)
 	}
+	r.out.drop()
 	delete(t.records, id)
 }
 
--- a/backend/server.go
+++ b/backend/server.go
@@ -43,6 +43,7 @@
 	MemoryMiB    int64
 	Concurrency  int           // attempts that run at once
 	Queue        int           // attempts that wait at most
+	MaxOutput    int           // bytes of output that entries have yet to fetch, beyond which no attempt starts; 0 for any number
 	OrderTimeout time.Duration // 2 min if 0
 	DrainTimeout time.Duration // 30 s if 0
 	Settle       time.Duration // settling time of the memory; stock.DefaultSettleTime if 0
@@ -114,7 +115,7 @@
 	s.kick = make(chan struct{}, 1)
 	s.workers = worker.NewPool()
 	s.memory = stock.MemoryReservations{VM: s.VM.Name, MemoryMiB: s.MemoryMiB, SettleTime: s.Settle}
-	s.table = table{concurrency: s.Concurrency, queue: s.Queue, stopOrphans: s.Engine != nil}
+	s.table = table{concurrency: s.Concurrency, queue: s.Queue, stopOrphans: s.Engine != nil, maxOutput: s.MaxOutput}
 	if s.Engine != nil {
 		s.table.resident = s.resident
 	}
--- a/backend/table.go
+++ b/backend/table.go
@@ -79,6 +79,9 @@
 	limit       int                           // records kept at most; maxRecords if 0
 	resident    func(bamboostep.Request) bool // may be nil; asked just before a start
 	stopOrphans bool                          // cancel a started attempt that nobody reads
+	maxOutput   int                           // bytes of output that is not acknowledged, beyond which nothing starts and each keeps little; 0 for any number
+
+	outputBytes int // that are not acknowledged
 
 	leaving   bool
 	records   map[bamboostep.AttemptID]*record
@@ -138,6 +141,7 @@
 		state:   attemptChart.Initial(),
 		arrival: t.arrivals,
 		conn:    conn,
+		out:     output{all: &t.outputBytes},
 	}
 	t.records[offer.Attempt] = r
 	return r
@@ -179,6 +183,9 @@
 	return append(t.shed(), t.schedule(now)...)
 }
 
+// outputFull reports whether entries have yet to fetch as much output as may be kept.
+func (t *table) outputFull() bool { return t.maxOutput > 0 && t.outputBytes >= t.maxOutput }
+
 func (t *table) repeated(r *record, conn uint64) []action {
 	t.dropped++
 	if r.state != stateRefused && r.state != stateCancelled {
@@ -329,7 +336,13 @@
 // room reports whether a started attempt may produce more output now.
 func (t *table) room(id bamboostep.AttemptID) bool {
 	r := t.get(id)
-	return r == nil || r.orphan || r.out.bytes < windowBytes
+	if r == nil || r.orphan {
+		return true
+	}
+	if t.outputFull() {
+		return r.out.bytes < minWindowBytes
+	}
+	return r.out.bytes < windowBytes
 }
 
 // ended takes the end of a started attempt; failure is nil when its answer is
