A configuration counts with what its decoded values take

Operators saw, and clients where they reach the port: a voter that took 3,047 MB where it may use 96 MiB, and an entry of our own interface 1,254 MB, from 24 configurations of 4 MiB (legal size, whole) that were long lists of empty objects. On a VM of that size the process ends. Cause: a body counts with its bytes, but a list's element is two or three bytes of text and hundreds as a Go value; each of the 24 was decoded in full before it was found invalid. What would never fit is refused as too large at once (413; 400 in our own interface, as before for large bodies), what does not fit now with 503, not run. Ruled out: a limit on bodies, since the published one is needed; one decoder at a time, since one alone takes more than 1 GB.

--- a/memory/buffer.go
+++ b/memory/buffer.go
@@ -49,10 +49,18 @@
 }
 
 // TooLargeError says that a body exceeds its limit.
-type TooLargeError struct{ Limit int64 }
+type TooLargeError struct {
+	Limit   int64 // bytes
+	Decoded bool  // it is the decoded values that do, see DecodedBytes
+}
 
 // Error implements error.
-func (e *TooLargeError) Error() string { return fmt.Sprintf("body exceeds %d bytes", e.Limit) }
+func (e *TooLargeError) Error() string {
+	if e.Decoded {
+		return fmt.Sprintf("body exceeds %d bytes when it is decoded", e.Limit)
+	}
+	return fmt.Sprintf("body exceeds %d bytes", e.Limit)
+}
 
 // Progress is told of a body that is read.
 type Progress interface {
@@ -79,7 +87,7 @@
 		size := int64(b.size)
 		switch {
 		case limit > 0 && size > limit:
-			return nil, &TooLargeError{limit}
+			return nil, &TooLargeError{Limit: limit}
 		case err == io.EOF:
 			if err := h.Resize(now(), before+2*size); err != nil { // the copy too
 				return nil, err
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -74,6 +74,9 @@
 	return fmt.Sprintf("%d bytes exceed the memory for requests, %d of %d bytes are held", e.Bytes, e.Used, e.Total)
 }
 
+// Never reports whether the budget has no room for so many bytes at any time.
+func (e *FullError) Never() bool { return e.Bytes > e.Total-e.Total/leftPart }
+
 // Holder is what holds bytes: a request with its body and its answer. Its methods are called from one goroutine at a time, its owner.
 type Holder struct {
 	Owner Owner // set before the first Resize; may be nil
--- a/node/flood_test.go
+++ b/node/flood_test.go
@@ -162,6 +162,16 @@
 			fmt.Fprintf(w, "PUT %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", publish, floodBody)
 			flood.SendBytes(w, floodBody-floodShort)
 		}},
+		"configurations of empty routes": {3, floodCrowd, func(w net.Conn) {
+			body := `{"version":2,"routes":[{}` + strings.Repeat(",{}", floodBody/3-20) + "]}"
+			fmt.Fprintf(w, "PUT %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", publish, len(body), body)
+			_, _ = w.Read(make([]byte, 1))
+		}},
+		"configurations of nested brackets": {3, floodCrowd, func(w net.Conn) {
+			body := `{"version":2,"x":` + strings.Repeat("[", floodBody-40)
+			fmt.Fprintf(w, "PUT %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", publish, len(body), body)
+			_, _ = w.Read(make([]byte, 1))
+		}},
 		"frames that stop short": {0, floodCrowd, func(w net.Conn) {
 			_, _ = w.Write([]byte{0, 0x7f, 0xff, 0xff})
 			flood.SendBytes(w, 0x7fffff-floodShort)
