Own interface: prompts are counted without decoding them

Callers saw: an entry that took 235 MB where it may use 96 MiB, from 24 completions whose bodies of 4 MiB (legal size, whole) hold a list of many prompts, which are refused. Cause: to find out that there is more than one, the list was decoded, first as numbers and then as raw values. Change: the list is read by its tokens, up to the second prompt. The message no longer names their number. TestOnePrompt holds the cases; the same table passes on the code before.

--- a/entry/chat_request.go
+++ b/entry/chat_request.go
@@ -68,20 +68,5 @@
 // checkPrompt rejects prompts that ask for several answers: every string in a
 // list, and every list of tokens in a list, is a separate prompt.
 func (completionFormat) checkPrompt(prompt json.RawMessage) error {
-	var text string
-	if json.Unmarshal(prompt, &text) == nil {
-		return nil
-	}
-	var tokens []int
-	if json.Unmarshal(prompt, &tokens) == nil && len(tokens) > 0 {
-		return nil
-	}
-	var prompts []json.RawMessage
-	if err := json.Unmarshal(prompt, &prompts); err != nil {
-		return fmt.Errorf("\"prompt\" is neither a text nor a list: %w", err)
-	}
-	if len(prompts) != 1 {
-		return fmt.Errorf("\"prompt\" holds %d prompts, and a request gets one answer", len(prompts))
-	}
-	return nil
+	return hasOnePrompt(prompt)
 }
--- a/entry/json_parts.go
+++ b/entry/json_parts.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"strconv"
 )
 
 // Parts of a body in JSON. Decoding a whole body to look at one field, or to count a list, takes many times the size of the body, so it is read by its tokens, and nothing is kept.
@@ -62,3 +64,48 @@
 		}
 	}
 }
+
+// hasOnePrompt returns why value, the "prompt" of a request, is not a single prompt: a text, a list of tokens, or a list of one prompt.
+func hasOnePrompt(value json.RawMessage) error {
+	dec := json.NewDecoder(bytes.NewReader(value))
+	dec.UseNumber()
+	first, err := dec.Token()
+	if err != nil {
+		return fmt.Errorf("\"prompt\" cannot be read: %w", err)
+	}
+	if _, isText := first.(string); isText {
+		return nil
+	}
+	if first != json.Delim('[') {
+		return fmt.Errorf("\"prompt\" is neither a text nor a list")
+	}
+	elements, tokens := 0, true
+	for dec.More() {
+		t, err := dec.Token()
+		if err == nil {
+			err = skipRest(dec, t)
+		}
+		if err != nil {
+			return fmt.Errorf("\"prompt\" cannot be read: %w", err)
+		}
+		elements++
+		tokens = tokens && isPromptToken(t)
+		if elements > 1 && !tokens {
+			return fmt.Errorf("\"prompt\" holds several prompts, and a request gets one answer")
+		}
+	}
+	if elements == 0 {
+		return fmt.Errorf("\"prompt\" holds 0 prompts, and a request gets one answer")
+	}
+	return nil
+}
+
+// isPromptToken reports whether an element of a prompt is the number of a token. A null counts as one, as it always has.
+func isPromptToken(t json.Token) bool {
+	number, isNumber := t.(json.Number)
+	if !isNumber {
+		return t == nil
+	}
+	_, err := strconv.Atoi(number.String())
+	return err == nil
+}
--- a/entry/json_parts_test.go
+++ b/entry/json_parts_test.go
@@ -29,3 +29,33 @@
 		})
 	}
 }
+
+func TestOnePrompt(t *testing.T) {
+	for name, c := range map[string]struct {
+		prompt string
+		ok     bool
+	}{
+		"text":                   {`"how far apart"`, true},
+		"tokens":                 {`[1, 2, 3]`, true},
+		"one token":              {`[1]`, true},
+		"a null among tokens":    {`[1, null]`, true},
+		"a list of one text":     {`["a"]`, true},
+		"a list of one list":     {`[[1, 2]]`, true},
+		"a list of one fraction": {`[1.5]`, true},
+		"two texts":              {`["a", "b"]`, false},
+		"two lists of tokens":    {`[[1], [2]]`, false},
+		"tokens and a text":      {`[1, "a"]`, false},
+		"two fractions":          {`[1.5, 2]`, false},
+		"a number beyond any":    {`[1, 99999999999999999999]`, false},
+		"none":                   {`[]`, false},
+		"an object":              {`{"a":1}`, false},
+		"a number":               {`7`, false},
+		"a truth value":          {`true`, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if err := hasOnePrompt([]byte(c.prompt)); (err == nil) != c.ok {
+				t.Errorf("got error %v, want a single prompt %v", err, c.ok)
+			}
+		})
+	}
+}
