Texts of events are clipped when they are recorded

Callers saw: an entry that took 296 to 326 MB where it may use 96 MiB, from 24 callers who send 250 requests each with IDs or paths of 48 KB, three times the published limit on heads. Cause: heads are read to four times the published limit, so that what is between the two can be refused. The refusal was recorded with the ID or path as it came, and the recorder keeps 4,096 events, so up to 200 MB of texts that callers choose, beside their log lines. Change: Record clips a detail to 1 KiB and each other text to 256 bytes, with a mark, and keeps nothing of the original in memory; Find clips what it looks for alike. Ruled out: that the log's lines hold them, of which 4,096 wait at most and are written soon.

--- a/node/flood_test.go
+++ b/node/flood_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -20,13 +21,16 @@
 // afterwards.
 
 const (
-	floodMemoryMB    = 96      // that the process may use
-	floodCrowd       = 24      // callers, where each sends much
-	floodConnections = 600     // callers, where each sends little
-	floodBody        = 4 << 20 // bytes; the largest that testRoutes allow
-	floodAnswer      = 7 << 20 // bytes; more than the sockets hold for a caller that does not read
-	floodShort       = 100     // bytes that a body stops short of its end
-	floodSpare       = 200     // descriptors of a process besides one for each caller
+	floodMemoryMB    = 96              // that the process may use
+	floodCrowd       = 24              // callers, where each sends much
+	floodConnections = 600             // callers, where each sends little
+	floodBody        = 4 << 20         // bytes; the largest that testRoutes allow
+	floodAnswer      = 7 << 20         // bytes; more than the sockets hold for a caller that does not read
+	floodShort       = 100             // bytes that a body stops short of its end
+	floodRequests    = 250             // of each caller, one after the other
+	floodID          = 48 << 10        // bytes of a long ID or path; over the limit on a head, but read
+	floodPatience    = 2 * time.Minute // of a caller who sends floodRequests
+	floodSpare       = 200             // descriptors of a process besides one for each caller
 )
 
 const floodHead = "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: f\r\nX-Request-Deadline: 60000\r\n"
@@ -93,6 +97,26 @@
 	return strings.TrimPrefix(list.URL, "http://")
 }
 
+// sendRequests sends a request so many times, and reads the answer to each.
+func sendRequests(w net.Conn, times int, request string) {
+	_ = w.SetDeadline(time.Now().Add(floodPatience))
+	answers := bufio.NewReader(w)
+	for range times {
+		if _, err := io.WriteString(w, request); err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			return
+		}
+	}
+}
+
 // Guards against an entry that ends, or exceeds its memory, since callers flood it.
 func TestFloodedEntry(t *testing.T) {
 	for name, f := range map[string]struct {
@@ -127,6 +151,12 @@
 			fmt.Fprint(w, strings.Replace(floodHead, "/p/x", "/p/large", 1)+"Content-Length: 0\r\n\r\n")
 			_, _ = w.Read(make([]byte, 1))
 		}},
+		"requests with long IDs": {floodCrowd, func(w net.Conn) {
+			sendRequests(w, floodRequests, strings.Replace(floodHead, "Id: f", "Id: "+strings.Repeat("f", floodID), 1)+"Content-Length: 0\r\n\r\n")
+		}},
+		"requests with long paths": {floodCrowd, func(w net.Conn) {
+			sendRequests(w, floodRequests, strings.Replace(floodHead, "/p/x", "/"+strings.Repeat("x", floodID), 1)+"Content-Length: 0\r\n\r\n")
+		}},
 		"heads that stop short": {floodConnections, func(w net.Conn) {
 			fmt.Fprint(w, floodHead+"X-More: "+strings.Repeat("x", 12<<10))
 		}},
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -97,8 +97,9 @@
 	lines  lines
 }
 
-// Record stamps e, keeps it and logs it, the last a moment later.
+// Record stamps e, keeps it and logs it, the last a moment later. Long texts are clipped.
 func (r *Recorder) Record(e Event) {
+	e = e.clipped()
 	e.Stamp = r.Clock.Now()
 	e.Process = r.Process
 	r.keep(e)
@@ -109,6 +110,7 @@
 
 // Find returns the kept events that q selects, oldest first.
 func (r *Recorder) Find(q Query) []Event {
+	q = q.clipped()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var found []Event
