A process's time line is written in parts

Callers saw: an entry that took 409 MB where it may use 96 MiB, from 60 clients, within the limit of its port of metrics, who ask for its time line and do not read it. Change: Recorder.Write writes 64 events at a time, by their numbers, up to those that there were when it began. The text is the same.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -115,5 +114,5 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(a.Recorder.Find(q))
+	_ = a.Recorder.Write(w, q) // fails only if the client has left
 }
--- a/node/flood_test.go
+++ b/node/flood_test.go
@@ -29,6 +29,7 @@
 	floodShort       = 100             // bytes that a body stops short of its end
 	floodRequests    = 250             // of each caller, one after the other
 	floodID          = 48 << 10        // bytes of a long ID or path; over the limit on a head, but read
+	floodReaders     = 60              // clients who ask for a large answer on the port of metrics, within its limit on connections
 	floodPatience    = 2 * time.Minute // of a caller who sends floodRequests
 	floodSpare       = 200             // descriptors of a process besides one for each caller
 )
@@ -221,3 +222,26 @@
 		})
 	}
 }
+
+// Guards against an entry that ends, or exceeds its memory, since clients ask its port of metrics for large answers and do not read them.
+func TestFloodedMetricsPort(t *testing.T) {
+	for name, path := range map[string]string{"metrics": "/metrics", "time lines": "/timeline"} {
+		t.Run(name, func(t *testing.T) {
+			cluster := startCluster(t, 65, 1, 1, floodService(t), testRoutes)
+			entry := cluster.entries[0]
+			entry.limitMemory()
+			cluster.awaitReady()
+			unread := entry.measured().WatchUnread(t)
+			defer unread()
+			(&flood.Crowd{Clients: floodCrowd, Send: func(w net.Conn) { // fills the time line
+				sendRequests(w, floodRequests, strings.Replace(floodHead, "/p/x", "/"+strings.Repeat("x", floodID), 1)+"Content-Length: 0\r\n\r\n")
+			}}).Start(t, entry.callerAddr())
+			(&flood.Crowd{Clients: floodReaders, Send: func(w net.Conn) {
+				fmt.Fprintf(w, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path)
+				_, _ = w.Read(make([]byte, 1))
+			}}).Start(t, entry.metricsAddr())
+			cluster.awaitServed(entry, "after the crowd has sent")
+			entry.check(floodCrowd+floodReaders, unread())
+		})
+	}
+}
--- a/timeline/clip_test.go
+++ b/timeline/clip_test.go
@@ -30,6 +30,10 @@
 			t.Errorf("%s: got %d bytes that end in %q, want at most %d and the mark", name, len(c.text), c.text[len(c.text)-5:], c.most)
 		}
 	}
+	var written strings.Builder
+	if err := r.Write(&written, Query{}); err != nil || written.Len() > 3*maxNameBytes+maxDetailBytes {
+		t.Errorf("written: got %d bytes and %v", written.Len(), err)
+	}
 	if e.Content != "short" {
 		t.Errorf("content: got %q, want it whole", e.Content)
 	}
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -9,6 +9,8 @@
 package timeline
 
 import (
+	"encoding/json"
+	"io"
 	"slices"
 	"strconv"
 	"sync"
@@ -91,10 +93,10 @@
 	Log     *log.Logger // may be nil
 	Size    int         // events kept; 4096 if 0
 
-	mu     sync.Mutex
-	events []Event
-	next   int
-	lines  lines
+	mu       sync.Mutex
+	events   []Event // the event with number n at n modulo the size
+	recorded uint64  // events so far; their numbers begin at 0
+	lines    lines
 }
 
 // Record stamps e, keeps it and logs it, the last a moment later. Long texts are clipped.
@@ -113,14 +115,67 @@
 	q = q.clipped()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var found []Event
-	for i := range r.events {
-		e := r.events[(r.next+i)%len(r.events)]
+	found, _ := r.findFrom(q, 0, len(r.events))
+	return found
+}
+
+// findFrom returns the kept events with a number of at least from that q selects, but no more than max of them, oldest first, and the number after the last that it looked at. mu must
+// be held, and q be clipped.
+func (r *Recorder) findFrom(q Query, from uint64, max int) (found []Event, next uint64) {
+	kept := uint64(len(r.events))
+	if from+kept < r.recorded {
+		from = r.recorded - kept
+	}
+	for ; from < r.recorded && len(found) < max; from++ {
+		e := r.events[from%kept]
 		if q.Matches(e) {
 			found = append(found, e)
 		}
 	}
-	return found
+	return found, from
+}
+
+// pageEvents is the number of events that Write holds at a time.
+const pageEvents = 64
+
+// Write writes the kept events that q selects to w as a list in JSON, oldest first, and null if there are none. It holds few of them at a time, however slowly w takes them; events
+// that are no longer kept when it is their turn are missing. The error is that of w.
+func (r *Recorder) Write(w io.Writer, q Query) error {
+	q = q.clipped()
+	r.mu.Lock()
+	end := r.recorded
+	r.mu.Unlock()
+	separator := "["
+	for next := uint64(0); next < end; {
+		r.mu.Lock()
+		var page []Event
+		page, next = r.findFrom(q, next, pageEvents)
+		r.mu.Unlock()
+		for _, e := range page {
+			if err := writeEvent(w, separator, e); err != nil {
+				return err
+			}
+			separator = ","
+		}
+	}
+	rest := "]\n"
+	if separator == "[" {
+		rest = "null\n"
+	}
+	_, err := io.WriteString(w, rest)
+	return err
+}
+
+func writeEvent(w io.Writer, separator string, e Event) error {
+	text, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	if _, err := io.WriteString(w, separator); err != nil {
+		return err
+	}
+	_, err = w.Write(text)
+	return err
 }
 
 func (r *Recorder) keep(e Event) {
@@ -132,10 +187,10 @@
 	}
 	if len(r.events) < size {
 		r.events = append(r.events, e)
-		return
+	} else {
+		r.events[r.recorded%uint64(size)] = e
 	}
-	r.events[r.next] = e
-	r.next = (r.next + 1) % size
+	r.recorded++
 }
 
 // Merge orders the events of several processes into one time line.
