Own interface: time lines are collected for one operator at a time and count until they are read

Operators saw: an entry that took 120 MB where it may use 96 MiB, from 60 clients who ask for the time line of all processes and do not read it. Cause: the events of all processes were collected and encoded for each of them at once, and nothing was counted. Where there is no room, 503; what is not read for 2 s goes for others, as elsewhere.

--- a/operator/handler.go
+++ b/operator/handler.go
@@ -29,11 +29,12 @@
 	Status    func() Status
 	Timeline  func(ctx context.Context, q timeline.Query) []timeline.Event
 	Voters    Voters         // nil if the entry cannot change them
-	Memory    *memory.Budget // for bodies that arrive; nil for any number
+	Memory    *memory.Budget // for bodies that arrive, and time lines that are read; nil for any number
 	Token     string         // bearer token that operators must send; none is asked for if empty
 
-	once sync.Once
-	mux  http.ServeMux
+	once       sync.Once
+	mux        http.ServeMux
+	collecting chan struct{} // holds a value while a time line is collected
 }
 
 // Voters changes who votes in the ledger. *ledger.Client is one.
@@ -56,6 +57,7 @@
 }
 
 func (h *Handler) register() {
+	h.collecting = make(chan struct{}, 1)
 	h.mux.HandleFunc("GET "+pathSet, h.serveSet)
 	h.mux.HandleFunc("POST "+pathPublish, h.servePublish)
 	h.mux.HandleFunc("GET "+pathStatus, h.serveStatus)
@@ -104,11 +106,38 @@
 		h.refuse(w, http.StatusBadRequest, errorDetail{Code: codeBadRequest, Message: err.Error()})
 		return
 	}
-	events := h.Timeline(r.Context(), q)
+	text, err := h.collectTimeline(r.Context(), q)
+	if err != nil {
+		h.refuse(w, http.StatusServiceUnavailable, errorDetail{Code: codeUnavailable, Message: err.Error(), Known: true})
+		return
+	}
+	held := h.Memory.Open()
+	defer held.Close()
+	c := http.NewResponseController(w)
+	held.Owner = memory.OwnerFunc(func() { _ = c.SetWriteDeadline(time.Now()) }) // fails only on a connection that is closed
+	if err := held.Resize(time.Now(), int64(len(text))); err != nil {
+		h.refuse(w, http.StatusServiceUnavailable, errorDetail{Code: codeUnavailable, Message: err.Error(), Known: true})
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(text) // fails only if the operator has left
+}
+
+// collectTimeline returns the events of all processes that q selects, as a list in JSON. The events take several times the memory of the list, so that they are collected for one
+// request at a time. It blocks until those before it are done; the error is that of ctx, or of the encoder.
+func (h *Handler) collectTimeline(ctx context.Context, q timeline.Query) ([]byte, error) {
+	select {
+	case h.collecting <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-h.collecting }()
+	events := h.Timeline(ctx, q)
 	if events == nil {
 		events = []timeline.Event{}
 	}
-	h.answer(w, events)
+	text, err := json.Marshal(events)
+	return append(text, '\n'), err
 }
 
 func (h *Handler) servePublish(w http.ResponseWriter, r *http.Request) {
--- a/scenario/flood_memory_test.go
+++ b/scenario/flood_memory_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -25,6 +26,8 @@
 	floodAnswer      = 240 << 10 // bytes; an entry buffers it whole
 	floodLargeAnswer = 7 << 20   // bytes; more than the sockets hold for a client that does not read
 	floodShort       = 100       // bytes that a body stops short of its end
+	floodReaders     = 60        // clients who ask for time lines
+	floodRequests    = 200       // of each client that fills the time line
 	floodSpare       = 200       // descriptors of a process besides one for each client
 )
 
@@ -152,21 +155,53 @@
 
 // Guards against an entry that ends, or exceeds its memory, since its port for operators is flooded.
 func TestFloodOfOperators(t *testing.T) {
-	for name, send := range map[string]func(w net.Conn){
-		"publications that stop short": func(w net.Conn) {
+	for name, c := range map[string]struct {
+		clients int
+		send    func(w net.Conn)
+	}{
+		"publications that stop short": {floodCrowd, func(w net.Conn) {
 			io.WriteString(w, floodRequest("/operator/v1/publish", "Content-Length: "+strconv.Itoa(floodBody)))
 			flood.SendBytes(w, floodBody-floodShort)
-		},
-		"publications of empty objects": sendLargeJSON("/operator/v1/publish", `{"id":"i","objects":{"models":[{}`, `,{}`, `]}}`),
+		}},
+		"publications of empty objects": {floodCrowd, sendLargeJSON("/operator/v1/publish", `{"id":"i","objects":{"models":[{}`, `,{}`, `]}}`)},
+		"time lines that are not read": {floodReaders, func(w net.Conn) {
+			io.WriteString(w, "GET /operator/v1/timeline HTTP/1.1\r\nHost: h\r\n\r\n")
+			readNothing(w)
+		}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := startFloodedCluster(t, &cluster.Cluster{EntryLines: []string{fmt.Sprintf("memory_mib = %d", floodMemoryMiB)}})
 			unread := f.measured(floodEntry).WatchUnread(t)
 			defer unread()
-			(&flood.Crowd{Clients: floodCrowd, Send: send}).Start(t, strings.TrimPrefix(f.OperatorsURL(floodEntry), "http://"))
+			f.fillTimeLine()
+			(&flood.Crowd{Clients: c.clients, Send: c.send}).Start(t, strings.TrimPrefix(f.OperatorsURL(floodEntry), "http://"))
 			f.await("revisions after the crowd has sent", http.MethodGet, f.OperatorsURL(floodEntry)+"/operator/v1/revisions", "")
 			f.awaitServed("after the crowd has sent")
-			f.checkMemory(floodEntry, floodMemoryMiB, floodCrowd, unread())
+			f.checkMemory(floodEntry, floodMemoryMiB, floodCrowd+c.clients, unread())
 		})
 	}
 }
+
+// fillTimeLine has the entry serve more requests than its time line keeps events.
+func (f floodedCluster) fillTimeLine() {
+	f.t.Helper()
+	fill := &flood.Crowd{Clients: floodCrowd, Send: func(w net.Conn) {
+		for range floodRequests {
+			io.WriteString(w, floodRequest("/quotations", "Content-Length: 0"))
+		}
+		answers := bufio.NewReader(w)
+		for range floodRequests {
+			resp, err := http.ReadResponse(answers, nil)
+			if err != nil {
+				return
+			}
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if err != nil {
+				return
+			}
+		}
+	}}
+	fill.Start(f.t, strings.TrimPrefix(f.CallersURL(floodEntry), "http://"))
+	fill.Leave()
+}
