--- a/internal/flood/send.go
+++ b/internal/flood/send.go
@@ -4,12 +4,17 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
+	"net/http"
 	"strings"
+	"time"
 )
 
 const (
 	pieceBytes = 64 << 10 // of one write
 	chunkBytes = 64       // of a small chunk
+
+	requestsPatience = 2 * time.Minute // of a client who sends many requests
 )
 
 // SendBytes sends bytes in pieces until one is not taken.
@@ -35,3 +40,23 @@
 	}
 	buffered.Flush()
 }
+
+// SendRequests sends a request so many times over a connection, and reads the answer to each.
+func SendRequests(nc net.Conn, times int, request string) {
+	_ = nc.SetDeadline(time.Now().Add(requestsPatience))
+	answers := bufio.NewReader(nc)
+	for range times {
+		if _, err := io.WriteString(nc, request); err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if err != nil {
+			return
+		}
+	}
+}
