Heads of many fields count for as long as their requests last

Callers saw: an entry that took 358 to 367 MB where it may use 96 MiB, from 600 callers whose heads of 15 KB, within the published limit, hold 2,600 short fields, and who stop short of their bodies and stay. Voters took 735 MB on their port for operators; the port of readiness did not answer within 15 s, and metrics only by chance. Cause: nothing counted heads, and a field takes some 250 bytes beside its text. http.Server keeps a request with its head until the rest of its body has come, also after it was answered, on the callers' port without end. Evidence, crowd and bound settled before the change: TestFloodedEntry/heads_of_many_fields: got bytes, want at most; TestFloodedVoter/heads_of_many_fields, and with an unknown path; TestFloodedSmallPorts/readiness: no status 200 within 15 s, /metrics: reset; TestFloodOfOperators/heads_of_many_fields and unread. Change: daemon.HeadGuard before each HTTP handler counts the fields of a head against the memory for requests until the request has ended, refuses with 503 what does not fit, waits for the rest of a body that was not asked for for 2 s, and then lets go of the head. A head goes for others only while its client lets the body wait. Ordinary heads stay within the reserve and take no lock. Ports for operators, readiness and metrics read heads of 8 KB; readiness takes as many connections as metrics. The test's reading of metrics is repeated until it is answered. Why it works: what is granted is bounded by the budget, and what is refused is let go at once, although http.Server keeps the request for half a second.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -80,7 +80,8 @@
 		return err
 	}
 	s := &http.Server{Handler: a.Handler(), ReadHeaderTimeout: adminHeaderTimeout, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout, IdleTimeout: 2 * adminTimeout}
-	LimitHeader(s, 0)
+	s.Handler = &HeadGuard{Handler: s.Handler}
+	s.MaxHeaderBytes = SmallHeaderBytes
 	return ServeLimited(ctx, listener, s, adminCloseTimeout, a.Resources.AdminConnections())
 }
 
--- a/daemon/memory.go
+++ b/daemon/memory.go
@@ -27,9 +27,12 @@
 	minFrames = 3    // of the largest that such a connection carries: a frame is copied once, and a part is left to small ones
 
 	connectionBytes = 96 << 10 // of the memory, for each connection that may be open
-	minHeaderBytes  = 64 << 10 // of a request's head that is read at least
+	minHeaderBytes  = 64 << 10 // of a caller's head that is read at least
 	headerFactor    = 4        // on the published limit; what is between the two is refused by the handler
 
+	// SmallHeaderBytes is the limit on the heads that operators and the platform send.
+	SmallHeaderBytes = 8 << 10
+
 	cgroupLimit = "/sys/fs/cgroup/memory.max"
 )
 
--- a/entry/caller_handler.go
+++ b/entry/caller_handler.go
@@ -276,6 +276,14 @@
 	return false
 }
 
+// refuseHead answers a request whose head does not fit into Memory, for a daemon.HeadGuard.
+func (c *callerHandler) refuseHead(w http.ResponseWriter, r *http.Request, err error) {
+	c.once.Do(c.init)
+	x := c.newExchange(w, r)
+	defer x.finish()
+	x.refuse(bodyError(err))
+}
+
 // bodyError returns the refusal of a request whose body was not read.
 func bodyError(err error) *bamboostep.RequestError {
 	var tooLarge *memory.TooLargeError
--- a/entry/operator_server.go
+++ b/entry/operator_server.go
@@ -36,8 +36,8 @@
 		Memory:    e.held,
 		Token:     e.cfg.OperatorToken,
 	})
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: callerHeaderTimeout, ReadTimeout: operatorTimeout, WriteTimeout: 2 * operatorTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: e.log.StandardLog()}
-	daemon.LimitHeader(s, 0)
+	s := &http.Server{Handler: &daemon.HeadGuard{Memory: e.held, Handler: mux}, ReadHeaderTimeout: callerHeaderTimeout, ReadTimeout: operatorTimeout, WriteTimeout: 2 * operatorTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: e.log.StandardLog()}
+	s.MaxHeaderBytes = daemon.SmallHeaderBytes
 	return daemon.ServeLimited(ctx, nl, s, adminCloseTimeout, e.cfg.resources().Connections(daemon.EntryOperatorPart))
 }
 
--- a/entry/run.go
+++ b/entry/run.go
@@ -110,7 +110,7 @@
 	}
 	e.recorder.Record(timeline.Event{Kind: "serving", Detail: nl.Addr().String()})
 	s := &http.Server{
-		Handler:           http.HandlerFunc(e.serveCaller),
+		Handler:           &daemon.HeadGuard{Memory: e.held, Handler: http.HandlerFunc(e.serveCaller), Refuse: e.callerHandler.refuseHead},
 		ReadHeaderTimeout: callerHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		ErrorLog:          e.log.StandardLog(),
--- a/internal/flood/send.go
+++ b/internal/flood/send.go
@@ -60,3 +60,12 @@
 		}
 	}
 }
+
+// Fields returns fields of a head, each as short as can be, of so many bytes together.
+func Fields(bytes int) string {
+	var fields strings.Builder
+	for n := 0; fields.Len() < bytes; n++ {
+		fmt.Fprintf(&fields, "%x:\r\n", n)
+	}
+	return fields.String()
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -18,6 +18,7 @@
 	"github.com/bamboostep/bamboostep/fleet"
 	"github.com/bamboostep/bamboostep/gateway"
 	"github.com/bamboostep/bamboostep/ledger"
+	"github.com/bamboostep/bamboostep/memory"
 	"github.com/bamboostep/bamboostep/origin"
 	"github.com/bamboostep/bamboostep/platform"
 	"github.com/bamboostep/bamboostep/quarantine"
@@ -185,7 +186,7 @@
 	group.Go(func() error { return e.releases.Run(runCtx) })
 	group.Go(func() error { return e.runPeriodicTasks(runCtx) })
 	group.Go(func() error {
-		return serve(runCtx, ready, e.readyHandler(), e.resources().Connections(daemon.AdminPart))
+		return serve(runCtx, ready, e.readyHandler(), e.gateway.Memory, e.resources().AdminConnections())
 	})
 	callersCtx, stopCallers := context.WithCancel(runCtx)
 	defer stopCallers()
@@ -218,10 +219,10 @@
 // bodyTimeout is for a request of an operator or the platform in all. An operator goes to another process after a second.
 const bodyTimeout = 30 * time.Second
 
-// serve serves HTTP on l until ctx ends, then closes all connections. At most maxConnections are open at once, 0 for any number.
-func serve(ctx context.Context, l net.Listener, h http.Handler, maxConnections int) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: 2 * bodyTimeout, IdleTimeout: 2 * bodyTimeout}
-	daemon.LimitHeader(s, 0)
+// serve serves HTTP on l until ctx ends, then closes all connections. At most maxConnections are open at once, 0 for any number, and their heads count against held.
+func serve(ctx context.Context, l net.Listener, h http.Handler, held *memory.Budget, maxConnections int) error {
+	s := &http.Server{Handler: &daemon.HeadGuard{Memory: held, Handler: h}, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: 2 * bodyTimeout, IdleTimeout: 2 * bodyTimeout}
+	s.MaxHeaderBytes = daemon.SmallHeaderBytes
 	daemon.LimitConnections(s, maxConnections)
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
@@ -233,7 +234,7 @@
 // ends, it closes the listener and returns once the connections have ended that have sent a request
 // or may be about to. When runCtx ends, it closes all of them.
 func (e *entry) serveCallers(ctx, runCtx context.Context, l net.Listener) error {
-	s := &http.Server{Handler: e.gateway, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{Handler: &daemon.HeadGuard{Memory: e.gateway.Memory, Handler: e.gateway}, ReadHeaderTimeout: headerTimeout}
 	daemon.LimitHeader(s, 0)
 	daemon.ResetIncomplete(s)
 	if t := e.awaitRoutes(ctx); t != nil {
--- a/node/flood_test.go
+++ b/node/flood_test.go
@@ -30,6 +30,8 @@
 	floodID          = 48 << 10        // bytes of a long ID or path; over the limit on a head, but read
 	floodReaders     = 60              // clients who ask for a large answer on the port of metrics, within its limit on connections
 	floodPatience    = 2 * time.Minute // of a caller who sends floodRequests
+	floodFields      = 15 << 10        // bytes of many short fields, within the limit on a head
+	floodManyFields  = 56 << 10        // the same, over the limit, but read
 	floodSpare       = 200             // descriptors of a process besides one for each caller
 )
 
@@ -41,7 +43,8 @@
 // systemMemory returns the most memory that the process ever had from the system, in bytes.
 func (p *nodeProcess) systemMemory() int64 {
 	p.t.Helper()
-	resp, err := http.Get("http://" + net.JoinHostPort(p.ip, metricsPorts[p.role]) + "/metrics")
+	awaitOK(p.t, "metrics of the "+p.role, http.MethodGet, p.metricsAddr(), "/metrics", "")
+	resp, err := http.Get("http://" + p.metricsAddr() + "/metrics")
 	if err != nil {
 		p.t.Fatalf("metrics of %s: %v", p.role, err)
 	}
@@ -137,6 +140,12 @@
 		"requests with long paths": {floodCrowd, func(w net.Conn) {
 			flood.SendRequests(w, floodRequests, strings.Replace(floodHead, "/p/x", "/"+strings.Repeat("x", floodID), 1)+"Content-Length: 0\r\n\r\n")
 		}},
+		"heads of many fields": {floodConnections, func(w net.Conn) {
+			fmt.Fprintf(w, "%s%sContent-Length: %d\r\n\r\n", floodHead, flood.Fields(floodFields), floodBody)
+		}},
+		"heads of more fields than allowed": {floodConnections, func(w net.Conn) {
+			fmt.Fprintf(w, "%s%sContent-Length: %d\r\n\r\n", floodHead, flood.Fields(floodManyFields), floodBody)
+		}},
 		"heads that stop short": {floodConnections, func(w net.Conn) {
 			fmt.Fprint(w, floodHead+"X-More: "+strings.Repeat("x", 12<<10))
 		}},
@@ -182,6 +191,12 @@
 			fmt.Fprintf(w, "PUT %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", publish, len(body), body)
 			_, _ = w.Read(make([]byte, 1))
 		}},
+		"heads of many fields": {3, floodConnections, func(w net.Conn) {
+			fmt.Fprintf(w, "PUT %s HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n", publish, flood.Fields(floodManyFields), floodBody)
+		}},
+		"heads of many fields, unknown path": {3, floodConnections, func(w net.Conn) {
+			fmt.Fprintf(w, "POST /x HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n", flood.Fields(floodManyFields), floodShort)
+		}},
 		"frames that stop short": {0, floodCrowd, func(w net.Conn) {
 			_, _ = w.Write([]byte{0, 0x7f, 0xff, 0xff})
 			flood.SendBytes(w, 0x7fffff-floodShort)
@@ -202,6 +217,29 @@
 	}
 }
 
+// Guards against an entry that ends, or exceeds its memory, since clients send its ports of readiness and metrics heads of many fields, and no bodies.
+func TestFloodedSmallPorts(t *testing.T) {
+	for name, address := range map[string]func(p *nodeProcess) string{
+		"readiness": func(p *nodeProcess) string { return portOf(p.ip, 2) },
+		"metrics":   (*nodeProcess).metricsAddr,
+	} {
+		t.Run(name, func(t *testing.T) {
+			cluster := startCluster(t, 66, 1, 1, floodService(t), testRoutes)
+			entry := cluster.entries[0]
+			entry.limitMemory()
+			cluster.awaitReady()
+			unread := entry.measured().WatchUnread(t)
+			defer unread()
+			(&flood.Crowd{Clients: floodConnections, Send: func(w net.Conn) {
+				fmt.Fprintf(w, "POST /x HTTP/1.1\r\nHost: h\r\n%sContent-Length: %d\r\n\r\n", flood.Fields(floodManyFields), floodShort)
+			}}).Start(t, address(entry))
+			cluster.awaitReady()
+			cluster.awaitServed(entry, "after the crowd has sent")
+			entry.check(floodConnections, unread())
+		})
+	}
+}
+
 // Guards against an entry that ends, or exceeds its memory, since clients ask its port of metrics for large answers and do not read them.
 func TestFloodedMetricsPort(t *testing.T) {
 	for name, path := range map[string]string{"metrics": "/metrics", "time lines": "/timeline"} {
--- a/node/voter.go
+++ b/node/voter.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -125,7 +126,7 @@
 		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.resources().Connections(daemon.VoterPeersPart)}).Run(ctx)
 	})
 	group.Go(func() error {
-		return serve(ctx, operatorListener, operatorHandler(p, client), p.resources().Connections(daemon.VoterOperatorPart))
+		return serveOperators(ctx, p, client, operatorListener)
 	})
 	return ignoreShutdown(group.Wait())
 }
@@ -153,7 +154,7 @@
 		return (&wire.Listener{Node: p.wire, Net: wireListener, Handler: mux, Limit: p.resources().Connections(daemon.VoterPeersPart)}).Run(ctx)
 	})
 	group.Go(func() error {
-		return serve(ctx, operatorListener, operatorHandler(p, client), p.resources().Connections(daemon.VoterOperatorPart))
+		return serveOperators(ctx, p, client, operatorListener)
 	})
 	return ignoreShutdown(group.Wait())
 }
@@ -188,11 +189,12 @@
 	return forProcesses, forOperators, err
 }
 
-// operatorHandler serves the publication and the reading of routes.
-func operatorHandler(p *process, client *ledger.Client) http.Handler {
-	routes := &operator.Routes{Ledger: client, Decode: platform.ParseRoutes, Recorder: p.recorder, Memory: p.memory().NewBudget(p.registry, p.recorder)}
+// serveOperators serves the publication and the reading of routes on l until ctx ends.
+func serveOperators(ctx context.Context, p *process, client *ledger.Client, l net.Listener) error {
+	held := p.memory().NewBudget(p.registry, p.recorder)
+	routes := &operator.Routes{Ledger: client, Decode: platform.ParseRoutes, Recorder: p.recorder, Memory: held}
 	mux := http.NewServeMux()
 	mux.HandleFunc(platform.PatternPublishRoutes, routes.Publish)
 	mux.HandleFunc(platform.PatternReadRoutes, routes.Read)
-	return mux
+	return serve(ctx, l, mux, held, p.resources().Connections(daemon.VoterOperatorPart))
 }
--- a/scenario/flood_memory_test.go
+++ b/scenario/flood_memory_test.go
@@ -25,6 +25,7 @@
 	floodAnswer      = 240 << 10 // bytes; an entry buffers it whole
 	floodLargeAnswer = 7 << 20   // bytes; more than the sockets hold for a client that does not read
 	floodShort       = 100       // bytes that a body stops short of its end
+	floodFields      = 56 << 10  // bytes of many short fields of a head
 	floodReaders     = 60        // clients who ask for time lines
 	floodRequests    = 200       // of each client that fills the time line
 	floodSpare       = 200       // descriptors of a process besides one for each client
@@ -111,6 +112,9 @@
 			fmt.Fprintf(w, "%s%x\r\n", floodRequest("/quotations", chunked), 16*floodBody)
 			flood.SendBytes(w, 16*floodBody)
 		}},
+		"heads of many fields": {floodConnections, 0, func(w net.Conn) {
+			io.WriteString(w, floodRequest("/quotations", flood.Fields(floodFields)+length(floodBody)))
+		}},
 		"heads that stop short": {floodConnections, 0, func(w net.Conn) {
 			io.WriteString(w, "POST /quotations HTTP/1.1\r\nHost: h\r\nX-More: "+strings.Repeat("x", 12<<10))
 		}},
@@ -163,6 +167,9 @@
 			flood.SendBytes(w, floodBody-floodShort)
 		}},
 		"publications of empty objects": {floodCrowd, sendLargeJSON("/operator/v1/publish", `{"id":"i","objects":{"models":[{}`, `,{}`, `]}}`)},
+		"heads of many fields": {floodConnections, func(w net.Conn) {
+			io.WriteString(w, floodRequest("/operator/v1/publish", flood.Fields(floodFields)+"Content-Length: "+strconv.Itoa(floodBody)))
+		}},
 		"time lines that are not read": {floodReaders, func(w net.Conn) {
 			io.WriteString(w, "GET /operator/v1/timeline HTTP/1.1\r\nHost: h\r\n\r\n")
 			readNothing(w)
