Test of connections beyond the limit waits until they are introduced

Traced: since silent connections go for new ones, a connection goes until the node has read its hello, and the test took the node's own hello for that, which comes before. The test was wrong about the state that it set up; it now waits for the ping that the node sends first after the hello. What it checks is as strict as before: three introduced connections stay, a fourth is closed. Nothing of the product changes.

--- a/wire/flood_test.go
+++ b/wire/flood_test.go
@@ -45,16 +45,23 @@
 
 // connectRaw opens a connection to a node and exchanges hellos.
 func connectRaw(t *testing.T, address string) net.Conn {
+	t.Helper()
+	nc, _ := connect(t, address)
+	return nc
+}
+
+func connect(t *testing.T, address string) (net.Conn, *bufio.Reader) {
 	t.Helper()
 	nc, err := net.Dial("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { nc.Close() })
-	if _, err := exchangeHello(nc, bufio.NewReader(nc), Hello{Name: "peer", Version: protocolVersion}, &timeline.Clock{Wall: floodClock{}}); err != nil {
+	r := bufio.NewReader(nc)
+	if _, err := exchangeHello(nc, r, Hello{Name: "peer", Version: protocolVersion}, &timeline.Clock{Wall: floodClock{}}); err != nil {
 		t.Fatal(err)
 	}
-	return nc
+	return nc, r
 }
 
 // Guards against a process that ends since others send it many large frames that stop short, or read none of many large answers: what it holds stays under its bound,
@@ -132,13 +139,25 @@
 	return l.Addr().String()
 }
 
+// connectIntroduced opens a connection to a node, exchanges hellos, and waits for the ping that begins a connection: the node has read the hello by then, and no longer counts the
+// connection as silent.
+func connectIntroduced(t *testing.T, address string) net.Conn {
+	t.Helper()
+	nc, r := connect(t, address)
+	_ = nc.SetDeadline(time.Now().Add(floodWait))
+	if e, err := readFrame(r, MaxFrameBytes, &memory.Holder{}); err != nil || e.Kind != kindPing {
+		t.Fatalf("first message: got %q, %v, want a ping", e.Kind, err)
+	}
+	return nc
+}
+
 // Guards against connections without a bound: a process closes those beyond its limit at once, and takes new ones when others have left.
 func TestConnectionsBeyondTheLimitAreClosed(t *testing.T) {
 	const limit = 3
 	address := startLimited(t, limit)
 	var first net.Conn
 	for range limit {
-		first = connectRaw(t, address)
+		first = connectIntroduced(t, address)
 	}
 	hello := func() error {
 		nc, err := net.Dial("tcp", address)
