--- a/memory/json.go
+++ b/memory/json.go
@@ -1,7 +1,7 @@
 package memory
 
 // What a JSON document takes once it is decoded. An element of a list may be two bytes of text ("0,") or three ("{},") and hundreds as a Go value, and the slice that
-// it is appended to is copied as it grows, so that a document of legal size may take hundreds of times its own. All else takes about as much as its text.
+// it is appended to is copied as it grows, so that a document of legal size may take many times its own. All else takes about as much as its text.
 
 const (
 	elementBytes = 1 << 10 // of an element of a list, with the value that it is translated to
